Skeleton and seams: types, schemas and interfaces

Cause: the repository starts empty, and its parts are to be built side by side. Measured: nothing yet; headers only.

--- /dev/null
+++ b/source/common/base/time.h
@@ -0,0 +1,47 @@
+// Time as typed values. Decision code never reads a clock: it is handed a
+// MonotonicTime (and, where expiry is agreed with callers, a WallTime).
+#pragma once
+
+#include <chrono>
+#include <cstdint>
+
+namespace juniperway {
+
+// All durations in the product are microseconds unless a name says otherwise.
+using Duration = std::chrono::microseconds;
+using std::chrono::microseconds;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+// Tag of the per-process clock that never steps. It has no now(): only the I/O
+// shell (ReadMonotonicClock) and the simulation may produce values.
+struct MonotonicClock {
+  using duration = Duration;
+  using rep = duration::rep;
+  using period = duration::period;
+  using time_point = std::chrono::time_point<MonotonicClock, Duration>;
+  static constexpr bool is_steady = true;
+};
+using MonotonicTime = MonotonicClock::time_point;
+
+// Tag of the clock shared with callers (Unix epoch, may step).
+struct WallClock {
+  using duration = Duration;
+  using rep = duration::rep;
+  using period = duration::period;
+  using time_point = std::chrono::time_point<WallClock, Duration>;
+  static constexpr bool is_steady = false;
+};
+using WallTime = WallClock::time_point;
+
+// Reads the machine's steady clock. For I/O shells only.
+MonotonicTime ReadMonotonicClock();
+// Reads the machine's system clock. For I/O shells only.
+WallTime ReadWallClock();
+
+// Whole milliseconds in `duration`, rounded down.
+inline std::int64_t ToMilliseconds(Duration duration) {
+  return std::chrono::duration_cast<milliseconds>(duration).count();
+}
+
+}  // namespace juniperway
--- /dev/null
+++ b/source/common/net/frame_connection.h
@@ -0,0 +1,88 @@
+// A TCP connection that carries size-prefixed FlatBuffers (frames). One thread:
+// every method and callback runs on the io_context's thread.
+#pragma once
+
+#include <flatbuffers/flatbuffers.h>
+
+#include <asio/io_context.hpp>
+#include <asio/ip/tcp.hpp>
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <memory>
+#include <span>
+#include <vector>
+
+#include "common/base/error.h"
+#include "common/base/time.h"
+
+namespace juniperway::net {
+
+using FrameBytes = std::span<const std::uint8_t>;
+
+// Larger frames close the connection: the peer is broken or hostile.
+inline constexpr std::uint32_t kMaximumFrameBytes = 64U << 20;
+
+class FrameConnection : public std::enable_shared_from_this<FrameConnection> {
+ public:
+  // @param frame is the buffer without its size prefix, valid during the call.
+  using FrameHandler = std::function<void(FrameBytes frame)>;
+  // Runs once, also after Close(); the connection is then dead.
+  using CloseHandler = std::function<void()>;
+
+  explicit FrameConnection(asio::ip::tcp::socket socket);
+  ~FrameConnection();
+  FrameConnection(const FrameConnection&) = delete;
+  FrameConnection& operator=(const FrameConnection&) = delete;
+
+  // Connects; the callback runs once with a connection that is not started.
+  static void Connect(
+      asio::io_context& context, const asio::ip::tcp::endpoint& endpoint,
+      Duration timeout,
+      std::function<void(Result<std::shared_ptr<FrameConnection>>)> callback);
+
+  // Begins to read. The handlers are dropped at close.
+  void Start(FrameHandler on_frame, CloseHandler on_close);
+
+  // Queues a finished, size-prefixed buffer (FinishSizePrefixed).
+  // Frames queued in one turn of the event loop go out in one write.
+  void Send(const flatbuffers::FlatBufferBuilder& builder);
+
+  // Bytes queued and not yet written: a slow peer shows here.
+  std::size_t queued_bytes() const;
+  // Totals since the start, for the cost figures of docs/CAPACITY.md.
+  std::uint64_t sent_bytes() const;
+  std::uint64_t received_bytes() const;
+
+  asio::ip::tcp::endpoint remote_endpoint() const;
+  bool closed() const;
+  // Closes at once; queued frames are lost. Safe to call twice.
+  void Close();
+
+ private:
+  struct Implementation;
+  std::unique_ptr<Implementation> implementation_;
+};
+
+// Accepts connections; port 0 lets the kernel choose.
+class FrameListener {
+ public:
+  using AcceptHandler = std::function<void(std::shared_ptr<FrameConnection>)>;
+
+  // Throws std::system_error when the address cannot be bound (set-up fault).
+  FrameListener(asio::io_context& context,
+                const asio::ip::tcp::endpoint& endpoint,
+                AcceptHandler on_accept);
+  ~FrameListener();
+  FrameListener(const FrameListener&) = delete;
+  FrameListener& operator=(const FrameListener&) = delete;
+
+  asio::ip::tcp::endpoint local_endpoint() const;
+  void Close();
+
+ private:
+  struct Implementation;
+  std::shared_ptr<Implementation> implementation_;
+};
+
+}  // namespace juniperway::net
--- /dev/null
+++ b/source/common/net/http_client.h
@@ -0,0 +1,70 @@
+// Asynchronous HTTP client: libcurl's multi interface driven by Asio. One
+// thread: every method and callback runs on the io_context's thread.
+#pragma once
+
+#include <asio/io_context.hpp>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "common/base/error.h"
+#include "common/base/time.h"
+
+namespace juniperway::net {
+
+struct HttpClientRequest {
+  std::string method = "GET";
+  std::string url;  // "http://127.0.0.1:80/v1/search"
+  std::vector<std::pair<std::string, std::string>> headers;
+  std::string body;
+  Duration timeout = seconds(10);
+};
+
+// How far an exchange got; decides between not-run and may-have-run.
+enum class HttpProgress {
+  kNotSent,   // No byte of the request left this process.
+  kSent,      // At least one byte left; no complete answer came.
+  kAnswered,  // A complete answer came: `status` and `body` are valid.
+};
+
+struct HttpClientResponse {
+  HttpProgress progress = HttpProgress::kNotSent;
+  int status = 0;
+  std::map<std::string, std::string> headers;  // names in lower case
+  std::string body;
+  bool timed_out = false;
+  std::string transport_error;  // libcurl's text when not kAnswered
+};
+
+class HttpClient {
+ public:
+  using Callback = std::function<void(HttpClientResponse)>;
+  using RequestHandle = std::uint64_t;
+
+  // @param maximum_connections_per_host bounds open connections to one ip:port
+  //   (0: no bound). Idle ones are kept for reuse and count.
+  HttpClient(asio::io_context& context,
+             std::size_t maximum_connections_per_host);
+  ~HttpClient();
+  HttpClient(const HttpClient&) = delete;
+  HttpClient& operator=(const HttpClient&) = delete;
+
+  // Starts an exchange. The callback runs once, never inside this call.
+  RequestHandle Start(HttpClientRequest request, Callback callback);
+
+  // Abandons an exchange: its connection is closed and the callback does not
+  // run. Unknown handles are ignored.
+  void Cancel(RequestHandle handle);
+
+  std::size_t running() const;
+
+ private:
+  struct Implementation;
+  std::unique_ptr<Implementation> implementation_;
+};
+
+}  // namespace juniperway::net
--- /dev/null
+++ b/source/common/net/http_server.h
@@ -0,0 +1,86 @@
+// HTTP server on RESTinio, behind an interface that keeps RESTinio's headers in
+// one file. One thread: handlers run on the io_context's thread.
+#pragma once
+
+#include <asio/io_context.hpp>
+#include <asio/ip/tcp.hpp>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "common/base/error.h"
+
+namespace juniperway::net {
+
+struct HttpRequest {
+  std::string method;  // "GET"
+  std::string path;    // decoded, without the query string: "/v1/services"
+  std::map<std::string, std::string> query;    // decoded parameters
+  std::map<std::string, std::string> headers;  // names in lower case
+  std::string body;
+  asio::ip::tcp::endpoint remote;
+
+  // Header or parameter by (lower-case) name.
+  std::optional<std::string> Header(const std::string& name) const;
+  std::optional<std::string> Parameter(const std::string& name) const;
+};
+
+struct HttpResponse {
+  int status = 200;
+  std::vector<std::pair<std::string, std::string>> headers;
+  std::string content_type = "application/json";
+  std::string body;
+};
+
+// Answers one request, later or at once. Copies share the one answer; only the
+// first Send counts.
+class HttpResponder {
+ public:
+  virtual ~HttpResponder() = default;
+  virtual void Send(HttpResponse response) = 0;
+  // `listener` runs once if the caller goes away before the answer was sent.
+  virtual void OnCallerGone(std::function<void()> listener) = 0;
+};
+
+using HttpHandler = std::function<void(const HttpRequest& request,
+                                       std::shared_ptr<HttpResponder>)>;
+
+struct HttpServerOptions {
+  asio::ip::tcp::endpoint endpoint;  // port 0: chosen by the kernel
+  std::size_t maximum_body_bytes = 8U << 20;
+  std::size_t maximum_connections = 4096;
+};
+
+class HttpServer {
+ public:
+  // Throws std::exception when the address cannot be bound (set-up fault).
+  HttpServer(asio::io_context& context, const HttpServerOptions& options,
+             HttpHandler handler);
+  ~HttpServer();
+  HttpServer(const HttpServer&) = delete;
+  HttpServer& operator=(const HttpServer&) = delete;
+
+  asio::ip::tcp::endpoint local_endpoint() const;
+  // Accepts nothing more; requests in flight may still be answered.
+  void StopAccepting();
+  // Closes every connection.
+  void Close();
+
+ private:
+  struct Implementation;
+  std::unique_ptr<Implementation> implementation_;
+};
+
+// An error body: {"error":{"code","field","message"},"execution":"not-run"}.
+HttpResponse ErrorResponse(int status, const Error& error,
+                           std::string_view execution_state);
+
+// The HTTP status that goes with an error code, e.g. 409 for kConflict.
+int HttpStatusOf(ErrorCode code);
+
+}  // namespace juniperway::net
--- /dev/null
+++ b/source/common/raft/fsm.h
@@ -0,0 +1,131 @@
+// The consensus state machine: pre-vote, check-quorum, leader lease, batched
+// append, learners, one-at-a-time membership change, snapshot transfer. No I/O.
+//
+// Use: call one input (Step, Tick, Propose…), then TakeReady(); write and sync
+// `hard_state`, `snapshot` and `entries`, then send `messages`, then apply
+// `committed`, and call Persisted() for what was synced.
+#pragma once
+
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "common/base/error.h"
+#include "common/base/time.h"
+#include "common/raft/types.h"
+
+namespace juniperway::raft {
+
+struct Options {
+  NodeId id = kNoNode;
+  Duration heartbeat_interval = milliseconds(100);
+  // Followers wait a random time in [election_timeout, 2 x election_timeout).
+  Duration election_timeout = milliseconds(1000);
+  // Bound on the rate difference of two machines' clocks, for the lease.
+  double maximum_clock_drift = 0.01;
+  std::size_t maximum_entries_per_append = 256;
+  std::size_t maximum_bytes_per_append = 1U << 20;
+  // Seed of the election jitter.
+  std::uint64_t seed = 0;
+};
+
+// What storage holds when the process starts.
+struct InitialState {
+  HardState hard_state;
+  // Snapshot metadata is needed always; `data` may be empty (not re-applied).
+  Snapshot snapshot;
+  std::vector<Entry> entries;  // contiguous, after snapshot.index
+};
+
+struct Ready {
+  std::optional<HardState> hard_state;  // sync before sending
+  std::optional<Snapshot> snapshot;     // replaces log and state machine
+  std::vector<Entry> entries;           // append (truncates conflicts), sync
+  std::vector<Message> messages;        // send after the sync
+  std::vector<Entry> committed;         // apply in order
+  bool empty() const {
+    return !hard_state && !snapshot && entries.empty() && messages.empty() &&
+           committed.empty();
+  }
+};
+
+// How far a peer is, as the leader sees it.
+struct Progress {
+  Member member;
+  bool voter = false;
+  Index match = 0;
+  // Heard from within the last election timeout.
+  bool active = false;
+};
+
+struct Status {
+  NodeId id = kNoNode;
+  Role role = Role::kFollower;
+  NodeId leader = kNoNode;
+  Term term = 0;
+  Index commit = 0;
+  Index applied = 0;
+  Index last = 0;
+  Configuration configuration;
+  std::vector<Progress> progress;  // leader only
+  // Voters that may still be lost with a quorum left, counting only those that
+  // are active and caught up. Negative: no quorum now. Leader only.
+  int tolerated_losses = -1;
+};
+
+class Fsm {
+ public:
+  Fsm(const Options& options, InitialState initial, MonotonicTime now);
+  ~Fsm();
+  Fsm(const Fsm&) = delete;
+  Fsm& operator=(const Fsm&) = delete;
+
+  void Tick(MonotonicTime now);
+  void Step(const Message& message, MonotonicTime now);
+
+  // Appends a command if this node leads.
+  // @return its index and term (the command is committed when an entry with
+  //   both is applied), or kNotLeader.
+  struct Proposal {
+    Index index = 0;
+    Term term = 0;
+  };
+  Result<Proposal> Propose(std::string command, MonotonicTime now);
+
+  // Adds a learner, promotes a caught-up learner, or removes a member.
+  // Refuses while another change is pending (kConflict) and a promotion before
+  // it caught up (kUnavailable).
+  Result<Proposal> AddLearner(const Member& member, MonotonicTime now);
+  Result<Proposal> PromoteLearner(NodeId id, MonotonicTime now);
+  Result<Proposal> RemoveMember(NodeId id, MonotonicTime now);
+  // Hands leadership to a caught-up voter (planned stop of the leader).
+  Result<void> TransferLeadership(NodeId to, MonotonicTime now);
+
+  Ready TakeReady();
+  // Entries up to `last` are synced; on a leader this counts as its own vote.
+  void Persisted(Index last, MonotonicTime now);
+  // The state machine was applied up to `index`.
+  void Applied(Index index);
+  // Log entries up to snapshot.index may go; it is sent to slow followers.
+  void Compacted(Snapshot snapshot);
+
+  // Leads, has applied an entry of its own term, and a quorum answered a
+  // heartbeat sent less than (election timeout less drift) ago: reads of the
+  // applied state are then linearizable, and leases may be granted.
+  bool HasLeaderLease(MonotonicTime now) const;
+  // When Tick should next be called.
+  MonotonicTime NextDeadline() const;
+  Status GetStatus() const;
+
+ private:
+  class Implementation;
+  std::unique_ptr<Implementation> implementation_;
+};
+
+// Codec of EntryKind::kConfiguration.
+std::string EncodeConfiguration(const Configuration& configuration);
+Result<Configuration> DecodeConfiguration(std::string_view data);
+
+}  // namespace juniperway::raft
--- /dev/null
+++ b/source/common/session/fleet_view.h
@@ -0,0 +1,55 @@
+// What a daemon knows of the replicated state at one revision. Immutable: a
+// new revision makes a new view, so a query keeps the one it started with.
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "common/resources/resource.h"
+
+namespace juniperway::session {
+
+// A daemon that holds a lease, as replicated.
+struct Member {
+  std::string daemon_id;
+  // Changes with each start of the process.
+  std::uint64_t incarnation = 0;
+  std::string zone;
+  std::string region;
+  // "ip:port" of its internal (FlatBuffers) listener.
+  std::string peer_address;
+  bool gateway = false;
+  // It announced a planned stop: it owns nothing and gets no new work.
+  bool leaving = false;
+};
+
+// What the owner of a back end last reported about it, as replicated.
+struct BackendReport {
+  std::set<resources::IndexVersion> held_versions;
+  bool draining = false;
+};
+
+struct FleetView {
+  resources::Revision revision = 0;
+  std::map<std::string, resources::Service> services;
+  std::map<std::string, resources::Backend> backends;
+  std::map<std::pair<std::string, resources::IndexVersion>,
+           resources::IndexSnapshot>
+      snapshots;
+  std::map<std::string, resources::Machine> machines;
+  // By daemon_id.
+  std::map<std::string, Member> members;
+  // By back end name.
+  std::map<std::string, BackendReport> reports;
+  // Service to the index version that new queries are pinned to. Never falls.
+  std::map<std::string, resources::IndexVersion> serving;
+};
+
+using FleetViewPointer = std::shared_ptr<const FleetView>;
+
+}  // namespace juniperway::session
