--- a/source/common/raft/fsm.h
+++ b/source/common/raft/fsm.h
@@ -27,6 +27,12 @@
   double maximum_clock_drift = 0.01;
   std::size_t maximum_entries_per_append = 256;
   std::size_t maximum_bytes_per_append = 1U << 20;
+  // Appends under way to one peer without an answer.
+  std::size_t maximum_appends_in_flight = 16;
+  // A leader refuses commands beyond this many that aren't committed yet.
+  std::size_t maximum_uncommitted_entries = 1U << 16;
+  // Entries held in memory behind a snapshot, for slow followers.
+  std::size_t kept_entries = 1000;
   // Seed of the election jitter.
   std::uint64_t seed = 0;
 };
@@ -34,9 +40,12 @@
 // What storage holds when the process starts.
 struct InitialState {
   HardState hard_state;
-  // Snapshot metadata is needed always; `data` may be empty (not re-applied).
+  // Not handed out again (the driver restores the state machine from it), but
+  // sent to slow followers. One without data is never sent. At the first start
+  // of a group: index 0 and the initial configuration.
   Snapshot snapshot;
-  std::vector<Entry> entries;  // contiguous, after snapshot.index
+  // Contiguous; the first one is at most snapshot.index + 1.
+  std::vector<Entry> entries;
 };
 
 struct Ready {
@@ -58,6 +67,12 @@
   Index match = 0;
   // Heard from within the last election timeout.
   bool active = false;
+  // Holds everything that was committed when the latest heartbeat that it
+  // answered was sent.
+  bool caught_up = false;
+  // Denies entries that it had acknowledged: it lost its disk, never counts,
+  // and must be replaced under a new id.
+  bool regressed = false;
 };
 
 struct Status {
@@ -100,14 +115,23 @@
   Result<Proposal> AddLearner(const Member& member, MonotonicTime now);
   Result<Proposal> PromoteLearner(NodeId id, MonotonicTime now);
   Result<Proposal> RemoveMember(NodeId id, MonotonicTime now);
-  // Hands leadership to a caught-up voter (planned stop of the leader).
+  // Hands leadership to a caught-up voter (planned stop of the leader). Until
+  // the voter holds the whole log (at most one election timeout), commands are
+  // refused (kUnavailable); then this node stops leading. Losing the message
+  // costs one ordinary election.
   Result<void> TransferLeadership(NodeId to, MonotonicTime now);
 
+  // What is to be done now. One at a time: after a Ready with entries or a
+  // snapshot, Persisted() comes before the next TakeReady().
   Ready TakeReady();
-  // Entries up to `last` are synced; on a leader this counts as its own vote.
+  // Entries (or the snapshot) up to `last` are synced; on a leader this counts
+  // as its own vote for them.
   void Persisted(Index last, MonotonicTime now);
   // The state machine was applied up to `index`.
   void Applied(Index index);
+  // A snapshot of the state machine at `index`, which must be applied and not
+  // yet compacted, with the term and configuration that go with it.
+  Snapshot MakeSnapshot(Index index, std::string data) const;
   // Log entries up to snapshot.index may go; it is sent to slow followers.
   void Compacted(Snapshot snapshot);
 
--- a/source/common/raft/types.h
+++ b/source/common/raft/types.h
@@ -81,6 +81,9 @@
   std::vector<Entry> entries;
   Index commit = 0;
   bool reject = false;
+  // kVote: the leader asked this candidate to take over (kTimeoutNow), so
+  // voters need not wait until they stop hearing that leader.
+  bool leadership_transfer = false;
   // Round of the leader's heartbeat that a reply answers: lease and reads.
   std::uint64_t round = 0;
   std::optional<Snapshot> snapshot;
