--- a/source/common/raft/fsm.h
+++ b/source/common/raft/fsm.h
@@ -129,9 +129,10 @@
   void Persisted(Index last, MonotonicTime now);
   // The state machine was applied up to `index`.
   void Applied(Index index);
-  // A snapshot of the state machine at `index`, which must be applied and not
-  // yet compacted, with the term and configuration that go with it.
-  Snapshot MakeSnapshot(Index index, std::string data) const;
+  // A snapshot of the state machine at `index`, which must be applied, with the
+  // term and configuration that go with it. kConflict if a later one was
+  // received meanwhile.
+  Result<Snapshot> MakeSnapshot(Index index, std::string data) const;
   // Log entries up to snapshot.index may go; it is sent to slow followers.
   void Compacted(Snapshot snapshot);
 
--- a/source/common/raft/fsm_implementation.h
+++ b/source/common/raft/fsm_implementation.h
@@ -28,7 +28,7 @@
   Ready TakeReady();
   void Persisted(Index last, MonotonicTime now);
   void Applied(Index index);
-  Snapshot MakeSnapshot(Index index, std::string data) const;
+  Result<Snapshot> MakeSnapshot(Index index, std::string data) const;
   void Compacted(Snapshot snapshot);
   MonotonicTime NextDeadline() const;
   Status GetStatus() const;
