--- /dev/null
+++ b/source/common/control/control_server.h
@@ -0,0 +1,91 @@
+// One control machine: consensus node, session server for daemons and resource
+// API in one event loop. The decisions lie in raft/fsm.h, control_state.h and
+// lease_table.h; this is the I/O shell that ties them together.
+#pragma once
+
+#include <asio/io_context.hpp>
+#include <asio/ip/tcp.hpp>
+#include <cstdint>
+#include <filesystem>
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "common/base/error.h"
+#include "common/base/time.h"
+#include "common/raft/types.h"
+#include "common/storage/log_store.h"
+
+namespace juniperway::control {
+
+struct ControlServerOptions {
+  // Identity of the fleet; peers and daemons of another one are refused.
+  std::string cluster;
+  raft::NodeId node_id = raft::kNoNode;
+  // Resource API. Port 0: chosen by the kernel (see http_endpoint()).
+  asio::ip::tcp::endpoint http_listen;
+  // Consensus and daemon sessions. Port 0: chosen by the kernel.
+  asio::ip::tcp::endpoint peer_listen;
+  // Voters of a cluster that starts for the first time, this node among them;
+  // must be the same on each. Empty: this node waits until the cluster adds it.
+  // Ignored when the store holds a state.
+  std::vector<raft::Member> initial_members;
+  // Content of the token file, without blanks at its ends. Empty: the API is
+  // served on the loopback interface only (port of `http_listen`).
+  std::string bearer_token;
+  // Platform list, "http://10.0.0.9:9000/v1/machines"; empty: none.
+  std::string platform_url;
+  Duration platform_poll_interval = seconds(2);
+  // Scratch folder for backup files, and where they are made.
+  std::filesystem::path data_folder;
+
+  // Consensus timing; see raft::Options.
+  Duration raft_heartbeat_interval = milliseconds(100);
+  Duration raft_election_timeout = milliseconds(1000);
+  double maximum_clock_drift = 0.01;
+  // How long a daemon may act on a lease, counted from when it sent the
+  // heartbeat.
+  Duration lease_duration = seconds(4);
+  // Changes of the replicated state wait this long for more, before they are
+  // streamed to the daemons in one update.
+  Duration update_delay = milliseconds(10);
+  // How long a call waits for a leader and its answer before it gets 503.
+  Duration call_timeout = seconds(5);
+  // A snapshot is taken when the log since the last one has grown past this.
+  std::size_t compaction_bytes = 16U << 20;
+  std::size_t compaction_entries = 20000;
+  // Entries kept behind a snapshot for followers that are a little behind.
+  raft::Index kept_entries = 2000;
+  // Seed of the election jitter; 0: from the system's random device.
+  std::uint64_t seed = 0;
+  // Runs when the store failed and the node has stopped taking part. Default:
+  // the process ends with the error in its log.
+  std::function<void(const Error&)> on_store_failure;
+};
+
+class ControlServer {
+ public:
+  // Loads the store, opens both listeners and starts to take part. Every
+  // handler runs on `context`'s thread; the caller runs the context.
+  // Throws std::exception on set-up faults (address in use, corrupt store).
+  ControlServer(asio::io_context& context, const ControlServerOptions& options,
+                std::unique_ptr<storage::LogStore> store);
+  // Closes everything; must run on the context's thread or after it stopped.
+  ~ControlServer();
+  ControlServer(const ControlServer&) = delete;
+  ControlServer& operator=(const ControlServer&) = delete;
+
+  asio::ip::tcp::endpoint http_endpoint() const;
+  asio::ip::tcp::endpoint peer_endpoint() const;
+
+  // Planned stop: hands leadership over where this node leads, then closes.
+  // `done` runs once, at the latest after `timeout`.
+  void Stop(Duration timeout, std::function<void()> done);
+
+ private:
+  class Implementation;
+  std::shared_ptr<Implementation> implementation_;
+};
+
+}  // namespace juniperway::control
