--- /dev/null
+++ b/source/common/gateway/front_server.h
@@ -0,0 +1,67 @@
+// The front tier over HTTP: takes callers' queries, runs each as a
+// routing::QueryRun over connections to the owners of back ends, and answers.
+// A thin shell: what to send, wait for and answer is decided in routing/.
+#pragma once
+
+#include <asio/io_context.hpp>
+#include <asio/ip/tcp.hpp>
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+
+#include "common/base/time.h"
+#include "common/session/control_session.h"
+
+namespace prometheus {
+class Registry;
+}
+
+namespace juniperway::gateway {
+
+struct FrontOptions {
+  std::string daemon_id;
+  std::string zone;
+  std::string region;
+  // Where callers connect; port 0 lets the kernel choose.
+  asio::ip::tcp::endpoint http_listen;
+  // Queries in flight beyond which new ones are refused at once (not run).
+  std::size_t maximum_concurrent_queries = 4096;
+  std::size_t maximum_body_bytes = 1U << 20;
+  std::size_t maximum_caller_connections = 4096;
+  // How long one attempt to connect to an owner may take.
+  Duration peer_connect_timeout = milliseconds(1000);
+  // Of replica choice, jitter and made-up request ids.
+  std::uint64_t random_seed = 1;
+};
+
+// One thread: every method and callback runs on the io_context's thread. The
+// session and the registry must outlive the server.
+class FrontServer {
+ public:
+  // Throws std::exception when the address cannot be bound (set-up fault).
+  FrontServer(asio::io_context& context, const FrontOptions& options,
+              session::ControlSession& session, prometheus::Registry& registry);
+  ~FrontServer();
+  FrontServer(const FrontServer&) = delete;
+  FrontServer& operator=(const FrontServer&) = delete;
+
+  asio::ip::tcp::endpoint local_endpoint() const;
+
+  // To be called with each new view (the daemon owns the session's one view
+  // listener): routes of running queries follow it, lost owners are noticed.
+  void OnView(const session::FleetViewPointer& view);
+
+  // Planned stop: /v1/ready turns 503 and new queries are refused (not run).
+  // `drained` runs once, when every query in flight has been answered.
+  void Stop(std::function<void()> drained);
+
+  std::size_t running_queries() const;
+
+ private:
+  struct Implementation;
+  std::unique_ptr<Implementation> implementation_;
+};
+
+}  // namespace juniperway::gateway
