--- /dev/null
+++ b/source/common/owner/backend_gate.cc
@@ -0,0 +1,407 @@
+#include "common/owner/backend_gate.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace juniperway::owner {
+namespace {
+
+using protocol::SubqueryOutcome;
+
+// When to ask again while the previous owner finishes.
+constexpr Duration kWaitingRetryAfter = milliseconds(20);
+// Pause after a shed of the only running subquery; doubles with each.
+constexpr Duration kFirstShedPause = milliseconds(5);
+constexpr Duration kLongestShedPause = seconds(1);
+// Sheds within this time (or one service time) are one sign of overload.
+constexpr Duration kShortestShedRound = milliseconds(10);
+constexpr Duration kShortestRetryAfter = milliseconds(1);
+
+}  // namespace
+
+BackendGate::BackendGate(const GateSettings& settings, Duration probe_interval,
+                         std::uint64_t seed)
+    : settings_(settings),
+      probe_interval_(probe_interval),
+      random_(seed),
+      limit_(settings.slots),
+      breaker_(seed) {}
+
+GateActions BackendGate::Configure(const GateSettings& settings,
+                                   MonotonicTime now) {
+  settings_ = settings;
+  limit_.SetSlots(settings.slots);
+  Dispatch(now);
+  return TakeActions();
+}
+
+GateActions BackendGate::SetAccess(GateAccess access, MonotonicTime now) {
+  access_ = access;
+  Dispatch(now);
+  return TakeActions();
+}
+
+GateActions BackendGate::SetMayEject(bool may_eject, MonotonicTime now) {
+  breaker_.SetMayOpen(may_eject);
+  Dispatch(now);
+  return TakeActions();
+}
+
+GateActions BackendGate::SetDraining(DrainSource level, bool draining,
+                                     MonotonicTime now) {
+  if (level == DrainSource::kOperator) {
+    drain_.SetOperator(draining);
+  } else if (level == DrainSource::kPlatform) {
+    drain_.SetPlatform(draining);
+  }
+  Dispatch(now);
+  return TakeActions();
+}
+
+GateActions BackendGate::SetReportedDraining(bool draining, MonotonicTime now) {
+  drain_.SetReported(draining, now);
+  Dispatch(now);
+  return TakeActions();
+}
+
+GateActions BackendGate::Submit(SubqueryId id, MonotonicTime deadline,
+                                MonotonicTime now) {
+  if (const auto refusal = Barred(id, now)) {
+    actions_.push_back(*refusal);
+    return TakeActions();
+  }
+  queue_.Insert(id, deadline);
+  Dispatch(now);
+  if (queue_.size() > settings_.queue_limit) {
+    const SubqueryId longest = queue_.Last().id;
+    queue_.Remove(longest);
+    Finish(longest, SubqueryOutcome::kShed, RetryAfter(now));
+  }
+  return TakeActions();
+}
+
+GateActions BackendGate::Cancel(SubqueryId id, MonotonicTime now) {
+  if (queue_.Remove(id)) {
+    Finish(id, SubqueryOutcome::kExpiredUnstarted);
+    return TakeActions();
+  }
+  const auto found = running_.find(id);
+  if (found == running_.end() || found->second.abandoned) {
+    return TakeActions();
+  }
+  Finish(id, SubqueryOutcome::kExpiredStarted);
+  Running& search = found->second;
+  search.abandoned = true;
+  search.cancelled = true;
+  search.close_at = now + kAnswerGrace;
+  if (connections() < settings_.maximum_connections) {
+    ++cancels_;
+    actions_.push_back({GateActionKind::kSendCancel, id});
+  } else {
+    service_time_.ObserveAtLeast(now - search.started);
+    Close(id);
+  }
+  Dispatch(now);
+  return TakeActions();
+}
+
+GateActions BackendGate::OnReply(SubqueryId id, const BackendReply& reply,
+                                 MonotonicTime now) {
+  const auto found = running_.find(id);
+  if (found == running_.end()) {
+    return TakeActions();
+  }
+  const Running search = found->second;
+  running_.erase(found);
+  LearnFrom(search, reply, now);
+  Dispatch(now);
+  return TakeActions();
+}
+
+GateActions BackendGate::OnCancelDone(MonotonicTime now) {
+  if (cancels_ > 0) {
+    --cancels_;
+  }
+  Dispatch(now);
+  return TakeActions();
+}
+
+GateActions BackendGate::OnProbeDone(const std::optional<ProbeResult>& result,
+                                     MonotonicTime now) {
+  if (!probe_sent_) {
+    return TakeActions();
+  }
+  const MonotonicTime sent = *probe_sent_;
+  probe_sent_.reset();
+  if (result) {
+    drain_.OnHealth(result->draining, sent, now);
+    if (result->cold && !cold_) {
+      slow_start_.Begin(now, settings_.slow_start);
+    }
+    cold_ = result->cold;
+  }
+  Dispatch(now);
+  return TakeActions();
+}
+
+GateActions BackendGate::OnTimer(MonotonicTime now) {
+  ExpireRunning(now);
+  Dispatch(now);
+  return TakeActions();
+}
+
+std::optional<MonotonicTime> BackendGate::NextTimer(MonotonicTime now) const {
+  std::optional<MonotonicTime> next;
+  const auto consider = [&next](MonotonicTime time) {
+    next = next ? std::min(*next, time) : time;
+  };
+  for (const auto& [id, search] : running_) {
+    consider(search.abandoned ? search.close_at : search.deadline);
+  }
+  if (!queue_.empty()) {
+    consider(queue_.First().deadline);
+    if (now < paused_until_) {
+      consider(paused_until_);
+    }
+    if (const auto step = slow_start_.NextStep(settings_.slots, now)) {
+      consider(*step);
+    }
+  }
+  if (access_ == GateAccess::kOpen && !stopped_ && !probe_sent_ &&
+      connections() < settings_.maximum_connections) {
+    consider(next_probe_);
+  }
+  return next;
+}
+
+GateActions BackendGate::Stop(MonotonicTime now) {
+  stopped_ = true;
+  Dispatch(now);
+  return TakeActions();
+}
+
+GateActions BackendGate::CutOff(MonotonicTime now) {
+  access_ = GateAccess::kClosed;
+  while (!running_.empty()) {
+    const auto& [id, search] = *running_.begin();
+    if (!search.abandoned) {
+      Finish(id, SubqueryOutcome::kLost);
+    }
+    Close(id);
+  }
+  cancels_ = 0;
+  probe_sent_.reset();
+  Dispatch(now);
+  return TakeActions();
+}
+
+bool BackendGate::idle() const { return queue_.empty() && connections() == 0; }
+
+std::uint32_t BackendGate::connections() const {
+  return running() + cancels_ + (probe_sent_ ? 1 : 0);
+}
+
+std::uint32_t BackendGate::UsableSlots(MonotonicTime now) const {
+  const std::uint32_t possible =
+      std::min(settings_.slots, settings_.maximum_connections);
+  return std::min(
+      {possible, limit_.limit(), slow_start_.OpenSlots(settings_.slots, now)});
+}
+
+std::optional<GateAction> BackendGate::Barred(SubqueryId id,
+                                              MonotonicTime now) const {
+  GateAction refusal{GateActionKind::kFinish, id};
+  if (stopped_ || access_ == GateAccess::kClosed) {
+    refusal.outcome = SubqueryOutcome::kNotOwner;
+    return refusal;
+  }
+  if (drain_.draining()) {
+    refusal.outcome = SubqueryOutcome::kDraining;
+    return refusal;
+  }
+  if (access_ == GateAccess::kWaiting) {
+    refusal.outcome = SubqueryOutcome::kNotOwner;
+    refusal.retry_after = kWaitingRetryAfter;
+    return refusal;
+  }
+  if (breaker_.State(now) == BreakerState::kOpen) {
+    refusal.outcome = SubqueryOutcome::kShed;
+    refusal.retry_after = breaker_.retry_at() - now;
+    return refusal;
+  }
+  return std::nullopt;
+}
+
+bool BackendGate::CanStart(MonotonicTime now) const {
+  if (now < paused_until_ || running() >= UsableSlots(now) ||
+      connections() >= settings_.maximum_connections) {
+    return false;
+  }
+  return breaker_.State(now) == BreakerState::kClosed || running_.empty();
+}
+
+void BackendGate::Start(DeadlineQueue::Entry entry, MonotonicTime now) {
+  Running& search = running_[entry.id];
+  search.started = now;
+  search.deadline = entry.deadline;
+  actions_.push_back({GateActionKind::kStart, entry.id});
+}
+
+void BackendGate::Dispatch(MonotonicTime now) {
+  ProbeWhenDue(now);
+  RefuseExpired(now);
+  if (Barred(0, now)) {
+    RefuseAll(now);
+    return;
+  }
+  while (!queue_.empty() && CanStart(now)) {
+    const DeadlineQueue::Entry entry = queue_.First();
+    queue_.Remove(entry.id);
+    const bool too_late = now + service_time_.mean() > entry.deadline;
+    if (too_late && !queue_.empty()) {
+      // The slot does more good for the next one. With nobody waiting it is
+      // tried all the same, as the mean is only a guess.
+      Finish(entry.id, SubqueryOutcome::kShed, RetryAfter(now));
+    } else {
+      Start(entry, now);
+    }
+  }
+  RefuseInfeasible(now);
+}
+
+void BackendGate::RefuseExpired(MonotonicTime now) {
+  while (!queue_.empty() && queue_.First().deadline <= now) {
+    const SubqueryId id = queue_.First().id;
+    queue_.Remove(id);
+    Finish(id, SubqueryOutcome::kExpiredUnstarted);
+  }
+}
+
+void BackendGate::RefuseInfeasible(MonotonicTime now) {
+  const Duration mean = service_time_.mean();
+  const MonotonicTime first_start = std::max(now, paused_until_);
+  const auto usable = UsableSlots(now);
+  std::vector<SubqueryId> infeasible;
+  std::int64_t ahead = 0;
+  for (const DeadlineQueue::Entry& entry : queue_.entries()) {
+    const Duration wait = mean * (ahead + 1) / usable;
+    if (first_start + wait + mean > entry.deadline) {
+      infeasible.push_back(entry.id);
+    } else {
+      ++ahead;
+    }
+  }
+  for (const SubqueryId id : infeasible) {
+    queue_.Remove(id);
+    Finish(id, SubqueryOutcome::kShed, RetryAfter(now));
+  }
+}
+
+void BackendGate::RefuseAll(MonotonicTime now) {
+  while (!queue_.empty()) {
+    const SubqueryId id = queue_.First().id;
+    queue_.Remove(id);
+    actions_.push_back(*Barred(id, now));
+  }
+}
+
+void BackendGate::ExpireRunning(MonotonicTime now) {
+  std::vector<SubqueryId> overdue;
+  for (auto& [id, search] : running_) {
+    if (!search.abandoned && search.deadline <= now) {
+      Finish(id, SubqueryOutcome::kExpiredStarted);
+      search.abandoned = true;
+      search.close_at = search.deadline + kAnswerGrace;
+    }
+    if (search.abandoned && search.close_at <= now) {
+      overdue.push_back(id);
+    }
+  }
+  for (const SubqueryId id : overdue) {
+    const Running& search = running_[id];
+    service_time_.ObserveAtLeast(now - search.started);
+    if (!search.cancelled) {
+      breaker_.OnFailure(now);
+    }
+    Close(id);
+  }
+}
+
+void BackendGate::Close(SubqueryId id) {
+  running_.erase(id);
+  actions_.push_back({GateActionKind::kCloseConnection, id});
+}
+
+void BackendGate::ProbeWhenDue(MonotonicTime now) {
+  if (access_ != GateAccess::kOpen || stopped_ || probe_sent_ ||
+      now < next_probe_ || connections() >= settings_.maximum_connections) {
+    return;
+  }
+  probe_sent_ = now;
+  next_probe_ = now + Jittered(probe_interval_);
+  actions_.push_back({GateActionKind::kProbe});
+}
+
+void BackendGate::LearnFrom(const Running& search, const BackendReply& reply,
+                            MonotonicTime now) {
+  if (reply.answered) {
+    drain_.OnAnswer(reply.draining, now);
+  }
+  switch (reply.kind) {
+    case ReplyKind::kServed:
+      service_time_.Observe(now - search.started);
+      limit_.OnServed();
+      pause_ = Duration::zero();
+      break;
+    case ReplyKind::kRefused:
+      break;
+    case ReplyKind::kShed:
+      OnShed(reply, now);
+      break;
+    case ReplyKind::kStopped:
+      service_time_.ObserveAtLeast(now - search.started);
+      break;
+    case ReplyKind::kUnreachable:
+    case ReplyKind::kBroken:
+      breaker_.OnFailure(now);
+      return;
+  }
+  if (breaker_.State(now) != BreakerState::kClosed) {
+    slow_start_.Begin(now, settings_.slow_start);
+  }
+  breaker_.OnAnswer();
+}
+
+void BackendGate::OnShed(const BackendReply& reply, MonotonicTime now) {
+  limit_.OnShed(now, std::max(service_time_.mean(), kShortestShedRound));
+  if (!running_.empty()) {
+    return;
+  }
+  pause_ = pause_ == Duration::zero() ? kFirstShedPause
+                                      : std::min(kLongestShedPause, pause_ * 2);
+  const Duration asked = std::min(reply.retry_after, kLongestShedPause);
+  paused_until_ = now + std::max(asked, Jittered(pause_));
+}
+
+void BackendGate::Finish(SubqueryId id, SubqueryOutcome outcome,
+                         Duration retry_after) {
+  actions_.push_back({GateActionKind::kFinish, id, outcome, retry_after});
+}
+
+Duration BackendGate::RetryAfter(MonotonicTime now) const {
+  const auto ahead = static_cast<std::int64_t>(queue_.size() + running_.size());
+  const Duration backlog = service_time_.mean() * ahead / UsableSlots(now);
+  const Duration pause =
+      paused_until_ > now ? paused_until_ - now : Duration::zero();
+  return std::max({kShortestRetryAfter, backlog, pause});
+}
+
+Duration BackendGate::Jittered(Duration duration) {
+  std::uniform_int_distribution<Duration::rep> jitter(duration.count() * 3 / 4,
+                                                      duration.count() * 5 / 4);
+  return Duration(jitter(random_));
+}
+
+GateActions BackendGate::TakeActions() { return std::exchange(actions_, {}); }
+
+}  // namespace juniperway::owner
--- /dev/null
+++ b/source/common/owner/circuit_breaker.cc
@@ -0,0 +1,59 @@
+#include "common/owner/circuit_breaker.h"
+
+#include <algorithm>
+
+namespace juniperway::owner {
+namespace {
+
+constexpr std::uint32_t kFailuresToOpen = 5;
+constexpr Duration kFirstPause = milliseconds(100);
+constexpr Duration kLongestPause = seconds(5);
+
+}  // namespace
+
+CircuitBreaker::CircuitBreaker(std::uint64_t seed) : random_(seed) {}
+
+void CircuitBreaker::SetMayOpen(bool may_open) {
+  may_open_ = may_open;
+  if (!may_open) {
+    open_ = false;
+    consecutive_failures_ = 0;
+  }
+}
+
+void CircuitBreaker::OnAnswer() {
+  open_ = false;
+  consecutive_failures_ = 0;
+  pause_ = Duration::zero();
+}
+
+void CircuitBreaker::OnFailure(MonotonicTime now) {
+  ++consecutive_failures_;
+  if (!may_open_) {
+    return;
+  }
+  // Failures of subqueries that were sent before it opened change nothing.
+  if (State(now) == BreakerState::kHalfOpen ||
+      (!open_ && consecutive_failures_ >= kFailuresToOpen)) {
+    Open(now);
+  }
+}
+
+BreakerState CircuitBreaker::State(MonotonicTime now) const {
+  if (!open_) {
+    return BreakerState::kClosed;
+  }
+  return now < retry_at_ ? BreakerState::kOpen : BreakerState::kHalfOpen;
+}
+
+void CircuitBreaker::Open(MonotonicTime now) {
+  open_ = true;
+  pause_ = pause_ == Duration::zero() ? kFirstPause
+                                      : std::min(kLongestPause, pause_ * 2);
+  // Half to one and a half of the pause, so that owners do not retry in step.
+  std::uniform_int_distribution<Duration::rep> jitter(pause_.count() / 2,
+                                                      pause_.count() * 3 / 2);
+  retry_at_ = now + Duration(jitter(random_));
+}
+
+}  // namespace juniperway::owner
