--- /dev/null
+++ b/source/common/control/control_state.cc
@@ -0,0 +1,317 @@
+#include "common/control/control_state.h"
+
+#include <glog/logging.h>
+
+#include <algorithm>
+#include <memory>
+#include <utility>
+
+#include "common/control/operation_applier.h"
+#include "common/control/serving_rule.h"
+#include "common/session/fleet_codec.h"
+
+namespace juniperway::control {
+namespace {
+
+using resources::Kind;
+using resources::Resource;
+
+template <typename Record>
+std::string Serialize(const Record& record) {
+  flatbuffers::FlatBufferBuilder builder;
+  builder.Finish(Record::TableType::Pack(builder, &record));
+  return {reinterpret_cast<const char*>(builder.GetBufferPointer()),
+          builder.GetSize()};
+}
+
+// The table in `data`, or null when it does not verify.
+template <typename Table>
+const Table* Verify(std::string_view data) {
+  flatbuffers::Verifier verifier(
+      reinterpret_cast<const std::uint8_t*>(data.data()), data.size(),
+      /*max_depth=*/64, /*max_tables=*/100'000'000);
+  return verifier.VerifyBuffer<Table>(nullptr)
+             ? flatbuffers::GetRoot<Table>(data.data())
+             : nullptr;
+}
+
+std::unique_ptr<protocol::ServingVersionT> MakeServing(
+    const std::string& service, resources::IndexVersion version) {
+  auto serving = std::make_unique<protocol::ServingVersionT>();
+  serving->service = service;
+  serving->index_version = version;
+  return serving;
+}
+
+// Writes items into an update as daemons should see them: what the platform
+// and the operator say about leaving is merged in.
+class UpdateBuilder {
+ public:
+  explicit UpdateBuilder(const FleetStore& fleet) : fleet_(fleet) {}
+
+  void Add(const FleetItem& item) {
+    switch (item.kind) {
+      case FleetItem::Kind::kResource:
+        AddResource(item);
+        break;
+      case FleetItem::Kind::kMember:
+        AddMember(item.name);
+        break;
+      case FleetItem::Kind::kReport:
+        AddReport(item.name);
+        break;
+      case FleetItem::Kind::kServing:
+        AddServing(item.name);
+        break;
+    }
+  }
+
+  void AddEverything() {
+    for (const auto& [id, resource] : fleet_.resources()) {
+      Put(resource);
+    }
+    for (const auto& [name, member] : fleet_.members) {
+      AddMember(name);
+    }
+    for (const auto& [backend, report] : fleet_.reports) {
+      AddReport(backend);
+    }
+    for (const auto& [service, version] : fleet_.serving) {
+      AddServing(service);
+    }
+  }
+
+  protocol::FleetUpdateT Take() { return std::move(update_); }
+
+ private:
+  void AddResource(const FleetItem& item) {
+    const resources::ResourceId id{item.resource_kind, item.name};
+    const Resource* resource = fleet_.Find(id);
+    if (item.resource_kind == Kind::kIndexSnapshot) {
+      AddSnapshot(item, resource);
+    } else if (resource != nullptr) {
+      Put(*resource);
+    } else {
+      update_.removed_resources.push_back(
+          std::make_unique<protocol::ResourceKeyT>(
+              session::EncodeResourceId(id)));
+    }
+  }
+
+  // A name may have been deleted and used again for another version: each item
+  // stands for its own version.
+  void AddSnapshot(const FleetItem& item, const Resource* resource) {
+    if (resource != nullptr &&
+        std::get<resources::IndexSnapshot>(resource->specification)
+                .index_version == item.index_version) {
+      Put(*resource);
+      return;
+    }
+    update_.removed_snapshots.push_back(
+        MakeServing(item.service, item.index_version));
+  }
+
+  void Put(const Resource& resource) {
+    protocol::ResourceRecordT record = session::EncodeResource(resource);
+    if (auto* backend = record.specification.AsBackendSpecification()) {
+      backend->drain =
+          backend->drain || fleet_.platform_leaving.contains(record.name);
+    }
+    update_.resources.push_back(
+        std::make_unique<protocol::ResourceRecordT>(std::move(record)));
+  }
+
+  void AddMember(const std::string& name) {
+    auto member = fleet_.members.find(name);
+    if (member == fleet_.members.end()) {
+      update_.removed_members.push_back(name);
+      return;
+    }
+    auto record = std::make_unique<protocol::FleetMemberT>(
+        session::EncodeMember(member->second));
+    record->leaving = fleet_.IsLeaving(member->second);
+    update_.members.push_back(std::move(record));
+  }
+
+  void AddReport(const std::string& backend) {
+    auto report = fleet_.reports.find(backend);
+    if (report == fleet_.reports.end()) {
+      update_.removed_reports.push_back(backend);
+      return;
+    }
+    update_.reports.push_back(std::make_unique<protocol::BackendReportRecordT>(
+        session::EncodeReport(backend, report->second)));
+  }
+
+  void AddServing(const std::string& service) {
+    auto serving = fleet_.serving.find(service);
+    if (serving == fleet_.serving.end()) {
+      update_.removed_serving.push_back(service);
+      return;
+    }
+    update_.serving.push_back(MakeServing(service, serving->second));
+  }
+
+  const FleetStore& fleet_;
+  protocol::FleetUpdateT update_;
+};
+
+}  // namespace
+
+std::string EncodeCommand(const protocol::CommandT& command) {
+  return Serialize(command);
+}
+
+AppliedCommand ControlState::Apply(std::string_view command) {
+  const auto* table = Verify<protocol::Command>(command);
+  CHECK(table != nullptr) << "a committed command does not decode";
+  protocol::CommandT unpacked;
+  table->UnPackTo(&unpacked);
+  return Apply(unpacked);
+}
+
+AppliedCommand ControlState::Apply(const protocol::CommandT& command) {
+  wall_time_ = std::max(wall_time_, WallTime{Duration(command.wall_time_us)});
+  claims_.Expire(wall_time_);
+  changes_.Expire(wall_time_);
+  OperationApplier applier(*this);
+  AppliedCommand applied;
+  applied.results.reserve(command.operations.size());
+  for (const auto& item : command.operations) {
+    applied.results.push_back(applier.Apply(item->operation));
+  }
+  applied.changed_members = applier.TakeChangedMembers();
+  return applied;
+}
+
+void ControlState::Commit(std::vector<FleetItem> items) {
+  ++revision_;
+  log_.Record(revision_, std::move(items));
+}
+
+void ControlState::AdvanceServing(const std::set<std::string>& services) {
+  for (const std::string& service : services) {
+    const auto next = NextServingVersion(fleet_, service);
+    if (!next) {
+      continue;
+    }
+    fleet_.serving[service] = *next;
+    FleetItem item;
+    item.kind = FleetItem::Kind::kServing;
+    item.name = service;
+    Commit({item});
+  }
+}
+
+protocol::FleetUpdateT ControlState::UpdateSince(
+    resources::Revision from) const {
+  UpdateBuilder builder(fleet_);
+  const auto items = from == 0 ? std::nullopt : log_.ItemsSince(from);
+  if (items) {
+    for (const FleetItem& item : *items) {
+      builder.Add(item);
+    }
+  } else {
+    builder.AddEverything();
+  }
+  protocol::FleetUpdateT update = builder.Take();
+  update.from_revision = items ? from : 0;
+  update.to_revision = revision_;
+  return update;
+}
+
+std::optional<std::vector<resources::ResourceId>>
+ControlState::ResourcesChangedSince(resources::Revision from) const {
+  const auto items = log_.ItemsSince(from);
+  if (!items) {
+    return std::nullopt;
+  }
+  std::vector<resources::ResourceId> ids;
+  for (const FleetItem& item : *items) {
+    if (item.kind == FleetItem::Kind::kResource) {
+      ids.push_back({item.resource_kind, item.name});
+    }
+  }
+  // Items of one name with different index versions stand side by side.
+  ids.erase(std::ranges::unique(ids).begin(), ids.end());
+  return ids;
+}
+
+std::string ControlState::EncodeSnapshot() const {
+  protocol::StateSnapshotT snapshot;
+  snapshot.revision = revision_;
+  snapshot.wall_time_us = wall_time_.time_since_epoch().count();
+  for (const auto& [id, resource] : fleet_.resources()) {
+    snapshot.resources.push_back(std::make_unique<protocol::ResourceRecordT>(
+        session::EncodeResource(resource)));
+  }
+  for (const auto& [name, member] : fleet_.members) {
+    snapshot.members.push_back(std::make_unique<protocol::FleetMemberT>(
+        session::EncodeMember(member)));
+  }
+  for (const auto& [backend, report] : fleet_.reports) {
+    snapshot.reports.push_back(std::make_unique<protocol::BackendReportRecordT>(
+        session::EncodeReport(backend, report)));
+  }
+  for (const auto& [service, version] : fleet_.serving) {
+    snapshot.serving.push_back(MakeServing(service, version));
+  }
+  for (const auto& [service, version] : fleet_.published) {
+    snapshot.published.push_back(MakeServing(service, version));
+  }
+  snapshot.platform_leaving.assign(fleet_.platform_leaving.begin(),
+                                   fleet_.platform_leaving.end());
+  for (auto& claim : claims_.Encode()) {
+    snapshot.claims.push_back(
+        std::make_unique<protocol::ClaimRecordT>(std::move(claim)));
+  }
+  for (const auto* change : changes_.Records()) {
+    snapshot.changes.push_back(
+        std::make_unique<protocol::ChangeRecordT>(*change));
+  }
+  return Serialize(snapshot);
+}
+
+Result<ControlState> ControlState::DecodeSnapshot(std::string_view data) {
+  const auto* table = Verify<protocol::StateSnapshot>(data);
+  if (table == nullptr) {
+    return MakeError(ErrorCode::kCorrupt, "", "the snapshot does not decode");
+  }
+  protocol::StateSnapshotT snapshot;
+  table->UnPackTo(&snapshot);
+  ControlState state;
+  state.revision_ = snapshot.revision;
+  state.wall_time_ = WallTime{Duration(snapshot.wall_time_us)};
+  state.log_.Reset(snapshot.revision);
+  for (const auto& record : snapshot.resources) {
+    auto resource = session::DecodeResource(*record);
+    if (!resource) {
+      return MakeError(ErrorCode::kCorrupt, record->name,
+                       resource.error().message);
+    }
+    state.fleet_.Put(*resource);
+  }
+  for (const auto& member : snapshot.members) {
+    state.fleet_.members[member->daemon_id] = session::DecodeMember(*member);
+  }
+  for (const auto& report : snapshot.reports) {
+    state.fleet_.reports[report->backend] = session::DecodeReport(*report);
+  }
+  for (const auto& serving : snapshot.serving) {
+    state.fleet_.serving[serving->service] = serving->index_version;
+  }
+  for (const auto& published : snapshot.published) {
+    state.fleet_.published[published->service] = published->index_version;
+  }
+  state.fleet_.platform_leaving.insert(snapshot.platform_leaving.begin(),
+                                       snapshot.platform_leaving.end());
+  for (const auto& claim : snapshot.claims) {
+    state.claims_.Insert(*claim);
+  }
+  for (const auto& change : snapshot.changes) {
+    state.changes_.Insert(std::move(*change));
+  }
+  return state;
+}
+
+}  // namespace juniperway::control
--- /dev/null
+++ b/source/common/control/operation_applier.cc
@@ -0,0 +1,403 @@
+#include "common/control/operation_applier.h"
+
+#include <algorithm>
+#include <memory>
+#include <utility>
+
+#include "common/control/resource_rules.h"
+#include "common/control/serving_rule.h"
+#include "common/session/fleet_codec.h"
+
+namespace juniperway::control {
+namespace {
+
+using resources::Resource;
+using resources::ResourceId;
+
+FleetItem ItemOf(const Resource& resource) {
+  FleetItem item;
+  item.kind = FleetItem::Kind::kResource;
+  item.resource_kind = resource.id.kind;
+  item.name = resource.id.name;
+  if (const auto* snapshot =
+          std::get_if<resources::IndexSnapshot>(&resource.specification)) {
+    item.service = snapshot->service;
+    item.index_version = snapshot->index_version;
+  }
+  return item;
+}
+
+FleetItem NamedItem(FleetItem::Kind kind, const std::string& name) {
+  FleetItem item;
+  item.kind = kind;
+  item.name = name;
+  return item;
+}
+
+// The service whose serving version this resource may move.
+std::string ServiceOf(const Resource& resource) {
+  if (const auto* backend =
+          std::get_if<resources::Backend>(&resource.specification)) {
+    return backend->service;
+  }
+  if (const auto* snapshot =
+          std::get_if<resources::IndexSnapshot>(&resource.specification)) {
+    return snapshot->service;
+  }
+  return resource.id.name;
+}
+
+bool SameReport(const session::BackendReport& left,
+                const session::BackendReport& right) {
+  return left.draining == right.draining &&
+         left.held_versions == right.held_versions;
+}
+
+}  // namespace
+
+protocol::OperationResultT OperationApplier::Apply(
+    const protocol::OperationUnion& operation) {
+  switch (operation.type) {
+    case protocol::Operation::ApplyResources:
+      return Apply(*operation.AsApplyResources());
+    case protocol::Operation::DeleteResource:
+      return Apply(*operation.AsDeleteResource());
+    case protocol::Operation::JoinMember:
+      return Apply(*operation.AsJoinMember());
+    case protocol::Operation::LeaveMember:
+      return Apply(*operation.AsLeaveMember());
+    case protocol::Operation::RemoveMember:
+      return Apply(*operation.AsRemoveMember());
+    case protocol::Operation::ClaimRequest:
+      return Apply(*operation.AsClaimRequest());
+    case protocol::Operation::RecordOutcome:
+      return Apply(*operation.AsRecordOutcome());
+    case protocol::Operation::ReportBackends:
+      return Apply(*operation.AsReportBackends());
+    case protocol::Operation::SetPlatformLeaving:
+      return Apply(*operation.AsSetPlatformLeaving());
+    case protocol::Operation::NONE:
+      break;
+  }
+  return Refuse({ErrorCode::kInvalidArgument, "", "unknown operation"});
+}
+
+// --- Resources ---------------------------------------------------------------
+
+OperationApplier::Outcome OperationApplier::Apply(
+    const protocol::ApplyResourcesT& operation) {
+  if (auto first = FindFirstOutcome(operation.change_id, operation.digest)) {
+    return std::move(*first);
+  }
+  std::vector<Resource> set;
+  std::vector<ResourceId> ids;
+  for (const auto& record : operation.resources) {
+    auto resource = session::DecodeResource(*record);
+    if (!resource) {
+      return Refuse(resource.error());
+    }
+    ids.push_back(resource->id);
+    set.push_back(std::move(*resource));
+  }
+  Outcome outcome;
+  if (auto checked = CheckApply(state_.fleet_, set); checked) {
+    outcome = WriteSet(std::move(set));
+  } else {
+    outcome = Refuse(checked.error());
+    AttachCurrent(ids, outcome);
+  }
+  RememberChange(operation.change_id, operation.digest, outcome,
+                 std::move(ids));
+  return outcome;
+}
+
+OperationApplier::Outcome OperationApplier::Apply(
+    const protocol::DeleteResourceT& operation) {
+  if (auto first = FindFirstOutcome(operation.change_id, operation.digest)) {
+    return std::move(*first);
+  }
+  const ResourceId id = session::DecodeResourceId(*operation.key);
+  Outcome outcome;
+  if (auto checked = CheckDelete(state_.fleet_, id, operation.version);
+      checked) {
+    outcome = Erase(id, operation.version);
+  } else {
+    outcome = Refuse(checked.error());
+    AttachCurrent({id}, outcome);
+  }
+  RememberChange(operation.change_id, operation.digest, outcome, {id});
+  return outcome;
+}
+
+OperationApplier::Outcome OperationApplier::WriteSet(
+    std::vector<Resource> set) {
+  FleetStore& fleet = state_.fleet_;
+  std::vector<FleetItem> items;
+  std::set<std::string> services;
+  const resources::Revision revision = state_.revision_ + 1;
+  Outcome outcome;
+  for (Resource& resource : set) {
+    if (const Resource* before = fleet.Find(resource.id)) {
+      services.insert(ServiceOf(*before));
+    }
+    services.insert(ServiceOf(resource));
+    resource.version = revision;
+    fleet.Put(resource);
+    if (const auto* snapshot =
+            std::get_if<resources::IndexSnapshot>(&resource.specification)) {
+      auto& published = fleet.published[snapshot->service];
+      published = std::max(published, snapshot->index_version);
+    }
+    items.push_back(ItemOf(resource));
+    if (fleet.members.contains(resource.id.name)) {
+      // A Machine that leaves changes the daemon of that name.
+      items.push_back(NamedItem(FleetItem::Kind::kMember, resource.id.name));
+    }
+    outcome.resources.push_back(std::make_unique<protocol::ResourceRecordT>(
+        session::EncodeResource(resource)));
+  }
+  state_.Commit(std::move(items));
+  outcome.revision = revision;
+  state_.AdvanceServing(services);
+  return outcome;
+}
+
+OperationApplier::Outcome OperationApplier::Erase(const ResourceId& id,
+                                                  resources::Revision) {
+  FleetStore& fleet = state_.fleet_;
+  const Resource resource = *fleet.Find(id);
+  std::vector<FleetItem> items = {ItemOf(resource)};
+  fleet.Erase(id);
+  if (id.kind == resources::Kind::kBackend && fleet.reports.erase(id.name)) {
+    items.push_back(NamedItem(FleetItem::Kind::kReport, id.name));
+  }
+  if (const auto* snapshot =
+          std::get_if<resources::IndexSnapshot>(&resource.specification)) {
+    auto serving = fleet.serving.find(snapshot->service);
+    if (serving != fleet.serving.end() &&
+        serving->second == snapshot->index_version) {
+      fleet.serving.erase(serving);
+      items.push_back(NamedItem(FleetItem::Kind::kServing, snapshot->service));
+    }
+  }
+  if (fleet.members.contains(id.name)) {
+    items.push_back(NamedItem(FleetItem::Kind::kMember, id.name));
+  }
+  state_.Commit(std::move(items));
+  return Done();
+}
+
+std::optional<OperationApplier::Outcome> OperationApplier::FindFirstOutcome(
+    const std::string& change_id, std::uint64_t digest) const {
+  const protocol::ChangeRecordT* change = state_.changes_.Find(change_id);
+  if (change == nullptr) {
+    return std::nullopt;
+  }
+  if (change->digest != digest) {
+    return Refuse({ErrorCode::kInvalidArgument, "change_id",
+                   "was used for a different change"});
+  }
+  Outcome outcome;
+  outcome.resent = true;
+  outcome.revision = change->revision;
+  if (change->error) {
+    outcome.error = std::make_unique<protocol::OperationErrorT>(*change->error);
+  }
+  std::vector<ResourceId> written;
+  for (const auto& key : change->written) {
+    written.push_back(session::DecodeResourceId(*key));
+  }
+  AttachCurrent(written, outcome);
+  return outcome;
+}
+
+void OperationApplier::RememberChange(const std::string& change_id,
+                                      std::uint64_t digest,
+                                      const Outcome& outcome,
+                                      std::vector<ResourceId> written) {
+  protocol::ChangeRecordT record;
+  record.change_id = change_id;
+  record.digest = digest;
+  record.wall_time_us = state_.wall_time_.time_since_epoch().count();
+  record.revision = outcome.revision;
+  if (outcome.error) {
+    record.error = std::make_unique<protocol::OperationErrorT>(*outcome.error);
+  }
+  for (const ResourceId& id : written) {
+    record.written.push_back(std::make_unique<protocol::ResourceKeyT>(
+        session::EncodeResourceId(id)));
+  }
+  state_.changes_.Insert(std::move(record));
+}
+
+void OperationApplier::AttachCurrent(const std::vector<ResourceId>& ids,
+                                     Outcome& outcome) const {
+  for (const ResourceId& id : ids) {
+    if (const Resource* resource = state_.fleet_.Find(id)) {
+      outcome.resources.push_back(std::make_unique<protocol::ResourceRecordT>(
+          session::EncodeResource(*resource)));
+    }
+  }
+}
+
+// --- Membership --------------------------------------------------------------
+
+OperationApplier::Outcome OperationApplier::Apply(
+    const protocol::JoinMemberT& operation) {
+  const session::Member joining = session::DecodeMember(*operation.member);
+  auto current = state_.fleet_.members.find(joining.daemon_id);
+  if (current != state_.fleet_.members.end()) {
+    if (current->second.incarnation == joining.incarnation) {
+      return Done();
+    }
+    if (current->second.incarnation > joining.incarnation) {
+      return Refuse({ErrorCode::kConflict, "incarnation",
+                     "a later start of this daemon has joined"});
+    }
+  }
+  state_.fleet_.members[joining.daemon_id] = joining;
+  changed_members_.insert(joining.daemon_id);
+  state_.Commit({NamedItem(FleetItem::Kind::kMember, joining.daemon_id)});
+  return Done();
+}
+
+OperationApplier::Outcome OperationApplier::Apply(
+    const protocol::LeaveMemberT& operation) {
+  auto member = state_.fleet_.members.find(operation.daemon_id);
+  if (member == state_.fleet_.members.end() ||
+      member->second.incarnation != operation.incarnation ||
+      member->second.leaving) {
+    return Done();
+  }
+  member->second.leaving = true;
+  changed_members_.insert(operation.daemon_id);
+  state_.Commit({NamedItem(FleetItem::Kind::kMember, operation.daemon_id)});
+  return Done();
+}
+
+OperationApplier::Outcome OperationApplier::Apply(
+    const protocol::RemoveMemberT& operation) {
+  auto member = state_.fleet_.members.find(operation.daemon_id);
+  if (member == state_.fleet_.members.end() ||
+      member->second.incarnation != operation.incarnation) {
+    return Done();
+  }
+  state_.fleet_.members.erase(member);
+  changed_members_.insert(operation.daemon_id);
+  state_.Commit({NamedItem(FleetItem::Kind::kMember, operation.daemon_id)});
+  return Done();
+}
+
+// --- Claims ------------------------------------------------------------------
+
+OperationApplier::Outcome OperationApplier::Apply(
+    const protocol::ClaimRequestT& operation) {
+  const auto* service = state_.fleet_.FindService(operation.service);
+  if (service == nullptr) {
+    return Refuse({ErrorCode::kNotFound, "service",
+                   "there is no Service " + operation.service});
+  }
+  const WallTime limit =
+      state_.wall_time_ + service->maximum_expiry + kClaimClockAllowance;
+  if (WallTime{Duration(operation.expiry_us)} > limit) {
+    return Refuse({ErrorCode::kInvalidArgument, "expiry",
+                   "lies further ahead than the service allows"});
+  }
+  if (state_.claims_.size() >= kMaximumClaims) {
+    return Refuse({ErrorCode::kTooLarge, "", "too many claims are open"});
+  }
+  const session::ClaimReply reply =
+      state_.claims_.Claim(operation, state_.wall_time_);
+  Outcome outcome = Done();
+  outcome.claim = std::make_unique<protocol::ClaimResultT>();
+  outcome.claim->decision =
+      static_cast<protocol::ClaimDecisionCode>(reply.decision);
+  outcome.claim->has_outcome = reply.recorded_outcome.has_value();
+  outcome.claim->outcome = static_cast<std::uint8_t>(
+      reply.recorded_outcome.value_or(ExecutionState::kMayHaveRun));
+  return outcome;
+}
+
+OperationApplier::Outcome OperationApplier::Apply(
+    const protocol::RecordOutcomeT& operation) {
+  state_.claims_.RecordOutcome(operation);
+  return Done();
+}
+
+// --- Back ends ---------------------------------------------------------------
+
+OperationApplier::Outcome OperationApplier::Apply(
+    const protocol::ReportBackendsT& operation) {
+  std::vector<FleetItem> items;
+  std::set<std::string> services;
+  for (const auto& record : operation.reports) {
+    const auto* backend = state_.fleet_.FindBackend(record->backend);
+    if (backend == nullptr) {
+      continue;
+    }
+    const session::BackendReport report = session::DecodeReport(*record);
+    auto [current, inserted] =
+        state_.fleet_.reports.try_emplace(record->backend);
+    if (!inserted && SameReport(current->second, report)) {
+      continue;
+    }
+    current->second = report;
+    items.push_back(NamedItem(FleetItem::Kind::kReport, record->backend));
+    services.insert(backend->service);
+  }
+  if (!items.empty()) {
+    state_.Commit(std::move(items));
+    state_.AdvanceServing(services);
+  }
+  return Done();
+}
+
+OperationApplier::Outcome OperationApplier::Apply(
+    const protocol::SetPlatformLeavingT& operation) {
+  FleetStore& fleet = state_.fleet_;
+  std::set<std::string> names(operation.names.begin(), operation.names.end());
+  std::vector<std::string> changed;
+  std::ranges::set_symmetric_difference(names, fleet.platform_leaving,
+                                        std::back_inserter(changed));
+  if (changed.empty()) {
+    return Done();
+  }
+  fleet.platform_leaving = std::move(names);
+  std::vector<FleetItem> items;
+  std::set<std::string> services;
+  for (const std::string& name : changed) {
+    if (const Resource* resource =
+            fleet.Find({resources::Kind::kBackend, name})) {
+      items.push_back(ItemOf(*resource));
+      services.insert(ServiceOf(*resource));
+    }
+    if (fleet.members.contains(name)) {
+      items.push_back(NamedItem(FleetItem::Kind::kMember, name));
+      changed_members_.insert(name);
+    }
+  }
+  if (!items.empty()) {
+    state_.Commit(std::move(items));
+    state_.AdvanceServing(services);
+  }
+  return Done();
+}
+
+// --- Results -----------------------------------------------------------------
+
+OperationApplier::Outcome OperationApplier::Done() const {
+  Outcome outcome;
+  outcome.revision = state_.revision_;
+  return outcome;
+}
+
+OperationApplier::Outcome OperationApplier::Refuse(const Error& error) const {
+  Outcome outcome = Done();
+  outcome.error = std::make_unique<protocol::OperationErrorT>();
+  outcome.error->code = static_cast<std::uint8_t>(error.code);
+  outcome.error->field = error.field;
+  outcome.error->message = error.message;
+  return outcome;
+}
+
+}  // namespace juniperway::control
--- /dev/null
+++ b/source/common/session/control_session_client.cc
@@ -0,0 +1,678 @@
+#include "common/session/control_session_client.h"
+
+#include <algorithm>
+#include <asio/post.hpp>
+#include <asio/steady_timer.hpp>
+#include <asio/thread_pool.hpp>
+#include <random>
+#include <stdexcept>
+#include <utility>
+
+#include "common/logging/event_log.h"
+#include "common/net/address.h"
+#include "common/net/frame_connection.h"
+#include "common/session/control_frames.h"
+#include "common/session/events.h"
+#include "common/session/fleet_codec.h"
+#include "common/session/operation_queue.h"
+#include "common/session/session_file.h"
+
+namespace juniperway::session {
+namespace {
+
+using logging::LogEvent;
+
+// How long reports and outcomes are offered to control before they are dropped
+// (outcomes) or offered anew (reports).
+constexpr Duration kReportTimeout = seconds(10);
+constexpr Duration kOutcomeTimeout = seconds(60);
+constexpr std::size_t kMaximumQueuedOperations = 100000;
+// Pause before a call that control could not take is sent again.
+constexpr Duration kCallRetryDelay = milliseconds(100);
+constexpr Duration kPersistRetryDelay = seconds(1);
+// A goodbye is small: once the socket took it the kernel delivers it.
+constexpr Duration kGoodbyePollInterval = milliseconds(5);
+
+std::uint64_t DrawSeed(std::uint64_t seed) {
+  return seed != 0 ? seed : std::random_device()();
+}
+
+Error ToError(std::string message) {
+  return {ErrorCode::kIo, "", std::move(message)};
+}
+
+}  // namespace
+
+class ControlSessionClient::Implementation
+    : public std::enable_shared_from_this<Implementation> {
+ public:
+  Implementation(asio::io_context& context, const SessionOptions& options)
+      : context_(context),
+        options_(options),
+        timer_(context),
+        view_(std::make_shared<FleetView>()) {
+    for (const std::string& text : options.control_endpoints) {
+      auto endpoint = net::ParseEndpoint(text, "control");
+      if (!endpoint) {
+        throw std::runtime_error(FormatError(endpoint.error()));
+      }
+      endpoints_.push_back(*endpoint);
+    }
+    if (endpoints_.empty()) {
+      throw std::runtime_error("control: at least one address is needed");
+    }
+    OpenFile();
+    state_ = std::make_unique<SessionState>(options.timing, endpoints_.size(),
+                                            record_.revision,
+                                            DrawSeed(options.seed));
+  }
+
+  void Start() {
+    state_->Start(Now());
+    SchedulePump();
+  }
+
+  // Nothing runs after this; pending callbacks are dropped.
+  void Close() {
+    closed_ = true;
+    timer_.cancel();
+    DropConnection();
+    view_listener_ = nullptr;
+    progress_listener_ = nullptr;
+    if (writer_) {
+      writer_->join();
+    }
+  }
+
+  void Goodbye(Duration timeout, std::function<void()> done) {
+    goodbye_said_ = true;
+    if (connection_ && state_->connected()) {
+      SendMessage(*connection_, protocol::SessionGoodbyeT{});
+    }
+    WaitUntilSent(Now() + timeout, std::move(done));
+  }
+
+  FleetViewPointer view() const { return view_; }
+  const SessionState& state() const { return *state_; }
+  const Counters& counters() const { return counters_; }
+  Counters TotalCounters() const {
+    Counters total = counters_;
+    if (connection_) {
+      total.sent_bytes += connection_->sent_bytes();
+      total.received_bytes += connection_->received_bytes();
+    }
+    return total;
+  }
+
+  void SetViewListener(ViewListener listener) {
+    view_listener_ = std::move(listener);
+  }
+  void SetProgressListener(std::function<void()> listener) {
+    progress_listener_ = std::move(listener);
+  }
+
+  void ReportReleased(resources::Revision revision) {
+    state_->OnReleased(revision);
+    SchedulePump();
+  }
+
+  void ReportBackend(const std::string& backend, const BackendReport& report) {
+    reports_[backend] = EncodeReport(backend, report);
+    SchedulePump();
+  }
+
+  void Claim(const ClaimKey& key, WallTime expiry, Duration timeout,
+             ClaimCallback callback) {
+    protocol::ClaimRequestT claim;
+    claim.service = key.service;
+    claim.request_id = key.request_id;
+    claim.expiry_us = expiry.time_since_epoch().count();
+    claim.claimant = Claimant();
+    claim.attempt = ++last_attempt_;
+    Enqueue(MakeOperation(std::move(claim)), timeout,
+            [callback = std::move(callback)](
+                Result<protocol::OperationResultT> result) {
+              callback(DecodeClaim(result));
+            });
+  }
+
+  void RecordOutcome(const ClaimKey& key, ExecutionState outcome) {
+    if (operations_.size() >= kMaximumQueuedOperations) {
+      return;
+    }
+    protocol::RecordOutcomeT record;
+    record.service = key.service;
+    record.request_id = key.request_id;
+    record.claimant = Claimant();
+    record.outcome = static_cast<std::uint8_t>(outcome);
+    Enqueue(MakeOperation(std::move(record)), kOutcomeTimeout,
+            [](const Result<protocol::OperationResultT>&) {});
+  }
+
+  void Leave(Duration timeout, std::function<void()> done) {
+    leaving_ = true;
+    protocol::LeaveMemberT leave;
+    leave.daemon_id = options_.daemon_id;
+    leave.incarnation = record_.incarnation;
+    Enqueue(MakeOperation(std::move(leave)), timeout,
+            [done = std::move(done)](
+                const Result<protocol::OperationResultT>&) { done(); });
+  }
+
+ private:
+  static MonotonicTime Now() { return ReadMonotonicClock(); }
+
+  // --- Set-up ----------------------------------------------------------------
+
+  void OpenFile() {
+    const auto started = ReadWallClock().time_since_epoch().count();
+    if (options_.data_folder.empty()) {
+      record_.incarnation = static_cast<std::uint64_t>(started);
+      return;
+    }
+    auto file = SessionFile::Open(options_.data_folder, options_.cluster,
+                                  options_.daemon_id);
+    if (!file) {
+      throw std::runtime_error(FormatError(file.error()));
+    }
+    file_ = std::move(*file);
+    record_ = file_->record();
+    record_.incarnation =
+        std::max(record_.incarnation + 1, static_cast<std::uint64_t>(started));
+    if (auto written = file_->Write(record_); !written) {
+      throw std::runtime_error(FormatError(written.error()));
+    }
+    writer_ = std::make_unique<asio::thread_pool>(1);
+  }
+
+  // --- Event loop ------------------------------------------------------------
+
+  // Runs Pump once in a later turn of the loop, so that what is said in one
+  // turn goes out together.
+  void SchedulePump() {
+    if (pump_scheduled_ || closed_) {
+      return;
+    }
+    pump_scheduled_ = true;
+    asio::post(context_, [self = shared_from_this()] {
+      self->pump_scheduled_ = false;
+      self->Pump();
+    });
+  }
+
+  void Pump() {
+    if (closed_ || goodbye_said_) {
+      return;
+    }
+    const MonotonicTime now = Now();
+    state_->Tick(now);
+    for (SessionAction& action : state_->TakeActions()) {
+      CarryOut(action);
+    }
+    operations_.Expire(now);
+    SendReports();
+    SendCalls(now);
+    NoteLease(now);
+    NoteProgress();
+    ArmTimer(now);
+  }
+
+  void ArmTimer(MonotonicTime now) {
+    MonotonicTime deadline =
+        std::min(state_->NextDeadline(), operations_.NextDeadline());
+    if (had_lease_) {
+      deadline = std::min(deadline, now + options_.timing.heartbeat_interval);
+    }
+    // Never spins: a deadline in the past means the very next moment.
+    const Duration delay =
+        std::clamp(Duration(deadline - now), Duration(milliseconds(1)),
+                   Duration(seconds(60)));
+    timer_.expires_after(delay);
+    timer_.async_wait([self = shared_from_this()](const asio::error_code& e) {
+      if (!e) {
+        self->Pump();
+      }
+    });
+  }
+
+  void CarryOut(const SessionAction& action) {
+    if (const auto* connect = std::get_if<ConnectAction>(&action)) {
+      Connect(connect->endpoint);
+    } else if (const auto* beat = std::get_if<HeartbeatAction>(&action)) {
+      SendHeartbeat(beat->heartbeat);
+    } else {
+      LogEvent(kSessionLost, {{"daemon", options_.daemon_id},
+                              {"reason", "silent or without a lease"}});
+      DropConnection();
+    }
+  }
+
+  // --- Connection ------------------------------------------------------------
+
+  void Connect(std::size_t endpoint) {
+    DropConnection();
+    const std::uint64_t attempt = ++connection_number_;
+    ++counters_.connects;
+    net::FrameConnection::Connect(
+        context_, endpoints_[endpoint], options_.timing.connect_timeout,
+        [weak = weak_from_this(),
+         attempt](Result<std::shared_ptr<net::FrameConnection>> result) {
+          auto self = weak.lock();
+          if (!self || self->closed_ || attempt != self->connection_number_) {
+            if (result) {
+              (*result)->Close();
+            }
+            return;
+          }
+          self->OnConnectResult(std::move(result), attempt);
+        });
+  }
+
+  void OnConnectResult(Result<std::shared_ptr<net::FrameConnection>> result,
+                       std::uint64_t attempt) {
+    if (!result) {
+      state_->OnDisconnected(Now());
+      SchedulePump();
+      return;
+    }
+    connection_ = std::move(*result);
+    connection_->Start(
+        [weak = weak_from_this(), attempt](net::FrameBytes frame) {
+          auto self = weak.lock();
+          if (self && attempt == self->connection_number_) {
+            self->OnFrame(frame);
+          }
+        },
+        [weak = weak_from_this(), attempt] {
+          auto self = weak.lock();
+          if (self && !self->closed_ && attempt == self->connection_number_) {
+            self->OnConnectionClosed();
+          }
+        });
+    SendHello();
+    state_->OnConnected(Now());
+    SchedulePump();
+  }
+
+  void SendHello() {
+    protocol::SessionHelloT hello;
+    hello.cluster = options_.cluster;
+    hello.member = std::make_unique<protocol::FleetMemberT>();
+    hello.member->daemon_id = options_.daemon_id;
+    hello.member->incarnation = record_.incarnation;
+    hello.member->zone = options_.zone;
+    hello.member->region = options_.region;
+    hello.member->peer_address = options_.peer_address;
+    hello.member->gateway = options_.gateway;
+    hello.member->leaving = leaving_;
+    hello.view_revision = newest()->revision;
+    hello.minimum_revision = state_->minimum_revision();
+    SendMessage(*connection_, std::move(hello));
+  }
+
+  void OnConnectionClosed() {
+    LogEvent(kSessionLost,
+             {{"daemon", options_.daemon_id}, {"reason", "closed"}});
+    DropConnection();
+    state_->OnDisconnected(Now());
+    SchedulePump();
+  }
+
+  void DropConnection() {
+    ++connection_number_;
+    operations_.OnDisconnected();
+    if (!connection_) {
+      return;
+    }
+    counters_.sent_bytes += connection_->sent_bytes();
+    counters_.received_bytes += connection_->received_bytes();
+    connection_->Close();
+    connection_.reset();
+  }
+
+  void SendHeartbeat(const HeartbeatContent& content) {
+    if (!connection_) {
+      return;
+    }
+    protocol::HeartbeatT heartbeat;
+    heartbeat.sequence = content.sequence;
+    heartbeat.confirmed_revision = content.confirmed;
+    heartbeat.released_revision = content.released;
+    heartbeat.term = content.term;
+    heartbeat.holds_lease = content.holds_lease;
+    heartbeat.in_force_revision = content.in_force;
+    heartbeat.zone_released_revision = content.zone_released;
+    SendMessage(*connection_, std::move(heartbeat));
+  }
+
+  // --- Frames ----------------------------------------------------------------
+
+  void OnFrame(net::FrameBytes bytes) {
+    auto frame = DecodeFrame(bytes);
+    if (!frame) {
+      LogEvent(kFrameInvalid, {{"daemon", options_.daemon_id}});
+      OnConnectionClosed();
+      return;
+    }
+    auto& message = frame->message;
+    if (const auto* update = message.AsFleetUpdate()) {
+      OnUpdate(*update);
+    } else if (const auto* reply = message.AsHeartbeatReply()) {
+      OnHeartbeatReply(*reply);
+    } else if (const auto* progress = message.AsSessionProgress()) {
+      state_->OnProgress(progress->in_force_revision,
+                         progress->zone_released_revision);
+    } else if (const auto* call = message.AsSessionCallReply()) {
+      operations_.OnReply(*call, Now() + kCallRetryDelay);
+    } else if (const auto* refused = message.AsSessionRefused()) {
+      LogEvent(kSessionRefused,
+               {{"daemon", options_.daemon_id}, {"message", refused->message}});
+    }
+    SchedulePump();
+  }
+
+  void OnHeartbeatReply(const protocol::HeartbeatReplyT& reply) {
+    HeartbeatAnswer answer;
+    answer.sequence = reply.sequence;
+    answer.granted = reply.outcome == protocol::HeartbeatOutcome::kGranted;
+    answer.new_term = reply.outcome == protocol::HeartbeatOutcome::kNewTerm;
+    answer.lease = Duration(reply.granted_us);
+    answer.term = reply.term;
+    answer.in_force = reply.in_force_revision;
+    answer.zone_released = reply.zone_released_revision;
+    state_->OnHeartbeatReply(answer, Now());
+  }
+
+  // --- Views -----------------------------------------------------------------
+
+  // The newest view, though it may not be kept and in use yet.
+  const FleetViewPointer& newest() const { return staged_ ? staged_ : view_; }
+
+  void OnUpdate(const protocol::FleetUpdateT& update) {
+    const FleetViewPointer base = newest();
+    if (!IsApplicable(update, base->revision) ||
+        !state_->MayTake(update.to_revision)) {
+      LogEvent(kUpdateRefused, {{"daemon", options_.daemon_id},
+                                {"revision", update.to_revision},
+                                {"have", base->revision},
+                                {"minimum", state_->minimum_revision()}});
+      return;
+    }
+    auto view = ApplyUpdate(*base, update);
+    if (!view) {
+      LogEvent(kUpdateRefused, {{"daemon", options_.daemon_id},
+                                {"revision", update.to_revision},
+                                {"error", FormatError(view.error())}});
+      return;
+    }
+    ++counters_.updates;
+    counters_.full_updates += update.from_revision == 0 ? 1 : 0;
+    staged_ = std::move(*view);
+    KeepStaged();
+  }
+
+  // A revision is written down before it is used, so that a restart cannot take
+  // the daemon back behind it. The sync runs beside the event loop.
+  void KeepStaged() {
+    if (keeping_ || !staged_) {
+      return;
+    }
+    if (!file_) {
+      TakeStaged(staged_);
+      return;
+    }
+    keeping_ = true;
+    SessionRecord record = record_;
+    record.revision = staged_->revision;
+    asio::post(*writer_, [this, record, staged = staged_,
+                          self = shared_from_this()]() mutable {
+      Result<void> written = file_->Write(record);
+      asio::post(context_, [self = std::move(self), staged = std::move(staged),
+                            written = std::move(written)] {
+        self->OnKept(staged, written);
+      });
+    });
+  }
+
+  void OnKept(const FleetViewPointer& kept, const Result<void>& written) {
+    keeping_ = false;
+    if (closed_) {
+      return;
+    }
+    if (!written) {
+      LogEvent(kRevisionNotKept, {{"daemon", options_.daemon_id},
+                                  {"error", FormatError(written.error())}});
+      RetryKeep();
+      return;
+    }
+    record_.revision = kept->revision;
+    TakeStaged(kept);
+    KeepStaged();
+  }
+
+  void RetryKeep() {
+    auto timer = std::make_shared<asio::steady_timer>(context_);
+    timer->expires_after(kPersistRetryDelay);
+    timer->async_wait([timer, weak = weak_from_this()](const auto&) {
+      if (auto self = weak.lock(); self && !self->closed_) {
+        self->KeepStaged();
+      }
+    });
+  }
+
+  void TakeStaged(const FleetViewPointer& view) {
+    view_ = view;
+    if (staged_ == view) {
+      staged_.reset();
+    }
+    if (view_listener_) {
+      view_listener_(view_);
+    }
+    state_->OnTaken(view_->revision);
+    SchedulePump();
+  }
+
+  // --- Operations ------------------------------------------------------------
+
+  void Enqueue(protocol::OperationItemT operation, Duration timeout,
+               OperationQueue::Callback callback) {
+    operations_.Add(std::move(operation), Now() + timeout, std::move(callback));
+    SchedulePump();
+  }
+
+  void SendCalls(MonotonicTime now) {
+    if (!connection_ || !state_->connected()) {
+      return;
+    }
+    while (auto call = operations_.TakeCall(now)) {
+      SendMessage(*connection_, std::move(*call));
+    }
+  }
+
+  // One call with reports is under way at a time, so that an older report
+  // cannot overtake a newer one.
+  void SendReports() {
+    if (report_under_way_ || reports_.empty()) {
+      return;
+    }
+    report_under_way_ = true;
+    protocol::ReportBackendsT operation;
+    for (const auto& [backend, report] : reports_) {
+      operation.reports.push_back(
+          std::make_unique<protocol::BackendReportRecordT>(report));
+    }
+    Enqueue(MakeOperation(std::move(operation)), kReportTimeout,
+            [this, sent = std::exchange(reports_, {})](
+                const Result<protocol::OperationResultT>& result) mutable {
+              report_under_way_ = false;
+              if (!result) {
+                reports_.merge(sent);  // newer ones stay
+                SchedulePump();
+              }
+            });
+  }
+
+  std::string Claimant() const {
+    return options_.daemon_id + "/" + std::to_string(record_.incarnation);
+  }
+
+  static Result<ClaimReply> DecodeClaim(
+      const Result<protocol::OperationResultT>& result) {
+    if (!result) {
+      return tl::unexpected(result.error());
+    }
+    if (!result->claim) {
+      return tl::unexpected(ToError("the answer holds no claim"));
+    }
+    ClaimReply reply;
+    switch (result->claim->decision) {
+      case protocol::ClaimDecisionCode::kGranted:
+        reply.decision = ClaimDecision::kGranted;
+        break;
+      case protocol::ClaimDecisionCode::kAlreadyClaimed:
+        reply.decision = ClaimDecision::kAlreadyClaimed;
+        break;
+      case protocol::ClaimDecisionCode::kExpired:
+        reply.decision = ClaimDecision::kExpired;
+        break;
+    }
+    if (result->claim->has_outcome) {
+      reply.recorded_outcome =
+          static_cast<ExecutionState>(result->claim->outcome);
+    }
+    return reply;
+  }
+
+  // --- Notices ---------------------------------------------------------------
+
+  void NoteLease(MonotonicTime now) {
+    const bool has_lease = state_->HasLease(now);
+    if (has_lease != had_lease_) {
+      had_lease_ = has_lease;
+      LogEvent(has_lease ? kLeaseGained : kLeaseLost,
+               {{"daemon", options_.daemon_id}, {"revision", view_->revision}});
+    }
+  }
+
+  void NoteProgress() {
+    const auto progress =
+        std::pair(state_->in_force(), state_->zone_released());
+    if (progress != noted_progress_) {
+      noted_progress_ = progress;
+      if (progress_listener_) {
+        progress_listener_();
+      }
+    }
+  }
+
+  void WaitUntilSent(MonotonicTime deadline, std::function<void()> done) {
+    const bool sent = !connection_ || connection_->closed() ||
+                      connection_->queued_bytes() == 0;
+    if (sent || Now() >= deadline) {
+      done();
+      return;
+    }
+    timer_.expires_after(kGoodbyePollInterval);
+    timer_.async_wait([self = shared_from_this(), deadline,
+                       done = std::move(done)](const asio::error_code&) {
+      self->WaitUntilSent(deadline, done);
+    });
+  }
+
+  asio::io_context& context_;
+  SessionOptions options_;
+  asio::steady_timer timer_;
+  std::vector<asio::ip::tcp::endpoint> endpoints_;
+  std::unique_ptr<SessionFile> file_;
+  // Syncs the file; joined before the file goes.
+  std::unique_ptr<asio::thread_pool> writer_;
+  SessionRecord record_;
+  std::unique_ptr<SessionState> state_;
+  OperationQueue operations_;
+  std::shared_ptr<net::FrameConnection> connection_;
+  // Tells callbacks of connections that were given up.
+  std::uint64_t connection_number_ = 0;
+  bool pump_scheduled_ = false;
+  bool closed_ = false;
+  bool goodbye_said_ = false;
+  bool leaving_ = false;
+  bool had_lease_ = false;
+
+  FleetViewPointer view_;
+  // Decoded, but not kept yet; null: none.
+  FleetViewPointer staged_;
+  bool keeping_ = false;
+  std::map<std::string, protocol::BackendReportRecordT> reports_;
+  bool report_under_way_ = false;
+  std::uint64_t last_attempt_ = 0;
+  std::pair<resources::Revision, resources::Revision> noted_progress_;
+  ViewListener view_listener_;
+  std::function<void()> progress_listener_;
+  Counters counters_;
+};
+
+ControlSessionClient::ControlSessionClient(asio::io_context& context,
+                                           const SessionOptions& options)
+    : implementation_(std::make_shared<Implementation>(context, options)) {}
+
+ControlSessionClient::~ControlSessionClient() { implementation_->Close(); }
+
+void ControlSessionClient::Start() { implementation_->Start(); }
+
+void ControlSessionClient::Goodbye(Duration timeout,
+                                   std::function<void()> done) {
+  implementation_->Goodbye(timeout, std::move(done));
+}
+
+FleetViewPointer ControlSessionClient::View() const {
+  return implementation_->view();
+}
+
+void ControlSessionClient::SetViewListener(ViewListener listener) {
+  implementation_->SetViewListener(std::move(listener));
+}
+
+bool ControlSessionClient::HasLease(MonotonicTime now) const {
+  return implementation_->state().HasLease(now);
+}
+
+resources::Revision ControlSessionClient::InForceRevision() const {
+  return implementation_->state().in_force();
+}
+
+resources::Revision ControlSessionClient::ZoneReleasedRevision() const {
+  return implementation_->state().zone_released();
+}
+
+void ControlSessionClient::SetProgressListener(std::function<void()> listener) {
+  implementation_->SetProgressListener(std::move(listener));
+}
+
+void ControlSessionClient::ReportReleased(resources::Revision revision) {
+  implementation_->ReportReleased(revision);
+}
+
+void ControlSessionClient::ReportBackend(const std::string& backend,
+                                         const BackendReport& report) {
+  implementation_->ReportBackend(backend, report);
+}
+
+void ControlSessionClient::Claim(const ClaimKey& key, WallTime expiry,
+                                 Duration timeout, ClaimCallback callback) {
+  implementation_->Claim(key, expiry, timeout, std::move(callback));
+}
+
+void ControlSessionClient::RecordOutcome(const ClaimKey& key,
+                                         ExecutionState outcome) {
+  implementation_->RecordOutcome(key, outcome);
+}
+
+void ControlSessionClient::Leave(Duration timeout, std::function<void()> done) {
+  implementation_->Leave(timeout, std::move(done));
+}
+
+ControlSessionClient::Counters ControlSessionClient::GetCounters() const {
+  return implementation_->TotalCounters();
+}
+
+}  // namespace juniperway::session
--- a/source/common/session/session_state.h
+++ b/source/common/session/session_state.h
@@ -1,11 +1,14 @@
 // Decisions of the daemon's side of a control session: when to connect where,
 // when to send a heartbeat, how long the lease lasts, and which revisions may
 // be taken. Pure: time and randomness are arguments, actions are values.
+//
+// Use: call inputs, then Tick, then carry out TakeActions(); call Tick again at
+// NextDeadline().
 #pragma once
 
+#include <cstddef>
 #include <cstdint>
 #include <map>
-#include <optional>
 #include <random>
 #include <variant>
 #include <vector>
@@ -30,4 +33,116 @@
   Duration reconnect_maximum = seconds(2);
 };
 
+// What a heartbeat says; see protocol::Heartbeat.
+struct HeartbeatContent {
+  std::uint64_t sequence = 0;
+  resources::Revision confirmed = 0;
+  resources::Revision released = 0;
+  std::uint64_t term = 0;
+  bool holds_lease = false;
+  resources::Revision in_force = 0;
+  resources::Revision zone_released = 0;
+};
+
+// What came back; see protocol::HeartbeatReply.
+struct HeartbeatAnswer {
+  std::uint64_t sequence = 0;
+  bool granted = false;
+  // The leader is new and wants to hear this daemon once more, at once.
+  bool new_term = false;
+  Duration lease{};
+  std::uint64_t term = 0;
+  resources::Revision in_force = 0;
+  resources::Revision zone_released = 0;
+};
+
+// Open a connection to this control machine (index into the settings' list).
+struct ConnectAction {
+  std::size_t endpoint = 0;
+};
+// Close the connection, or give up the attempt to connect.
+struct DisconnectAction {};
+struct HeartbeatAction {
+  HeartbeatContent heartbeat;
+};
+using SessionAction =
+    std::variant<ConnectAction, DisconnectAction, HeartbeatAction>;
+
+class SessionState {
+ public:
+  // @param endpoint_count number of control machines, at least 1.
+  // @param minimum_revision the revision kept from before the restart.
+  SessionState(const SessionTiming& timing, std::size_t endpoint_count,
+               resources::Revision minimum_revision, std::uint64_t seed);
+
+  // Begins to connect.
+  void Start(MonotonicTime now);
+  void Tick(MonotonicTime now);
+  // The connection that was asked for last is open; the caller says hello.
+  void OnConnected(MonotonicTime now);
+  // It could not be opened, or it broke.
+  void OnDisconnected(MonotonicTime now);
+  void OnHeartbeatReply(const HeartbeatAnswer& answer, MonotonicTime now);
+  void OnProgress(resources::Revision in_force,
+                  resources::Revision zone_released);
+
+  // Whether an update that leads to `revision` may be taken.
+  bool MayTake(resources::Revision revision) const {
+    return revision > taken_ && revision >= minimum_revision_;
+  }
+  // The view at `revision` is in use and kept: the next Tick confirms it.
+  void OnTaken(resources::Revision revision);
+  // Let go of back ends up to `revision`: the next Tick says so.
+  void OnReleased(resources::Revision revision);
+
+  std::vector<SessionAction> TakeActions();
+  MonotonicTime NextDeadline() const;
+
+  bool HasLease(MonotonicTime now) const { return now < lease_end_; }
+  bool connected() const { return phase_ == Phase::kConnected; }
+  resources::Revision taken() const { return taken_; }
+  // Nothing below this is taken.
+  resources::Revision minimum_revision() const { return minimum_revision_; }
+  resources::Revision in_force() const { return in_force_; }
+  resources::Revision zone_released() const { return zone_released_; }
+
+ private:
+  enum class Phase { kStopped, kWaiting, kConnecting, kConnected };
+
+  void SendHeartbeat(MonotonicTime now);
+  void ScheduleConnect(MonotonicTime now);
+  // Leaves the current control machine for the next one.
+  void Abandon(MonotonicTime now);
+  MonotonicTime NextHeartbeat(MonotonicTime now) const;
+  // Since when the machine owes an answer; `now` when it owes none.
+  MonotonicTime OldestUnanswered(MonotonicTime otherwise) const;
+
+  SessionTiming timing_;
+  std::vector<std::size_t> endpoints_;  // shuffled order of preference
+  std::size_t next_endpoint_ = 0;
+  std::mt19937_64 random_;
+  Phase phase_ = Phase::kStopped;
+  std::uint32_t failed_attempts_ = 0;
+  // kWaiting: when to connect. kConnecting: when to give up.
+  MonotonicTime phase_deadline_;
+
+  // Something must be said before the next heartbeat is due.
+  bool heartbeat_wanted_ = false;
+  std::uint64_t last_sequence_ = 0;
+  // Heartbeats without an answer on this connection, and when they were sent.
+  std::map<std::uint64_t, MonotonicTime> unanswered_;
+  MonotonicTime last_heartbeat_;
+  // When this connection last granted a lease, or was opened.
+  MonotonicTime last_grant_;
+  MonotonicTime lease_end_ = MonotonicTime::min();
+  std::uint64_t term_ = 0;
+
+  resources::Revision minimum_revision_ = 0;
+  resources::Revision taken_ = 0;
+  resources::Revision released_ = 0;
+  resources::Revision in_force_ = 0;
+  resources::Revision zone_released_ = 0;
+  std::vector<SessionAction> actions_;
+};
+
 }  // namespace juniperway::session
