Measure the second view in the state benchmark

Cause: the benchmark timed a bare copy, which now costs nothing. Change: it makes the next view with one joined daemon and reports its bytes.

--- a/source/lab/bench_state.cc
+++ b/source/lab/bench_state.cc
@@ -112,8 +112,9 @@
   line["backends"] = size.backends;
   line["view_bytes"] = before_table - before_view;
   line["owner_table_bytes"] = after_table - before_table;
-  line["copy_view_us"] =
-      MedianMicroseconds([&] { std::make_shared<session::FleetView>(*view); });
+  line["second_view_bytes"] = after_change - after_table;
+  line["change_view_us"] =
+      MedianMicroseconds([&] { WithNewcomer(*view, size); });
   line["build_owner_table_us"] =
       MedianMicroseconds([&] { routing::OwnershipTable{view}; });
   line["update_owner_table_us"] =
