--- /dev/null
+++ b/source/common/net/address.cc
@@ -0,0 +1,58 @@
+#include "common/net/address.h"
+
+#include <asio/ip/address.hpp>
+#include <charconv>
+#include <cstdint>
+#include <optional>
+#include <sstream>
+
+namespace juniperway::net {
+namespace {
+
+std::optional<std::uint16_t> ParsePort(std::string_view text) {
+  std::uint16_t port = 0;
+  const char* end = text.data() + text.size();
+  const auto [stop, error] = std::from_chars(text.data(), end, port);
+  if (text.empty() || error != std::errc() || stop != end) {
+    return std::nullopt;
+  }
+  return port;
+}
+
+}  // namespace
+
+Result<asio::ip::tcp::endpoint> ParseEndpoint(std::string_view text,
+                                              std::string_view field) {
+  const auto refuse = [&] {
+    return MakeError(
+        ErrorCode::kInvalidArgument, std::string(field),
+        "must be an address like 10.0.0.1:7100 or [::1]:7100, not '" +
+            std::string(text) + "'");
+  };
+  const std::size_t colon = text.rfind(':');
+  if (colon == std::string_view::npos) {
+    return refuse();
+  }
+  std::string_view host = text.substr(0, colon);
+  const bool bracketed =
+      host.size() >= 2 && host.front() == '[' && host.back() == ']';
+  if (bracketed) {
+    host = host.substr(1, host.size() - 2);
+  }
+  std::error_code error;
+  const asio::ip::address address =
+      asio::ip::make_address(std::string(host), error);
+  const std::optional<std::uint16_t> port = ParsePort(text.substr(colon + 1));
+  if (error || !port || address.is_v6() != bracketed) {
+    return refuse();
+  }
+  return asio::ip::tcp::endpoint(address, *port);
+}
+
+std::string FormatEndpoint(const asio::ip::tcp::endpoint& endpoint) {
+  std::ostringstream text;
+  text << endpoint;
+  return text.str();
+}
+
+}  // namespace juniperway::net
--- /dev/null
+++ b/source/common/net/frame_connection.cc
@@ -0,0 +1,367 @@
+#include "common/net/frame_connection.h"
+
+#include <algorithm>
+#include <asio/error.hpp>
+#include <asio/post.hpp>
+#include <asio/steady_timer.hpp>
+#include <asio/write.hpp>
+#include <cstring>
+#include <utility>
+
+#include "common/logging/event_log.h"
+#include "common/net/address.h"
+#include "common/net/events.h"
+
+namespace juniperway::net {
+namespace {
+
+using asio::ip::tcp;
+
+constexpr std::size_t kPrefixBytes = sizeof(flatbuffers::uoffset_t);
+constexpr std::size_t kInitialReadBytes = 16U << 10;
+// A read buffer that one large frame made this big is given back afterwards.
+constexpr std::size_t kKeptReadBytes = 1U << 20;
+// FlatBuffers scalars are read in place, so frames start where their widest
+// scalar is aligned.
+constexpr std::size_t kFrameAlignment = 8;
+constexpr milliseconds kAcceptRetryDelay{100};
+
+void SetNoDelay(tcp::socket* socket) {
+  std::error_code ignored;
+  socket->set_option(tcp::no_delay(true), ignored);
+}
+
+}  // namespace
+
+struct FrameConnection::Implementation {
+  explicit Implementation(tcp::socket connected_socket)
+      : socket(std::move(connected_socket)) {
+    std::error_code ignored;
+    remote = socket.remote_endpoint(ignored);
+    SetNoDelay(&socket);
+  }
+
+  std::size_t unread_bytes() const { return read_end - read_begin; }
+
+  tcp::socket socket;
+  tcp::endpoint remote;
+  FrameHandler on_frame;
+  CloseHandler on_close;
+  bool closed = false;
+
+  // Received and not yet handled: read_buffer[read_begin, read_end).
+  std::vector<std::uint8_t> read_buffer;
+  std::size_t read_begin = 0;
+  std::size_t read_end = 0;
+  // Copy of a frame that does not lie aligned in read_buffer.
+  std::vector<std::uint8_t> aligned_frame;
+
+  std::vector<std::uint8_t> queued;
+  std::vector<std::uint8_t> writing;
+  bool write_running = false;
+  bool flush_posted = false;
+  std::uint64_t sent_bytes = 0;
+  std::uint64_t received_bytes = 0;
+};
+
+// The asynchronous steps of a connection. Each holds the connection alive.
+struct FrameConnectionSteps {
+  using Self = std::shared_ptr<FrameConnection>;
+
+  static void Read(const Self& self) {
+    auto& state = *self->implementation_;
+    MakeRoom(&state);
+    const auto space = asio::buffer(state.read_buffer.data() + state.read_end,
+                                    state.read_buffer.size() - state.read_end);
+    state.socket.async_read_some(
+        space, [self](const std::error_code& error, std::size_t bytes) {
+          OnRead(self, error, bytes);
+        });
+  }
+
+  static void PostFlush(const Self& self) {
+    auto& state = *self->implementation_;
+    if (state.flush_posted || state.write_running) {
+      return;
+    }
+    state.flush_posted = true;
+    asio::post(state.socket.get_executor(), [self] {
+      self->implementation_->flush_posted = false;
+      Write(self);
+    });
+  }
+
+ private:
+  using State = FrameConnection::Implementation;
+
+  // Moves unread bytes to the front and grows for the frame that has begun.
+  static void MakeRoom(State* state) {
+    const std::size_t unread = state->unread_bytes();
+    if (state->read_begin > 0 && unread > 0) {
+      std::memmove(state->read_buffer.data(),
+                   state->read_buffer.data() + state->read_begin, unread);
+    }
+    state->read_begin = 0;
+    state->read_end = unread;
+    std::size_t wanted = kInitialReadBytes;
+    if (unread >= kPrefixBytes) {
+      wanted = std::max(wanted, kPrefixBytes + FrameSize(*state));
+    }
+    const bool oversized = state->read_buffer.size() > kKeptReadBytes;
+    if (state->read_buffer.size() < wanted) {
+      state->read_buffer.resize(wanted);
+    } else if (oversized && unread == 0) {
+      state->read_buffer.resize(kInitialReadBytes);
+      state->read_buffer.shrink_to_fit();
+    }
+  }
+
+  static std::size_t FrameSize(const State& state) {
+    return flatbuffers::ReadScalar<flatbuffers::uoffset_t>(
+        state.read_buffer.data() + state.read_begin);
+  }
+
+  static void OnRead(const Self& self, const std::error_code& error,
+                     std::size_t bytes) {
+    auto& state = *self->implementation_;
+    if (state.closed) {
+      return;
+    }
+    if (error) {
+      self->Close();
+      return;
+    }
+    state.received_bytes += bytes;
+    state.read_end += bytes;
+    HandleFrames(self);
+    if (!state.closed) {
+      Read(self);
+    }
+  }
+
+  static void HandleFrames(const Self& self) {
+    auto& state = *self->implementation_;
+    while (!state.closed && state.unread_bytes() >= kPrefixBytes) {
+      const std::size_t size = FrameSize(state);
+      if (size > kMaximumFrameBytes) {
+        logging::LogEvent(
+            kFrameTooLarge,
+            {{"peer", FormatEndpoint(state.remote)}, {"bytes", size}});
+        self->Close();
+        return;
+      }
+      if (state.unread_bytes() < kPrefixBytes + size) {
+        return;
+      }
+      const FrameBytes frame = AlignedFrame(&state, size);
+      state.read_begin += kPrefixBytes + size;
+      state.on_frame(frame);
+    }
+  }
+
+  static FrameBytes AlignedFrame(State* state, std::size_t size) {
+    const std::uint8_t* start = state->read_buffer.data() + state->read_begin;
+    if (reinterpret_cast<std::uintptr_t>(start) % kFrameAlignment != 0) {
+      state->aligned_frame.assign(start, start + kPrefixBytes + size);
+      start = state->aligned_frame.data();
+    }
+    return {start + kPrefixBytes, size};
+  }
+
+  static void Write(const Self& self) {
+    auto& state = *self->implementation_;
+    if (state.closed || state.write_running || state.queued.empty()) {
+      return;
+    }
+    state.write_running = true;
+    state.writing.clear();
+    std::swap(state.writing, state.queued);
+    asio::async_write(state.socket, asio::buffer(state.writing),
+                      [self](const std::error_code& error, std::size_t bytes) {
+                        auto& written_state = *self->implementation_;
+                        written_state.write_running = false;
+                        written_state.sent_bytes += bytes;
+                        written_state.writing.clear();
+                        if (error) {
+                          self->Close();
+                          return;
+                        }
+                        Write(self);
+                      });
+  }
+};
+
+FrameConnection::FrameConnection(tcp::socket socket)
+    : implementation_(std::make_unique<Implementation>(std::move(socket))) {}
+
+FrameConnection::~FrameConnection() = default;
+
+void FrameConnection::Connect(
+    asio::io_context& context, const tcp::endpoint& endpoint, Duration timeout,
+    std::function<void(Result<std::shared_ptr<FrameConnection>>)> callback) {
+  struct Attempt {
+    explicit Attempt(asio::io_context& io_context)
+        : socket(io_context), timer(io_context) {}
+    tcp::socket socket;
+    asio::steady_timer timer;
+    bool timed_out = false;
+  };
+  auto attempt = std::make_shared<Attempt>(context);
+  attempt->timer.expires_after(timeout);
+  attempt->timer.async_wait([attempt](const std::error_code& error) {
+    if (!error) {
+      std::error_code ignored;
+      attempt->timed_out = true;
+      attempt->socket.close(ignored);
+    }
+  });
+  attempt->socket.async_connect(endpoint, [attempt, endpoint,
+                                           callback = std::move(callback)](
+                                              const std::error_code& error) {
+    attempt->timer.cancel();
+    const std::string address = FormatEndpoint(endpoint);
+    if (attempt->timed_out) {
+      callback(MakeError(ErrorCode::kDeadlineExceeded, "",
+                         "no connection to " + address + " in time"));
+    } else if (error) {
+      callback(
+          MakeError(ErrorCode::kUnavailable, "",
+                    "no connection to " + address + ": " + error.message()));
+    } else {
+      callback(std::make_shared<FrameConnection>(std::move(attempt->socket)));
+    }
+  });
+}
+
+void FrameConnection::Start(FrameHandler on_frame, CloseHandler on_close) {
+  if (implementation_->closed) {
+    asio::post(implementation_->socket.get_executor(), std::move(on_close));
+    return;
+  }
+  implementation_->on_frame = std::move(on_frame);
+  implementation_->on_close = std::move(on_close);
+  FrameConnectionSteps::Read(shared_from_this());
+}
+
+void FrameConnection::Send(const flatbuffers::FlatBufferBuilder& builder) {
+  if (implementation_->closed) {
+    return;
+  }
+  const std::uint8_t* data = builder.GetBufferPointer();
+  implementation_->queued.insert(implementation_->queued.end(), data,
+                                 data + builder.GetSize());
+  FrameConnectionSteps::PostFlush(shared_from_this());
+}
+
+std::size_t FrameConnection::queued_bytes() const {
+  return implementation_->queued.size() + implementation_->writing.size();
+}
+
+std::uint64_t FrameConnection::sent_bytes() const {
+  return implementation_->sent_bytes;
+}
+
+std::uint64_t FrameConnection::received_bytes() const {
+  return implementation_->received_bytes;
+}
+
+tcp::endpoint FrameConnection::remote_endpoint() const {
+  return implementation_->remote;
+}
+
+bool FrameConnection::closed() const { return implementation_->closed; }
+
+void FrameConnection::Close() {
+  if (implementation_->closed) {
+    return;
+  }
+  implementation_->closed = true;
+  implementation_->queued.clear();
+  std::error_code ignored;
+  implementation_->socket.shutdown(tcp::socket::shutdown_both, ignored);
+  implementation_->socket.close(ignored);
+  // Posted, so that neither handler is destroyed or run inside itself.
+  asio::post(implementation_->socket.get_executor(),
+             [self = shared_from_this()] {
+               self->implementation_->on_frame = nullptr;
+               CloseHandler on_close =
+                   std::exchange(self->implementation_->on_close, nullptr);
+               if (on_close) {
+                 on_close();
+               }
+             });
+}
+
+void FrameConnection::Discard() {
+  implementation_->on_close = nullptr;
+  Close();
+}
+
+struct FrameListener::Implementation
+    : public std::enable_shared_from_this<FrameListener::Implementation> {
+  Implementation(asio::io_context& context, const tcp::endpoint& endpoint,
+                 AcceptHandler handler)
+      : acceptor(context, endpoint),
+        retry_timer(context),
+        on_accept(std::move(handler)) {}
+
+  void Accept() {
+    acceptor.async_accept(
+        [self = shared_from_this()](const std::error_code& error,
+                                    tcp::socket socket) {
+          self->OnAccept(error, std::move(socket));
+        });
+  }
+
+  void OnAccept(const std::error_code& error, tcp::socket socket) {
+    if (!acceptor.is_open() || error == asio::error::operation_aborted) {
+      return;
+    }
+    if (error) {
+      logging::LogEvent(kAcceptFailed, {{"reason", error.message()}});
+      AcceptLater();
+      return;
+    }
+    on_accept(std::make_shared<FrameConnection>(std::move(socket)));
+    if (acceptor.is_open()) {
+      Accept();
+    }
+  }
+
+  // The process is out of descriptors or memory: others must end first.
+  void AcceptLater() {
+    retry_timer.expires_after(kAcceptRetryDelay);
+    retry_timer.async_wait(
+        [self = shared_from_this()](const std::error_code& error) {
+          if (!error && self->acceptor.is_open()) {
+            self->Accept();
+          }
+        });
+  }
+
+  tcp::acceptor acceptor;
+  asio::steady_timer retry_timer;
+  AcceptHandler on_accept;
+};
+
+FrameListener::FrameListener(asio::io_context& context,
+                             const tcp::endpoint& endpoint,
+                             AcceptHandler on_accept)
+    : implementation_(std::make_shared<Implementation>(context, endpoint,
+                                                       std::move(on_accept))) {
+  implementation_->Accept();
+}
+
+FrameListener::~FrameListener() { Close(); }
+
+tcp::endpoint FrameListener::local_endpoint() const {
+  return implementation_->acceptor.local_endpoint();
+}
+
+void FrameListener::Close() {
+  std::error_code ignored;
+  implementation_->acceptor.close(ignored);
+  implementation_->retry_timer.cancel();
+}
+
+}  // namespace juniperway::net
--- a/source/common/net/frame_connection.h
+++ b/source/common/net/frame_connection.h
@@ -56,14 +56,35 @@
 
   asio::ip::tcp::endpoint remote_endpoint() const;
   bool closed() const;
-  // Closes at once; queued frames are lost. Safe to call twice.
+  // Closes at once; queued frames are lost. Safe to call twice. The close
+  // handler runs in a later turn of the event loop.
   void Close();
+  // Closes at once without running the close handler: for an owner that is
+  // being destroyed.
+  void Discard();
 
  private:
+  friend struct FrameConnectionSteps;
   struct Implementation;
   std::unique_ptr<Implementation> implementation_;
 };
 
+// Checks that `frame` holds a well-formed `Root` and returns it, or nullptr.
+// Frames start after their size prefix, so offsets from the start of the frame
+// do not show the alignment: the connection has taken care of it, and the
+// verifier must not check it. It lives as long as the frame.
+template <typename Root>
+const Root* ReadFrame(FrameBytes frame) {
+  constexpr flatbuffers::uoffset_t kMaximumDepth = 64;
+  constexpr flatbuffers::uoffset_t kMaximumTables = 10'000'000;
+  flatbuffers::Verifier verifier(frame.data(), frame.size(), kMaximumDepth,
+                                 kMaximumTables, /*check_alignment=*/false);
+  if (!verifier.VerifyBuffer<Root>(nullptr)) {
+    return nullptr;
+  }
+  return flatbuffers::GetRoot<Root>(frame.data());
+}
+
 // Accepts connections; port 0 lets the kernel choose.
 class FrameListener {
  public:
--- a/source/common/net/http_client.h
+++ b/source/common/net/http_client.h
@@ -1,5 +1,8 @@
 // Asynchronous HTTP client: libcurl's multi interface driven by Asio. One
 // thread: every method and callback runs on the io_context's thread.
+//
+// A request is sent at most once: libcurl would silently repeat one whose kept
+// connection broke before the first byte of the answer, and this is prevented.
 #pragma once
 
 #include <asio/io_context.hpp>
@@ -7,6 +10,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <utility>
 #include <vector>
@@ -22,6 +26,8 @@
   std::vector<std::pair<std::string, std::string>> headers;
   std::string body;
   Duration timeout = seconds(10);
+  // A longer answer ends the exchange as broken (HttpProgress::kSent).
+  std::size_t maximum_response_bytes = 64U << 20;
 };
 
 // How far an exchange got; decides between not-run and may-have-run.
@@ -57,14 +63,15 @@
   RequestHandle Start(HttpClientRequest request, Callback callback);
 
   // Abandons an exchange: its connection is closed and the callback does not
-  // run. Unknown handles are ignored.
-  void Cancel(RequestHandle handle);
+  // run.
+  // @return how far it got; nothing for an unknown or finished exchange.
+  std::optional<HttpProgress> Cancel(RequestHandle handle);
 
   std::size_t running() const;
 
  private:
   struct Implementation;
-  std::unique_ptr<Implementation> implementation_;
+  std::shared_ptr<Implementation> implementation_;
 };
 
 }  // namespace juniperway::net
--- a/source/common/net/http_server.h
+++ b/source/common/net/http_server.h
@@ -4,6 +4,7 @@
 
 #include <asio/io_context.hpp>
 #include <asio/ip/tcp.hpp>
+#include <chrono>
 #include <cstdint>
 #include <functional>
 #include <map>
@@ -11,6 +12,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <utility>
 #include <vector>
 
 #include "common/base/error.h"
@@ -39,11 +41,14 @@
 
 // Answers one request, later or at once. Copies share the one answer; only the
 // first Send counts.
+// Dropping the last copy without an answer sends a 500.
 class HttpResponder {
  public:
   virtual ~HttpResponder() = default;
   virtual void Send(HttpResponse response) = 0;
-  // `listener` runs once if the caller goes away before the answer was sent.
+  // `listener` runs once, in a later turn of the event loop, if the caller goes
+  // away before the answer was sent. A caller that shuts down only its sending
+  // side counts as gone.
   virtual void OnCallerGone(std::function<void()> listener) = 0;
 };
 
@@ -52,8 +57,12 @@
 
 struct HttpServerOptions {
   asio::ip::tcp::endpoint endpoint;  // port 0: chosen by the kernel
+  // Larger bodies are answered 413 without reaching the handler.
   std::size_t maximum_body_bytes = 8U << 20;
   std::size_t maximum_connections = 4096;
+  // An idle connection is closed after this time. Longer than clients keep
+  // theirs, so that a client does not send on a connection that is closing.
+  std::chrono::seconds idle_timeout{300};
 };
 
 class HttpServer {
@@ -68,7 +77,7 @@
   asio::ip::tcp::endpoint local_endpoint() const;
   // Accepts nothing more; requests in flight may still be answered.
   void StopAccepting();
-  // Closes every connection.
+  // Closes the listener and every connection.
   void Close();
 
  private:
--- /dev/null
+++ b/test/unit/net/address_test.cc
@@ -0,0 +1,27 @@
+#include "common/net/address.h"
+
+#include <doctest/doctest.h>
+
+namespace juniperway::net {
+
+TEST_CASE("endpoints survive a round trip through text") {
+  for (const char* text : {"127.0.0.1:80", "[::1]:7100", "0.0.0.0:0"}) {
+    const auto endpoint = ParseEndpoint(text, "address");
+    REQUIRE(endpoint.has_value());
+    CHECK(FormatEndpoint(*endpoint) == text);
+  }
+}
+
+TEST_CASE("what is not an ip:port is refused and the field is named") {
+  for (const char* text :
+       {"", "127.0.0.1", ":80", "localhost:80", "127.0.0.1:", "127.0.0.1:65536",
+        "127.0.0.1:8x", "::1:80", "[127.0.0.1]:80", "127.0.0.1:-1"}) {
+    CAPTURE(text);
+    const auto endpoint = ParseEndpoint(text, "gateway.http_listen");
+    REQUIRE_FALSE(endpoint.has_value());
+    CHECK(endpoint.error().code == ErrorCode::kInvalidArgument);
+    CHECK(endpoint.error().field == "gateway.http_listen");
+  }
+}
+
+}  // namespace juniperway::net
--- /dev/null
+++ b/test/unit/net/http_test.cc
@@ -0,0 +1,331 @@
+// The HTTP client against the HTTP server, and each against a raw socket.
+#include <doctest/doctest.h>
+
+#include <asio/read_until.hpp>
+#include <asio/write.hpp>
+#include <nlohmann/json.hpp>
+#include <optional>
+
+#include "common/net/address.h"
+#include "common/net/http_client.h"
+#include "common/net/http_server.h"
+#include "support/event_loop.h"
+
+namespace juniperway::net {
+namespace {
+
+using asio::ip::tcp;
+
+const tcp::endpoint kLoopback(asio::ip::address_v4::loopback(), 0);
+
+HttpServerOptions LoopbackOptions() {
+  HttpServerOptions options;
+  options.endpoint = kLoopback;
+  return options;
+}
+
+std::string UrlOf(const tcp::endpoint& endpoint, const std::string& target) {
+  return "http://" + FormatEndpoint(endpoint) + target;
+}
+
+// Runs one exchange to its end.
+HttpClientResponse Exchange(asio::io_context& context, HttpClient& client,
+                            HttpClientRequest request) {
+  std::optional<HttpClientResponse> response;
+  client.Start(std::move(request), [&](HttpClientResponse result) {
+    response = std::move(result);
+  });
+  REQUIRE(test::RunUntil(context, [&] { return response.has_value(); }));
+  return *response;
+}
+
+// A server that answers by hand: counts requests and does what the test says.
+struct RawServer {
+  explicit RawServer(asio::io_context& context) : acceptor(context, kLoopback) {
+    Accept();
+  }
+
+  void Accept() {
+    acceptor.async_accept([this](std::error_code error, tcp::socket socket) {
+      if (!error) {
+        ++connections;
+        Read(std::make_shared<tcp::socket>(std::move(socket)),
+             std::make_shared<std::string>());
+        Accept();
+      }
+    });
+  }
+
+  void Read(const std::shared_ptr<tcp::socket>& socket,
+            const std::shared_ptr<std::string>& buffer) {
+    asio::async_read_until(
+        *socket, asio::dynamic_buffer(*buffer), "\r\n\r\n",
+        [this, socket, buffer](std::error_code error, std::size_t bytes) {
+          if (error) {
+            return;
+          }
+          buffer->erase(0, bytes);
+          ++requests;
+          on_request(socket);
+          if (socket->is_open()) {
+            Read(socket, buffer);
+          }
+        });
+  }
+
+  static void Answer(tcp::socket& socket) {
+    asio::write(socket, asio::buffer(std::string(
+                            "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")));
+  }
+
+  tcp::acceptor acceptor;
+  int connections = 0;
+  int requests = 0;
+  std::function<void(const std::shared_ptr<tcp::socket>&)> on_request;
+};
+
+}  // namespace
+
+TEST_CASE("a request and its answer arrive whole") {
+  asio::io_context context;
+  HttpRequest seen;
+  HttpServer server(context, LoopbackOptions(),
+                    [&](const HttpRequest& request, auto responder) {
+                      seen = request;
+                      responder->Send({206,
+                                       {{"X-Load", "1/5"}},
+                                       "text/plain",
+                                       std::string(300'000, 'y')});
+                    });
+  HttpClient client(context, 0);
+  HttpClientRequest request;
+  request.method = "PUT";
+  request.url = UrlOf(server.local_endpoint(),
+                      "/v1/a%20b+c/%E5%8F%B0?from=1%2B2&name=x+y&flag=%26");
+  request.headers = {{"X-Request-Id", "id-1"}, {"X-Empty", ""}};
+  request.body = std::string(500'000, 'x');
+  const auto response = Exchange(context, client, request);
+  CHECK(response.progress == HttpProgress::kAnswered);
+  CHECK(response.status == 206);
+  CHECK(response.body == std::string(300'000, 'y'));
+  CHECK(response.headers.at("x-load") == "1/5");
+  CHECK(response.headers.at("content-type") == "text/plain");
+  CHECK(seen.method == "PUT");
+  CHECK(seen.path == "/v1/a b+c/台");
+  CHECK(seen.query == std::map<std::string, std::string>{
+                          {"from", "1+2"}, {"name", "x y"}, {"flag", "&"}});
+  CHECK(seen.Header("x-request-id") == "id-1");
+  CHECK(seen.Header("x-empty") == "");
+  CHECK_FALSE(seen.Header("x-none").has_value());
+  CHECK(seen.body == request.body);
+}
+
+TEST_CASE("a bad escape or a body above the limit is refused unrun") {
+  asio::io_context context;
+  auto options = LoopbackOptions();
+  options.maximum_body_bytes = 1000;
+  int handled = 0;
+  HttpServer server(context, options, [&](const HttpRequest&, auto responder) {
+    ++handled;
+    responder->Send({});
+  });
+  HttpClient client(context, 0);
+  HttpClientRequest request;
+  request.method = "POST";
+  request.url = UrlOf(server.local_endpoint(), "/x");
+  request.body = std::string(1000, 'x');
+  CHECK(Exchange(context, client, request).status == 200);
+  // Also far above the limit: the whole body is read and dropped.
+  for (const std::size_t size : {1001U, 5'000'000U}) {
+    request.body = std::string(size, 'x');
+    const auto refusal = Exchange(context, client, request);
+    CHECK(refusal.status == 413);
+    const auto body = nlohmann::json::parse(refusal.body);
+    CHECK(body["error"]["code"] == "too_large");
+    CHECK(body["error"]["field"] == "body");
+    CHECK(body["execution"] == "not-run");
+  }
+  request.body.clear();
+  request.url = UrlOf(server.local_endpoint(), "/x%zz");
+  CHECK(Exchange(context, client, request).status == 400);
+  CHECK(handled == 1);
+}
+
+TEST_CASE("the handler learns that a waiting caller went away") {
+  asio::io_context context;
+  std::shared_ptr<HttpResponder> waiting;
+  int gone = 0;
+  HttpServer server(context, LoopbackOptions(),
+                    [&](const HttpRequest&, auto responder) {
+                      responder->OnCallerGone([&] { ++gone; });
+                      waiting = responder;
+                    });
+  HttpClient client(context, 0);
+  HttpClientRequest request;
+  request.url = UrlOf(server.local_endpoint(), "/x");
+  const auto handle = client.Start(
+      request, [](const HttpClientResponse&) { FAIL("it was cancelled"); });
+  REQUIRE(test::RunUntil(context, [&] { return waiting != nullptr; }));
+  CHECK(gone == 0);
+  CHECK(client.Cancel(handle) == HttpProgress::kSent);
+  CHECK_FALSE(client.Cancel(handle).has_value());
+  REQUIRE(test::RunUntil(context, [&] { return gone > 0; }));
+  waiting->Send({});
+  test::RunReady(context);
+  CHECK(gone == 1);
+}
+
+TEST_CASE("a caller that got its answer is not reported as gone") {
+  asio::io_context context;
+  int gone = 0;
+  HttpServer server(context, LoopbackOptions(),
+                    [&](const HttpRequest&, auto responder) {
+                      responder->OnCallerGone([&] { ++gone; });
+                      responder->Send({});
+                    });
+  bool closed = false;
+  HttpServer other(context, LoopbackOptions(),
+                   [&](const HttpRequest&, auto responder) {
+                     responder->OnCallerGone([&] { closed = true; });
+                     responder->Send({});
+                   });
+  {
+    HttpClient client(context, 0);
+    HttpClientRequest request;
+    request.url = UrlOf(server.local_endpoint(), "/x");
+    CHECK(Exchange(context, client, request).status == 200);
+  }
+  server.Close();
+  test::RunReady(context);
+  CHECK(gone == 0);
+  CHECK_FALSE(closed);
+}
+
+TEST_CASE("a request that the handler dropped is still answered") {
+  asio::io_context context;
+  HttpServer server(context, LoopbackOptions(), [](auto&&...) {});
+  HttpClient client(context, 0);
+  HttpClientRequest request;
+  request.url = UrlOf(server.local_endpoint(), "/x");
+  const auto response = Exchange(context, client, request);
+  CHECK(response.status == 500);
+  CHECK(nlohmann::json::parse(response.body)["execution"] == "may-have-run");
+}
+
+TEST_CASE("closing a server closes kept connections and refuses new ones") {
+  asio::io_context context;
+  auto server = std::make_unique<HttpServer>(
+      context, LoopbackOptions(),
+      [](const HttpRequest&, auto responder) { responder->Send({}); });
+  tcp::socket raw(context);
+  raw.connect(server->local_endpoint());
+  bool read_ended = false;
+  char byte = 0;
+  raw.async_read_some(asio::buffer(&byte, 1),
+                      [&](std::error_code, std::size_t) { read_ended = true; });
+  HttpClient client(context, 0);
+  HttpClientRequest request;
+  request.url = UrlOf(server->local_endpoint(), "/x");
+  CHECK(Exchange(context, client, request).status == 200);
+  CHECK_FALSE(read_ended);
+  server.reset();
+  CHECK(test::RunUntil(context, [&] { return read_ended; }));
+  const auto refused = Exchange(context, client, request);
+  CHECK(refused.progress == HttpProgress::kNotSent);
+  CHECK_FALSE(refused.transport_error.empty());
+}
+
+TEST_CASE("connections are kept, and bounded per host") {
+  asio::io_context context;
+  std::vector<std::shared_ptr<tcp::socket>> waiting;
+  RawServer server(context);
+  server.on_request = [&](const auto& socket) { waiting.push_back(socket); };
+  HttpClient client(context, 2);
+  HttpClientRequest request;
+  request.url = UrlOf(server.acceptor.local_endpoint(), "/x");
+  int answered = 0;
+  constexpr int kRequests = 7;
+  for (int i = 0; i < kRequests; ++i) {
+    client.Start(request, [&](const HttpClientResponse& response) {
+      CHECK(response.status == 200);
+      CHECK(response.body == "ok");
+      ++answered;
+    });
+  }
+  CHECK(client.running() == kRequests);
+  REQUIRE(test::RunUntil(context, [&] { return waiting.size() == 2; }));
+  test::RunReady(context);
+  CHECK(waiting.size() == 2);
+  REQUIRE(test::RunUntil(context, [&] {
+    for (const auto& socket : std::exchange(waiting, {})) {
+      RawServer::Answer(*socket);
+    }
+    return answered == kRequests;
+  }));
+  CHECK(server.connections == 2);
+  CHECK(client.running() == 0);
+}
+
+TEST_CASE("a request is not sent twice when its kept connection breaks") {
+  asio::io_context context;
+  RawServer server(context);
+  server.on_request = [&](const auto& socket) {
+    if (server.requests == 2) {
+      socket->close();
+    } else {
+      RawServer::Answer(*socket);
+    }
+  };
+  HttpClient client(context, 0);
+  HttpClientRequest request;
+  request.url = UrlOf(server.acceptor.local_endpoint(), "/x");
+  CHECK(Exchange(context, client, request).status == 200);
+  const auto broken = Exchange(context, client, request);
+  CHECK(broken.progress == HttpProgress::kSent);
+  CHECK(server.requests == 2);
+  // The client goes on to work.
+  CHECK(Exchange(context, client, request).status == 200);
+  CHECK(server.requests == 3);
+}
+
+TEST_CASE("a time-out says whether the request had left") {
+  asio::io_context context;
+  RawServer server(context);
+  server.on_request = [](const auto&) {};
+  HttpClient client(context, 1);
+  HttpClientRequest request;
+  request.url = UrlOf(server.acceptor.local_endpoint(), "/x");
+  request.timeout = seconds(30);
+  const auto first = client.Start(request, [](const HttpClientResponse&) {});
+  REQUIRE(test::RunUntil(context, [&] { return server.requests == 1; }));
+  // Waits for the only connection, so nothing of it leaves.
+  request.timeout = milliseconds(20);
+  const auto queued = Exchange(context, client, request);
+  CHECK(queued.timed_out);
+  CHECK(queued.progress == HttpProgress::kNotSent);
+  CHECK(client.Cancel(first) == HttpProgress::kSent);
+  request.timeout = seconds(1);
+  const auto sent = Exchange(context, client, request);
+  CHECK(sent.timed_out);
+  CHECK(sent.progress == HttpProgress::kSent);
+  CHECK(server.requests == 2);
+}
+
+TEST_CASE("an answer above the limit ends the exchange as sent") {
+  asio::io_context context;
+  HttpServer server(context, LoopbackOptions(),
+                    [](const HttpRequest&, auto responder) {
+                      HttpResponse response;
+                      response.body = std::string(2000, 'x');
+                      responder->Send(response);
+                    });
+  HttpClient client(context, 0);
+  HttpClientRequest request;
+  request.url = UrlOf(server.local_endpoint(), "/x");
+  request.maximum_response_bytes = 1999;
+  CHECK(Exchange(context, client, request).progress == HttpProgress::kSent);
+  request.maximum_response_bytes = 2000;
+  CHECK(Exchange(context, client, request).status == 200);
+}
+
+}  // namespace juniperway::net
