Add the front tier: routing, query runs, peer pool and HTTP entry

Cause: a caller's query needs splitting, replica choice, hedges, retries, a deadline, a merge with true coverage, and claims before the first byte. Change: routing/ as pure decision code (routing table, replica choice, breaker, latency quantiles, retry budget, QueryRun); gateway/ as its shell (query parsing, answer JSON, codec, peer pool, executor, HTTP server).

--- /dev/null
+++ b/source/common/routing/attempt_log.cc
@@ -0,0 +1,40 @@
+#include "common/routing/attempt_log.h"
+
+namespace juniperway::routing {
+
+AttemptId AttemptLog::Add(const Attempt& attempt) {
+  attempts_.push_back(attempt);
+  return size() - 1;
+}
+
+ReplyVerdict AttemptLog::Judge(OwnerId owner, AttemptId id) {
+  if (id >= attempts_.size() || attempts_[id].owner != owner) {
+    return ReplyVerdict::kForeign;
+  }
+  Attempt& attempt = attempts_[id];
+  switch (attempt.status) {
+    case AttemptStatus::kOutstanding:
+      return ReplyVerdict::kAccept;
+    case AttemptStatus::kAnswered:
+      return ReplyVerdict::kDuplicate;
+    case AttemptStatus::kGivenUp:
+      attempt.status = AttemptStatus::kAnswered;
+      return ReplyVerdict::kLate;
+  }
+  return ReplyVerdict::kForeign;
+}
+
+void AttemptLog::MarkProvablyNotRun(AttemptId id) {
+  Attempt& attempt = attempts_[id];
+  if (!attempt.provably_not_run) {
+    attempt.provably_not_run = true;
+    ++provably_not_run_;
+  }
+}
+
+ExecutionState AttemptLog::Execution() const {
+  return CountThatMayHaveRun() == 0 ? ExecutionState::kNotRun
+                                    : ExecutionState::kMayHaveRun;
+}
+
+}  // namespace juniperway::routing
--- /dev/null
+++ b/source/common/routing/query_run.cc
@@ -0,0 +1,298 @@
+// Beginning and sending. Results: query_run_replies.cc; the end:
+// query_run_outcome.cc.
+#include "common/routing/query_run.h"
+
+#include <glog/logging.h>
+
+#include <algorithm>
+#include <utility>
+
+namespace juniperway::routing {
+namespace {
+
+// Owners get this much less time than is left, so that what they say at the
+// end still arrives; never more than a tenth of the time.
+constexpr Duration kHopMargin = milliseconds(2);
+constexpr int kHopMarginShare = 10;
+// A hedge is not sent sooner than this, however fast the back ends are.
+constexpr Duration kShortestHedgeDelay = milliseconds(1);
+// When a service that serves no snapshot is worth asking again.
+constexpr Duration kNoSnapshotRetryAfter = seconds(1);
+
+}  // namespace
+
+QueryRun::QueryRun(QueryRequest request, FrontState& front)
+    : request_(std::move(request)),
+      front_(front),
+      shared_(front.services[request_.service]),
+      next_timer_(request_.deadline) {}
+
+Actions QueryRun::Start(MonotonicTime now) {
+  Actions actions;
+  if (!Pin()) {
+    const Error error{ErrorCode::kUnavailable, "",
+                      "the service serves no snapshot yet"};
+    actions.outcome = Refusal{error, ExecutionState::kNotRun,
+                              Jittered(kNoSnapshotRetryAfter)};
+    finished_ = true;
+    return actions;
+  }
+  Split();
+  LearnHedgeDelay();
+  SendFirsts(now, actions);
+  if (service_->answer_policy == resources::AnswerPolicy::kLatency) {
+    WakeAt(request_.received + service_->soft_deadline);
+  }
+  Settle(now, actions);
+  return actions;
+}
+
+void QueryRun::FollowView() {
+  if (routes_ != front_.routes) {
+    routes_ = front_.routes;
+    current_ = routes_->Route(request_.service, pinned_->index_version);
+  }
+}
+
+bool QueryRun::Pin() {
+  routes_ = front_.routes;
+  pinned_view_ = front_.routes->view_pointer();
+  service_ = front_.routes->FindService(request_.service);
+  CHECK(service_ != nullptr) << "queries are admitted for known services";
+  pinned_ = front_.routes->Serving(request_.service);
+  current_ = pinned_;
+  if (pinned_ == nullptr) {
+    return false;
+  }
+  const KeyRange extent = pinned_->Extent();
+  asked_ = request_.range.value_or(extent).Intersection(extent);
+  if (asked_.empty()) {
+    asked_ = {};
+  }
+  return true;
+}
+
+void QueryRun::Split() {
+  partitions_.clear();
+  searched_width_ = 0;
+  const auto& routes = pinned_->partitions;
+  const auto first = std::ranges::upper_bound(
+      routes, asked_.begin, {},
+      [](const PartitionRoute& route) { return route.range.end; });
+  for (auto route = first;
+       route != routes.end() && route->range.begin < asked_.end; ++route) {
+    PartitionState partition;
+    partition.route_index = static_cast<std::uint32_t>(route - routes.begin());
+    partition.range = route->range.Intersection(asked_);
+    partitions_.push_back(std::move(partition));
+  }
+  pending_ = partitions_.size();
+}
+
+void QueryRun::LearnHedgeDelay() {
+  hedge_delay_.reset();
+  if (!request_.repeatable || !service_->hedging) {
+    return;
+  }
+  const auto quantile = shared_.latency.Quantile(service_->hedge_quantile);
+  if (quantile.has_value()) {
+    hedge_delay_ = std::max(*quantile, kShortestHedgeDelay);
+  }
+}
+
+void QueryRun::SendFirsts(MonotonicTime now, Actions& actions) {
+  for (PartitionState& partition : partitions_) {
+    if (!Send(partition, SendKind::kFirst, now, actions)) {
+      MarkMissing(partition, WhyUnsent(partition, now));
+    }
+  }
+}
+
+MissingReason QueryRun::WhyUnsent(const PartitionState& partition,
+                                  MonotonicTime now) const {
+  if (RemainingForOwner(now) < kShortestUsefulTime) {
+    return MissingReason::kDeadline;
+  }
+  const PartitionRoute* route = CurrentRoute(partition);
+  const bool all_draining = route != nullptr && route->all_draining;
+  return all_draining ? MissingReason::kDraining : MissingReason::kUnreachable;
+}
+
+bool QueryRun::RestartAllowed(MonotonicTime now) const {
+  const auto& serving = front_.routes->view().serving;
+  const auto newest = serving.find(request_.service);
+  const bool newer =
+      newest != serving.end() && newest->second > pinned_->index_version;
+  const bool safe =
+      request_.repeatable || attempts_.Execution() == ExecutionState::kNotRun;
+  return newer && safe && restarts_ < kMaximumRestarts &&
+         now + kShortestUsefulTime < request_.deadline;
+}
+
+void QueryRun::TryRestart(MonotonicTime now, Actions& actions) {
+  restart_wanted_ = false;
+  if (!RestartAllowed(now)) {
+    return;
+  }
+  if (front_.routes->Serving(request_.service) == nullptr) {
+    return;
+  }
+  CancelAll(now, actions);
+  // What was sent in vain is extra work: it is owed to the budget.
+  shared_.budget.Charge(attempts_.CountThatMayHaveRun() - charged_attempts_);
+  charged_attempts_ = attempts_.CountThatMayHaveRun();
+  ++restarts_;
+  ++front_.counters.restarts;
+  Pin();
+  Split();
+  LearnHedgeDelay();
+  SendFirsts(now, actions);
+}
+
+bool QueryRun::Send(PartitionState& partition, SendKind kind, MonotonicTime now,
+                    Actions& actions) {
+  if (RemainingForOwner(now) < kShortestUsefulTime) {
+    return false;
+  }
+  const std::optional<ReplicaChoice> choice = Choose(partition, kind, now);
+  if (!choice.has_value()) {
+    return false;
+  }
+  const ReplicaRoute& replica = choice->replica;
+  const bool busy = front_.backends.Load(replica.backend, now) >= replica.slots;
+  if (kind == SendKind::kHedge && busy) {
+    // It would only wait there, and push back others.
+    return false;
+  }
+  if (!Pay(kind, now)) {
+    return false;
+  }
+  Record(partition, *choice, kind, now, actions);
+  return true;
+}
+
+std::optional<ReplicaChoice> QueryRun::Choose(const PartitionState& partition,
+                                              SendKind kind,
+                                              MonotonicTime now) {
+  const PartitionRoute* route = CurrentRoute(partition);
+  if (route == nullptr) {
+    return std::nullopt;
+  }
+  excluded_.clear();
+  for (const AttemptId id : partition.attempts) {
+    excluded_.push_back(attempts_.Get(id).backend);
+  }
+  ReplicaRequest request{*route, service_->maximum_ejected_share, excluded_,
+                         std::nullopt, request_.repeatable};
+  if (!partition.attempts.empty()) {
+    request.avoided_owner = attempts_.Get(partition.attempts.back()).owner;
+  }
+  auto choice = front_.Choose(request, now);
+  const bool waited = partition.resend_at.has_value();
+  if (!choice.has_value() && kind != SendKind::kHedge && waited) {
+    // After a back-off, one that was asked before may be asked again.
+    request.excluded = {};
+    choice = front_.Choose(request, now);
+  }
+  return choice;
+}
+
+const PartitionRoute* QueryRun::CurrentRoute(
+    const PartitionState& partition) const {
+  if (current_ == nullptr ||
+      partition.route_index >= current_->partitions.size()) {
+    return nullptr;
+  }
+  const PartitionRoute& pinned = pinned_->partitions[partition.route_index];
+  const PartitionRoute& route = current_->partitions[partition.route_index];
+  const bool same = route.range == pinned.range && route.shard == pinned.shard;
+  return same ? &route : nullptr;
+}
+
+bool QueryRun::Pay(SendKind kind, MonotonicTime now) {
+  switch (kind) {
+    case SendKind::kFirst:
+      if (restarts_ == 0) {
+        shared_.budget.Deposit(service_->retry_budget, now);
+        ++front_.counters.first_subqueries;
+      } else {
+        ++front_.counters.restarted_subqueries;
+      }
+      return true;
+    case SendKind::kReroute:
+      ++front_.counters.reroutes;
+      return true;
+    case SendKind::kHedge:
+    case SendKind::kRetry:
+      break;
+  }
+  if (!shared_.budget.TryWithdraw()) {
+    ++front_.counters.budget_refusals;
+    return false;
+  }
+  ++(kind == SendKind::kHedge ? front_.counters.hedges
+                              : front_.counters.retries);
+  return true;
+}
+
+void QueryRun::Record(PartitionState& partition, const ReplicaChoice& choice,
+                      SendKind kind, MonotonicTime now, Actions& actions) {
+  const auto index =
+      static_cast<std::uint32_t>(&partition - partitions_.data());
+  const ReplicaRoute& replica = choice.replica;
+  Attempt attempt;
+  attempt.partition = index;
+  attempt.backend = replica.backend;
+  attempt.owner = replica.owner;
+  attempt.sent_at = now;
+  attempt.probe = choice.probe;
+  const AttemptId id = attempts_.Add(attempt);
+  partition.attempts.push_back(id);
+  ++partition.outstanding;
+  partition.resend_at.reset();
+  front_.backends.OnSent(replica.backend);
+  if (choice.probe) {
+    front_.backends.OnProbe(replica.backend);
+  }
+  const bool may_hedge =
+      kind != SendKind::kHedge && partition.hedges < kMaximumHedges;
+  if (may_hedge && hedge_delay_.has_value()) {
+    partition.hedge_at = now + *hedge_delay_;
+    WakeAt(*partition.hedge_at);
+  }
+  Batch& batch = BatchFor(replica.owner, now, actions);
+  batch.subqueries.push_back({id, front_.backend_names.NameOf(replica.backend),
+                              pinned_->partitions[partition.route_index].shard,
+                              partition.range});
+}
+
+Batch& QueryRun::BatchFor(OwnerId owner, MonotonicTime now, Actions& actions) {
+  const auto found = std::ranges::find(actions.batches, owner, &Batch::owner);
+  if (found != actions.batches.end()) {
+    return *found;
+  }
+  Batch batch;
+  batch.owner = owner;
+  batch.index_version = pinned_->index_version;
+  // One more than asked for shows whether there are more.
+  batch.row_limit = request_.row_limit + 1;
+  batch.remaining = RemainingForOwner(now);
+  actions.batches.push_back(std::move(batch));
+  return actions.batches.back();
+}
+
+Duration QueryRun::RemainingForOwner(MonotonicTime now) const {
+  const Duration left = request_.deadline - now;
+  return left - std::min(kHopMargin, left / kHopMarginShare);
+}
+
+void QueryRun::WakeAt(MonotonicTime time) {
+  next_timer_ = std::min(next_timer_, time);
+}
+
+Duration QueryRun::Jittered(Duration duration) {
+  const auto width = static_cast<std::uint64_t>(duration.count() / 2 + 1);
+  return duration + Duration(front_.random() % width);
+}
+
+}  // namespace juniperway::routing
--- /dev/null
+++ b/source/common/routing/query_run_outcome.cc
@@ -0,0 +1,175 @@
+// How a query ends: when an answer is due, what it covers, what is refused.
+#include <algorithm>
+#include <string>
+#include <utility>
+
+#include "common/routing/coverage.h"
+#include "common/routing/query_run.h"
+
+namespace juniperway::routing {
+namespace {
+
+// When to come back after a refusal, where no back end told.
+constexpr Duration kShedRetryAfter = milliseconds(100);
+constexpr Duration kMovingRetryAfter = milliseconds(200);
+constexpr Duration kFailureRetryAfter = seconds(1);
+
+Duration RetryAfterOf(MissingReason reason) {
+  switch (reason) {
+    case MissingReason::kDeadline:
+    case MissingReason::kShed:
+      return kShedRetryAfter;
+    case MissingReason::kDraining:
+    case MissingReason::kWrongSnapshot:
+      return kMovingRetryAfter;
+    case MissingReason::kLost:
+    case MissingReason::kUnreachable:
+      return kFailureRetryAfter;
+  }
+  return kFailureRetryAfter;
+}
+
+}  // namespace
+
+Actions QueryRun::OnCallerGone(MonotonicTime now) {
+  Actions actions;
+  if (!finished_) {
+    CancelAll(now, actions);
+    actions.outcome = Abandoned{attempts_.Execution()};
+    finished_ = true;
+  }
+  return actions;
+}
+
+void QueryRun::Settle(MonotonicTime now, Actions& actions) {
+  if (finished_) {
+    return;
+  }
+  if (restart_wanted_) {
+    TryRestart(now, actions);
+  }
+  if (IsAnswerDue(now)) {
+    Finish(now, actions);
+  }
+}
+
+bool QueryRun::IsAnswerDue(MonotonicTime now) const {
+  if (pending_ == 0 || now >= request_.deadline) {
+    return true;
+  }
+  const bool may_be_partial =
+      service_->answer_policy == resources::AnswerPolicy::kLatency &&
+      now >= request_.received + service_->soft_deadline;
+  const double share = static_cast<double>(searched_width_) /
+                       static_cast<double>(asked_.end - asked_.begin);
+  return may_be_partial && searched_width_ > 0 &&
+         share >= service_->minimum_coverage;
+}
+
+void QueryRun::Finish(MonotonicTime now, Actions& actions) {
+  CancelAll(now, actions);
+  finished_ = true;
+  for (PartitionState& partition : partitions_) {
+    if (partition.status != PartitionStatus::kPending) {
+      continue;
+    }
+    const bool refused = partition.resend_at.has_value();
+    MarkMissing(partition,
+                refused ? partition.reason : MissingReason::kDeadline);
+  }
+  if (searched_width_ > 0) {
+    actions.outcome = MakeAnswer();
+  } else {
+    actions.outcome = MakeRefusal(now);
+  }
+}
+
+void QueryRun::CancelAll(MonotonicTime now, Actions& actions) {
+  Unsend(actions);
+  for (AttemptId id = 0; id < attempts_.size(); ++id) {
+    if (attempts_.Get(id).status == AttemptStatus::kOutstanding) {
+      GiveUp(id, now, actions);
+    }
+  }
+}
+
+// What was planned in this very call has not left yet, and need not.
+void QueryRun::Unsend(Actions& actions) {
+  for (const Batch& batch : actions.batches) {
+    for (const PlannedSubquery& subquery : batch.subqueries) {
+      Attempt& attempt = attempts_.Get(subquery.attempt_id);
+      attempts_.MarkProvablyNotRun(subquery.attempt_id);
+      attempt.status = AttemptStatus::kGivenUp;
+      --partitions_[attempt.partition].outstanding;
+      front_.backends.OnDone(attempt.backend);
+      if (attempt.probe) {
+        front_.backends.OnProbeAbandoned(attempt.backend);
+      }
+    }
+  }
+  actions.batches.clear();
+}
+
+void QueryRun::GiveUp(AttemptId id, MonotonicTime now, Actions& actions) {
+  Attempt& attempt = attempts_.Get(id);
+  attempt.status = AttemptStatus::kGivenUp;
+  --partitions_[attempt.partition].outstanding;
+  front_.backends.OnDone(attempt.backend);
+  LearnFromSilence(attempt, now);
+  const auto known = std::ranges::find(actions.cancellations, attempt.owner,
+                                       &Cancellation::owner);
+  if (known != actions.cancellations.end()) {
+    known->attempts.push_back(id);
+  } else {
+    actions.cancellations.push_back({attempt.owner, {id}});
+  }
+}
+
+Answer QueryRun::MakeAnswer() {
+  Answer answer;
+  answer.index_version = pinned_->index_version;
+  std::vector<RangeOutcome> outcomes;
+  outcomes.reserve(partitions_.size());
+  for (PartitionState& partition : partitions_) {
+    if (partition.status != PartitionStatus::kSearched) {
+      outcomes.push_back({partition.range, partition.reason});
+      continue;
+    }
+    outcomes.push_back({partition.range, std::nullopt});
+    const std::size_t space = request_.row_limit - answer.rows.size();
+    const std::vector<ResultRow>& rows = partition.block.rows;
+    const std::size_t taken = std::min(space, rows.size());
+    answer.truncated |= taken < rows.size();
+    answer.rows.insert(answer.rows.end(), rows.begin(),
+                       rows.begin() + static_cast<std::ptrdiff_t>(taken));
+    answer.storage.push_back(std::move(partition.block.storage));
+  }
+  answer.coverage = MakeCoverage(outcomes);
+  answer.execution = answer.coverage.missing.empty()
+                         ? ExecutionState::kRan
+                         : ExecutionState::kMayHaveRun;
+  return answer;
+}
+
+Refusal QueryRun::MakeRefusal(MonotonicTime now) {
+  Refusal refusal;
+  refusal.execution = attempts_.Execution();
+  if (partitions_.empty()) {
+    refusal.error = {ErrorCode::kInvalidArgument, "range",
+                     "holds no key of the served snapshot"};
+    return refusal;
+  }
+  // Partitions may differ; the first one's reason stands for all.
+  const MissingReason reason = partitions_.front().reason;
+  const bool late =
+      now >= request_.deadline || reason == MissingReason::kDeadline;
+  refusal.error.code =
+      late ? ErrorCode::kDeadlineExceeded : ErrorCode::kUnavailable;
+  refusal.error.message =
+      "nothing was searched: " + std::string(MissingReasonName(reason));
+  const Duration base = std::max(RetryAfterOf(reason), retry_after_hint_);
+  refusal.retry_after = Jittered(base);
+  return refusal;
+}
+
+}  // namespace juniperway::routing
