--- /dev/null
+++ b/test/unit/owner/ownership_tracker_test.cc
@@ -0,0 +1,173 @@
+#include "common/owner/ownership_tracker.h"
+
+#include <doctest/doctest.h>
+
+#include <algorithm>
+#include <string>
+
+namespace juniperway::owner {
+namespace {
+
+using Names = std::vector<std::string>;
+
+// Zone "z" with two gateways; each owns some of the back ends.
+session::FleetView TwoGateways(resources::Revision revision) {
+  session::FleetView view;
+  view.revision = revision;
+  for (const std::string name : {"g1", "g2"}) {
+    session::Member& member = view.members[name];
+    member.daemon_id = name;
+    member.incarnation = 1;
+    member.zone = "z";
+    member.gateway = true;
+  }
+  for (int i = 0; i < 16; ++i) {
+    view.backends["b" + std::to_string(i)].zone = "z";
+  }
+  return view;
+}
+
+session::FleetViewPointer Share(const session::FleetView& view) {
+  return std::make_shared<const session::FleetView>(view);
+}
+
+Names OwnedBy(const std::string& daemon, const session::FleetView& view) {
+  return routing::OwnershipTable(Share(view)).OwnedBy(daemon);
+}
+
+TEST_CASE("A back end is used once the zone released the view's revision") {
+  const session::FleetView view = TwoGateways(5);
+  const std::string mine = OwnedBy("g1", view).front();
+  const std::string other = OwnedBy("g2", view).front();
+  OwnershipTracker tracker("g1");
+  tracker.OnLeaseGained();
+  CHECK(tracker.OnView(Share(view)).gained == OwnedBy("g1", view));
+  tracker.OnZoneReleased(4);
+  CHECK(tracker.AccessTo(mine) == GateAccess::kWaiting);
+  CHECK(tracker.released() == 5);
+  tracker.OnZoneReleased(5);
+  CHECK(tracker.AccessTo(mine) == GateAccess::kOpen);
+  CHECK(tracker.AccessTo(other) == GateAccess::kClosed);
+}
+
+TEST_CASE("A view that changes nothing here needs no new release") {
+  const std::string mine = OwnedBy("g1", TwoGateways(5)).front();
+  OwnershipTracker tracker("g1");
+  tracker.OnLeaseGained();
+  tracker.OnView(Share(TwoGateways(5)));
+  tracker.OnZoneReleased(5);
+  const auto change = tracker.OnView(Share(TwoGateways(9)));
+  CHECK(change.gained.empty());
+  CHECK(change.lost.empty());
+  CHECK(tracker.AccessTo(mine) == GateAccess::kOpen);
+}
+
+TEST_CASE("The released revision waits for what is being let go") {
+  session::FleetView alone = TwoGateways(5);
+  alone.members.erase("g2");
+  const Names lost = OwnedBy("g2", TwoGateways(6));
+  OwnershipTracker tracker("g1");
+  tracker.OnLeaseGained();
+  tracker.OnView(Share(alone));
+  CHECK(tracker.released() == 5);
+  const auto change = tracker.OnView(Share(TwoGateways(6)));
+  CHECK(change.lost == lost);
+  CHECK(tracker.released() == 5);
+  // A later view does not release what the earlier one took away.
+  tracker.OnView(Share(TwoGateways(7)));
+  CHECK(tracker.released() == 5);
+  for (const std::string& name : lost) {
+    CHECK(tracker.released() == 5);
+    tracker.OnLetGo(name);
+  }
+  CHECK(tracker.released() == 7);
+}
+
+TEST_CASE("What is taken back while being let go is let go first") {
+  session::FleetView alone = TwoGateways(5);
+  alone.members.erase("g2");
+  const std::string name = OwnedBy("g2", TwoGateways(6)).front();
+  OwnershipTracker tracker("g1");
+  tracker.OnLeaseGained();
+  tracker.OnView(Share(alone));
+  tracker.OnZoneReleased(5);
+  for (const auto& lost : tracker.OnView(Share(TwoGateways(6))).lost) {
+    if (lost != name) {
+      tracker.OnLetGo(lost);
+    }
+  }
+  alone.revision = 7;
+  tracker.OnView(Share(alone));
+  CHECK(tracker.released() == 5);
+  tracker.OnZoneReleased(7);
+  CHECK(tracker.AccessTo(name) == GateAccess::kWaiting);
+  tracker.OnLetGo(name);
+  CHECK(tracker.released() == 7);
+  CHECK(tracker.AccessTo(name) == GateAccess::kOpen);
+}
+
+TEST_CASE("An owner of a skipped revision makes the back end be let go") {
+  // Revision 6 made g2 the owner, revision 7 says that it leaves; 6 is skipped.
+  session::FleetView before = TwoGateways(5);
+  before.members.erase("g2");
+  session::FleetView after = TwoGateways(7);
+  after.members["g2"].leaving = true;
+  const std::string name = OwnedBy("g2", TwoGateways(6)).front();
+  const std::string never_theirs = OwnedBy("g1", TwoGateways(6)).front();
+  OwnershipTracker tracker("g1");
+  tracker.OnLeaseGained();
+  tracker.OnView(Share(before));
+  tracker.OnZoneReleased(5);
+  const auto change = tracker.OnView(Share(after));
+  CHECK(std::ranges::count(change.lost, name) == 1);
+  CHECK(tracker.released() == 5);
+  CHECK(tracker.AccessTo(name) == GateAccess::kWaiting);
+  CHECK(tracker.AccessTo(never_theirs) == GateAccess::kOpen);
+  for (const std::string& lost : change.lost) {
+    tracker.OnLetGo(lost);
+  }
+  CHECK(tracker.released() == 7);
+  CHECK(tracker.AccessTo(name) == GateAccess::kWaiting);
+  tracker.OnZoneReleased(7);
+  CHECK(tracker.AccessTo(name) == GateAccess::kOpen);
+}
+
+TEST_CASE("Ownership ends with the lease and starts anew with the next") {
+  const std::string mine = OwnedBy("g1", TwoGateways(5)).front();
+  OwnershipTracker tracker("g1");
+  tracker.OnView(Share(TwoGateways(5)));
+  tracker.OnZoneReleased(5);
+  CHECK(tracker.AccessTo(mine) == GateAccess::kClosed);
+  tracker.OnLeaseGained();
+  CHECK(tracker.AccessTo(mine) == GateAccess::kOpen);
+  tracker.OnLeaseLost();
+  CHECK(tracker.AccessTo(mine) == GateAccess::kClosed);
+  tracker.OnView(Share(TwoGateways(9)));
+  tracker.OnLeaseGained();
+  CHECK(tracker.AccessTo(mine) == GateAccess::kWaiting);
+  tracker.OnZoneReleased(9);
+  CHECK(tracker.AccessTo(mine) == GateAccess::kOpen);
+}
+
+TEST_CASE("An older view changes nothing") {
+  session::FleetView alone = TwoGateways(4);
+  alone.members.erase("g2");
+  OwnershipTracker tracker("g1");
+  tracker.OnView(Share(TwoGateways(5)));
+  CHECK(tracker.OnView(Share(alone)).gained.empty());
+  CHECK(tracker.released() == 5);
+}
+
+TEST_CASE("A deleted back end is let go") {
+  session::FleetView view = TwoGateways(5);
+  const std::string mine = OwnedBy("g1", view).front();
+  OwnershipTracker tracker("g1");
+  tracker.OnView(Share(view));
+  view.revision = 6;
+  view.backends.erase(mine);
+  CHECK(tracker.OnView(Share(view)).lost == Names{mine});
+  CHECK(tracker.released() == 5);
+}
+
+}  // namespace
+}  // namespace juniperway::owner
