--- a/source/common/net/http_server.h
+++ b/source/common/net/http_server.h
@@ -54,6 +54,9 @@
   asio::ip::tcp::endpoint endpoint;  // port 0: chosen by the kernel
   std::size_t maximum_body_bytes = 8U << 20;
   std::size_t maximum_connections = 4096;
+  // Told of each connection that opens and closes; may be empty.
+  std::function<void(const asio::ip::tcp::endpoint& remote, bool open)>
+      connection_listener;
 };
 
 class HttpServer {
