Fix reversed faults of the proxy and the order of a back end's crash

Cause: the reverse of a two-way fault was swapped with the fault before it (unspecified evaluation order; caught by topology_test); a crashing back end answered 500 to what it forgot.

--- a/source/lab/backend/server.cc
+++ b/source/lab/backend/server.cc
@@ -99,15 +99,16 @@
 }
 
 void BackendServer::Crash() {
+  // First, so that answers of what is forgotten below reach nobody.
+  if (server_) {
+    server_->Close();
+    server_.reset();
+  }
   for (const auto& [attempt_id, running] : running_) {
     running->timer.cancel();
     model_.Finish(ReadMonotonicClock());
   }
   running_.clear();
-  if (server_) {
-    server_->Close();
-    server_.reset();
-  }
   connections_.clear();
   unused_connections_.clear();
 }
--- a/source/lab/proxy/topology.cc
+++ b/source/lab/proxy/topology.cc
@@ -142,7 +142,9 @@
     }
     faults.push_back(*fault);
     if (both) {
-      std::swap(faults.emplace_back(*fault).from, faults.back().to);
+      Fault reverse = *fault;
+      std::swap(reverse.from, reverse.to);
+      faults.push_back(reverse);
     }
   }
   faults_ = std::move(faults);
