--- /dev/null
+++ b/source/common/control/events.h
@@ -0,0 +1,50 @@
+// Log events of the control machines.
+#pragma once
+
+#include "common/logging/event_log.h"
+
+namespace juniperway::control {
+
+using logging::EventType;
+using logging::Severity;
+
+inline constexpr EventType kControlStarted{2100, "control_started",
+                                           Severity::kInfo};
+inline constexpr EventType kStoreBootstrapped{2101, "store_bootstrapped",
+                                              Severity::kInfo};
+inline constexpr EventType kRoleChanged{2102, "role_changed", Severity::kInfo};
+inline constexpr EventType kStoreFailed{2103, "store_failed", Severity::kError};
+inline constexpr EventType kLogCompacted{2104, "log_compacted",
+                                         Severity::kInfo};
+inline constexpr EventType kSnapshotInstalled{2105, "snapshot_installed",
+                                              Severity::kInfo};
+inline constexpr EventType kPeerRefused{2106, "peer_refused",
+                                        Severity::kWarning};
+inline constexpr EventType kApiLoopbackOnly{2107, "api_loopback_only",
+                                            Severity::kWarning};
+inline constexpr EventType kDaemonConnected{2110, "daemon_connected",
+                                            Severity::kInfo};
+inline constexpr EventType kDaemonDisconnected{2111, "daemon_disconnected",
+                                               Severity::kInfo};
+inline constexpr EventType kDaemonRefused{2112, "daemon_refused",
+                                          Severity::kWarning};
+inline constexpr EventType kDaemonRemoved{2113, "daemon_removed",
+                                          Severity::kWarning};
+inline constexpr EventType kLeasesStarted{2114, "leases_started",
+                                          Severity::kInfo};
+inline constexpr EventType kMemberPromoted{2120, "member_promoted",
+                                           Severity::kInfo};
+inline constexpr EventType kMemberLostData{2121, "member_lost_data",
+                                           Severity::kError};
+inline constexpr EventType kPlatformUnreachable{2130, "platform_unreachable",
+                                                Severity::kWarning};
+inline constexpr EventType kPlatformListInvalid{2131, "platform_list_invalid",
+                                                Severity::kWarning};
+inline constexpr EventType kPlatformListChanged{2132, "platform_list_changed",
+                                                Severity::kInfo};
+inline constexpr EventType kChangeAccepted{2140, "change_accepted",
+                                           Severity::kInfo};
+inline constexpr EventType kChangeRefused{2141, "change_refused",
+                                          Severity::kInfo};
+
+}  // namespace juniperway::control
--- /dev/null
+++ b/source/common/control/leader_client.cc
@@ -0,0 +1,236 @@
+#include "common/control/leader_client.h"
+
+#include <memory>
+#include <utility>
+#include <vector>
+
+#include "common/session/control_frames.h"
+
+namespace juniperway::control {
+namespace {
+
+// A forwarded call without an answer for this long is sent again.
+constexpr Duration kResendInterval = seconds(1);
+constexpr int kStatusUnavailable = 503;
+constexpr int kStatusDeadlineExceeded = 504;
+
+bool MustTryAgain(const Error& error) {
+  return error.code == ErrorCode::kNotLeader ||
+         error.code == ErrorCode::kUnavailable;
+}
+
+net::HttpResponse Unavailable(bool ever_sent) {
+  const Error error =
+      ever_sent ? Error{ErrorCode::kDeadlineExceeded, "",
+                        "no answer from the leader in time; the outcome is "
+                        "unknown, send the change again with its id"}
+                : Error{ErrorCode::kUnavailable, "",
+                        "no leader: the control machines have no quorum, or "
+                        "this one cannot reach it"};
+  net::HttpResponse response = net::ErrorResponse(
+      ever_sent ? kStatusDeadlineExceeded : kStatusUnavailable, error,
+      ever_sent ? "may-have-run" : "not-run");
+  response.headers.emplace_back("Retry-After", "1");
+  return response;
+}
+
+}  // namespace
+
+LeaderClient::LeaderClient(raft::NodeId self, Ports ports)
+    : self_(self), ports_(std::move(ports)) {}
+
+void LeaderClient::Submit(Operations operations, MonotonicTime deadline,
+                          OperationsCallback callback) {
+  const std::uint64_t id = Add(
+      PendingOperations{std::move(operations), std::move(callback)}, deadline);
+  Dispatch(id, ReadMonotonicClock());
+}
+
+void LeaderClient::Call(ApiCall call, MonotonicTime deadline,
+                        ApiCallback callback) {
+  const std::uint64_t id =
+      Add(PendingCall{std::move(call), std::move(callback)}, deadline);
+  Dispatch(id, ReadMonotonicClock());
+}
+
+std::uint64_t LeaderClient::Add(
+    std::variant<PendingOperations, PendingCall> content,
+    MonotonicTime deadline) {
+  const std::uint64_t id = ++last_id_;
+  Pending pending{.content = std::move(content),
+                  .deadline = deadline,
+                  .sent_to = raft::kNoNode,
+                  .sent_at = {},
+                  .ever_sent = false};
+  pending_.emplace(id, std::move(pending));
+  return id;
+}
+
+void LeaderClient::Dispatch(std::uint64_t id, MonotonicTime now) {
+  const raft::NodeId leader = ports_.leader();
+  Pending& pending = pending_.at(id);
+  if (leader == raft::kNoNode) {
+    pending.sent_to = raft::kNoNode;
+    return;
+  }
+  pending.sent_to = leader;
+  pending.sent_at = now;
+  if (leader == self_) {
+    pending.ever_sent = true;
+    RunHere(id, pending);
+  } else if (SendTo(id, pending, leader)) {
+    pending.ever_sent = true;
+  } else {
+    pending.sent_to = raft::kNoNode;
+  }
+}
+
+void LeaderClient::RunHere(std::uint64_t id, Pending& pending) {
+  if (auto* call = std::get_if<PendingCall>(&pending.content)) {
+    // A copy: the answer may come at once and end the entry.
+    const ApiCall copy = call->call;
+    ports_.run_call(copy, [this, id](net::HttpResponse response) {
+      FinishCall(id, std::move(response));
+    });
+    return;
+  }
+  const auto& operations = std::get<PendingOperations>(pending.content);
+  ports_.run_operations(Copy(operations.operations),
+                        [this, id](Result<OperationResults> result) {
+                          FinishOperations(id, std::move(result));
+                        });
+}
+
+bool LeaderClient::SendTo(std::uint64_t id, const Pending& pending,
+                          raft::NodeId leader) {
+  if (const auto* call = std::get_if<PendingCall>(&pending.content)) {
+    protocol::ForwardCallT message;
+    message.call_id = id;
+    message.method = call->call.method;
+    message.path = call->call.path;
+    message.change_id = call->call.change_id;
+    message.body = call->call.body;
+    for (const auto& [key, value] : call->call.parameters) {
+      auto& pair = message.parameters.emplace_back(
+          std::make_unique<protocol::TextPairT>());
+      pair->key = key;
+      pair->value = value;
+    }
+    return ports_.send_call(leader, std::move(message));
+  }
+  protocol::ForwardOperationsT message;
+  message.call_id = id;
+  message.operations =
+      Copy(std::get<PendingOperations>(pending.content).operations);
+  return ports_.send_operations(leader, std::move(message));
+}
+
+void LeaderClient::OnReply(const protocol::ForwardOperationsReplyT& reply) {
+  if (reply.error) {
+    FinishOperations(reply.call_id,
+                     tl::unexpected(session::DecodeError(*reply.error)));
+    return;
+  }
+  OperationResults results;
+  for (const auto& result : reply.results) {
+    results.push_back(std::make_unique<protocol::OperationResultT>(*result));
+  }
+  FinishOperations(reply.call_id, std::move(results));
+}
+
+void LeaderClient::OnReply(const protocol::ForwardCallReplyT& reply) {
+  net::HttpResponse response;
+  response.status = reply.status;
+  response.body = reply.body;
+  for (const auto& header : reply.headers) {
+    response.headers.emplace_back(header->key, header->value);
+  }
+  FinishCall(reply.call_id, std::move(response));
+}
+
+void LeaderClient::FinishOperations(std::uint64_t id,
+                                    Result<OperationResults> result) {
+  auto pending = pending_.find(id);
+  if (pending == pending_.end() ||
+      !std::holds_alternative<PendingOperations>(pending->second.content)) {
+    return;
+  }
+  if (!result && MustTryAgain(result.error())) {
+    pending->second.sent_to = raft::kNoNode;  // the next Tick sends it
+    return;
+  }
+  const auto callback =
+      std::move(std::get<PendingOperations>(pending->second.content).callback);
+  pending_.erase(pending);
+  callback(std::move(result));
+}
+
+void LeaderClient::FinishCall(std::uint64_t id, net::HttpResponse response) {
+  auto pending = pending_.find(id);
+  if (pending == pending_.end() ||
+      !std::holds_alternative<PendingCall>(pending->second.content)) {
+    return;
+  }
+  if (response.status == kStatusUnavailable) {
+    pending->second.sent_to = raft::kNoNode;  // the next Tick sends it
+    return;
+  }
+  const ApiCallback callback =
+      std::move(std::get<PendingCall>(pending->second.content).callback);
+  pending_.erase(pending);
+  callback(std::move(response));
+}
+
+void LeaderClient::Tick(MonotonicTime now) {
+  std::vector<std::uint64_t> ids;
+  ids.reserve(pending_.size());
+  for (const auto& [id, pending] : pending_) {
+    ids.push_back(id);
+  }
+  const raft::NodeId leader = ports_.leader();
+  for (const std::uint64_t id : ids) {
+    auto found = pending_.find(id);
+    if (found == pending_.end()) {
+      continue;
+    }
+    const Pending& pending = found->second;
+    const bool resend =
+        pending.sent_to != leader ||
+        (leader != self_ && now - pending.sent_at >= kResendInterval);
+    if (now >= pending.deadline) {
+      FailLate(id);
+    } else if (leader != raft::kNoNode && resend) {
+      Dispatch(id, now);
+    }
+  }
+}
+
+void LeaderClient::FailLate(std::uint64_t id) {
+  Pending pending = std::move(pending_.at(id));
+  pending_.erase(id);
+  if (auto* call = std::get_if<PendingCall>(&pending.content)) {
+    call->callback(Unavailable(pending.ever_sent));
+    return;
+  }
+  std::get<PendingOperations>(pending.content)
+      .callback(MakeError(pending.ever_sent ? ErrorCode::kDeadlineExceeded
+                                            : ErrorCode::kUnavailable,
+                          "", "no answer from the leader in time"));
+}
+
+void LeaderClient::Stop() {
+  while (!pending_.empty()) {
+    FailLate(pending_.begin()->first);
+  }
+}
+
+Operations LeaderClient::Copy(const Operations& operations) {
+  Operations copy;
+  copy.reserve(operations.size());
+  for (const auto& operation : operations) {
+    copy.push_back(std::make_unique<protocol::OperationItemT>(*operation));
+  }
+  return copy;
+}
+
+}  // namespace juniperway::control
--- /dev/null
+++ b/source/common/control/peer_network.cc
@@ -0,0 +1,173 @@
+#include "common/control/peer_network.h"
+
+#include <utility>
+
+#include "common/net/address.h"
+
+namespace juniperway::control {
+namespace {
+
+constexpr Duration kConnectTimeout = seconds(1);
+// Reconnect attempts are this far apart, drawn from [half, whole].
+constexpr Duration kReconnectInterval = milliseconds(200);
+// A machine that was sent frames and has been silent for this long is
+// connected anew: the path may be gone without a signal.
+constexpr Duration kSilenceTimeout = seconds(2);
+// Frames to a machine that does not read are dropped past this.
+constexpr std::size_t kMaximumQueuedBytes = 128U << 20;
+
+}  // namespace
+
+PeerNetwork::PeerNetwork(asio::io_context& context, std::string cluster,
+                         raft::NodeId node_id, std::uint64_t seed,
+                         FrameHandler on_frame)
+    : context_(context),
+      cluster_(std::move(cluster)),
+      node_id_(node_id),
+      random_(seed),
+      on_frame_(std::move(on_frame)) {}
+
+void PeerNetwork::SetPeers(const std::vector<raft::Member>& members) {
+  for (auto& [id, peer] : peers_) {
+    peer.wanted = false;
+  }
+  for (const raft::Member& member : members) {
+    if (member.id == node_id_) {
+      continue;
+    }
+    Peer& peer = peers_[member.id];
+    peer.wanted = true;
+    if (peer.address != member.address) {
+      peer.address = member.address;
+      Drop(peer);
+    }
+  }
+  for (auto& [id, peer] : peers_) {
+    if (!peer.wanted && peer.outgoing) {
+      peer.outgoing->Close();
+      peer.outgoing.reset();
+    }
+  }
+}
+
+void PeerNetwork::Adopt(raft::NodeId from,
+                        std::shared_ptr<net::FrameConnection> connection) {
+  Peer& peer = peers_[from];
+  if (peer.incoming) {
+    peer.incoming->Close();
+  }
+  peer.incoming = std::move(connection);
+}
+
+void PeerNetwork::OnFrame(
+    raft::NodeId from, net::FrameBytes bytes,
+    const std::shared_ptr<net::FrameConnection>& connection) {
+  auto frame = session::DecodeFrame(bytes);
+  if (!frame) {
+    connection->Close();
+    return;
+  }
+  Peer& peer = peers_[from];
+  peer.heard = ReadMonotonicClock();
+  peer.unanswered_since = MonotonicTime::max();
+  on_frame_(from, std::move(*frame));
+}
+
+void PeerNetwork::Tick(MonotonicTime now) {
+  for (auto& [id, peer] : peers_) {
+    if (now > peer.unanswered_since &&
+        now - peer.unanswered_since > kSilenceTimeout) {
+      Drop(peer);
+    }
+    const bool down = !peer.outgoing || peer.outgoing->closed();
+    if (peer.wanted && down && !peer.connecting && now >= peer.next_attempt) {
+      Connect(id, peer);
+    }
+  }
+}
+
+void PeerNetwork::Stop() {
+  stopped_ = true;
+  for (auto& [id, peer] : peers_) {
+    Drop(peer);
+  }
+  on_frame_ = nullptr;
+}
+
+net::FrameConnection* PeerNetwork::FindConnection(raft::NodeId to) {
+  auto found = peers_.find(to);
+  if (found == peers_.end()) {
+    return nullptr;
+  }
+  Peer& peer = found->second;
+  for (const auto* connection : {&peer.outgoing, &peer.incoming}) {
+    if (*connection && !(*connection)->closed() &&
+        (*connection)->queued_bytes() < kMaximumQueuedBytes) {
+      if (peer.unanswered_since == MonotonicTime::max()) {
+        peer.unanswered_since = ReadMonotonicClock();
+      }
+      return connection->get();
+    }
+  }
+  return nullptr;
+}
+
+void PeerNetwork::Connect(raft::NodeId id, Peer& peer) {
+  const auto endpoint = net::ParseEndpoint(peer.address, "address");
+  std::uniform_int_distribution<Duration::rep> delay(
+      kReconnectInterval.count() / 2, kReconnectInterval.count());
+  peer.next_attempt = ReadMonotonicClock() + Duration(delay(random_));
+  if (!endpoint) {
+    return;
+  }
+  peer.connecting = true;
+  net::FrameConnection::Connect(
+      context_, *endpoint, kConnectTimeout,
+      [weak = weak_from_this(),
+       id](Result<std::shared_ptr<net::FrameConnection>> result) {
+        if (auto self = weak.lock()) {
+          self->OnConnected(id, std::move(result));
+        }
+      });
+}
+
+void PeerNetwork::OnConnected(
+    raft::NodeId id, Result<std::shared_ptr<net::FrameConnection>> result) {
+  Peer& peer = peers_[id];
+  peer.connecting = false;
+  if (!result) {
+    return;
+  }
+  if (stopped_ || !peer.wanted) {
+    (*result)->Close();
+    return;
+  }
+  peer.outgoing = std::move(*result);
+  peer.unanswered_since = MonotonicTime::max();
+  std::weak_ptr<net::FrameConnection> connection = peer.outgoing;
+  peer.outgoing->Start(
+      [weak = weak_from_this(), id, connection](net::FrameBytes bytes) {
+        auto self = weak.lock();
+        auto open = connection.lock();
+        if (self && open && !self->stopped_) {
+          self->OnFrame(id, bytes, open);
+        }
+      },
+      [] {});
+  protocol::PeerHelloT hello;
+  hello.cluster = cluster_;
+  hello.node_id = node_id_;
+  session::SendMessage(*peer.outgoing, std::move(hello));
+}
+
+void PeerNetwork::Drop(Peer& peer) {
+  for (auto* connection : {&peer.outgoing, &peer.incoming}) {
+    if (*connection) {
+      (*connection)->Close();
+      connection->reset();
+    }
+  }
+  peer.unanswered_since = MonotonicTime::max();
+}
+
+}  // namespace juniperway::control
--- /dev/null
+++ b/source/common/control/peer_network.h
@@ -0,0 +1,83 @@
+// Connections between control machines. Each machine opens one to every other
+// and keeps those that the others opened to it; a frame goes out on whichever
+// is up. Frames may be lost: consensus and calls cope.
+#pragma once
+
+#include <asio/io_context.hpp>
+#include <functional>
+#include <map>
+#include <memory>
+#include <random>
+#include <string>
+#include <vector>
+
+#include "common/net/frame_connection.h"
+#include "common/protocol/control_generated.h"
+#include "common/raft/types.h"
+#include "common/session/control_frames.h"
+
+namespace juniperway::control {
+
+class PeerNetwork : public std::enable_shared_from_this<PeerNetwork> {
+ public:
+  using FrameHandler =
+      std::function<void(raft::NodeId from, protocol::ControlFrameT frame)>;
+
+  PeerNetwork(asio::io_context& context, std::string cluster,
+              raft::NodeId node_id, std::uint64_t seed, FrameHandler on_frame);
+
+  // The machines to keep a connection to; this node itself is passed over.
+  void SetPeers(const std::vector<raft::Member>& members);
+
+  // Takes over a connection that another machine opened and said hello on.
+  void Adopt(raft::NodeId from,
+             std::shared_ptr<net::FrameConnection> connection);
+  // A frame that came on an adopted connection.
+  void OnFrame(raft::NodeId from, net::FrameBytes bytes,
+               const std::shared_ptr<net::FrameConnection>& connection);
+
+  // @return false when no connection to that machine is up.
+  template <typename Message>
+  bool Send(raft::NodeId to, Message message) {
+    net::FrameConnection* connection = FindConnection(to);
+    if (connection == nullptr) {
+      return false;
+    }
+    session::SendMessage(*connection, std::move(message));
+    return true;
+  }
+
+  // Opens anew what looks dead; to be called a few times a second.
+  void Tick(MonotonicTime now);
+  // Closes every connection; nothing runs after this.
+  void Stop();
+
+ private:
+  struct Peer {
+    std::string address;  // empty: only it can connect
+    bool wanted = false;
+    bool connecting = false;
+    MonotonicTime next_attempt = MonotonicTime::min();
+    std::shared_ptr<net::FrameConnection> outgoing;
+    std::shared_ptr<net::FrameConnection> incoming;
+    // When a frame last came, and when one was first sent after that.
+    MonotonicTime heard = MonotonicTime::min();
+    MonotonicTime unanswered_since = MonotonicTime::max();
+  };
+
+  net::FrameConnection* FindConnection(raft::NodeId to);
+  void Connect(raft::NodeId id, Peer& peer);
+  void OnConnected(raft::NodeId id,
+                   Result<std::shared_ptr<net::FrameConnection>> result);
+  void Drop(Peer& peer);
+
+  asio::io_context& context_;
+  std::string cluster_;
+  raft::NodeId node_id_;
+  std::mt19937_64 random_;
+  FrameHandler on_frame_;
+  std::map<raft::NodeId, Peer> peers_;
+  bool stopped_ = false;
+};
+
+}  // namespace juniperway::control
--- /dev/null
+++ b/source/common/control/raft_driver.cc
@@ -0,0 +1,184 @@
+#include "common/control/raft_driver.h"
+
+#include <algorithm>
+#include <asio/post.hpp>
+#include <utility>
+
+#include "common/control/events.h"
+
+namespace juniperway::control {
+namespace {
+
+// Bounds how long the timer sleeps when the state machine has no deadline.
+constexpr Duration kMaximumSleep = seconds(1);
+
+}  // namespace
+
+RaftDriver::RaftDriver(asio::io_context& context, const raft::Options& options,
+                       raft::InitialState initial,
+                       std::unique_ptr<storage::LogStore> store,
+                       const CompactionLimits& limits, Callbacks callbacks)
+    : context_(context),
+      timer_(context),
+      id_(options.id),
+      store_(std::move(store)),
+      limits_(limits),
+      callbacks_(std::move(callbacks)),
+      fsm_(options, std::move(initial), ReadMonotonicClock()),
+      applied_(fsm_.GetStatus().applied) {}
+
+void RaftDriver::Start() { ScheduleDrain(); }
+
+void RaftDriver::Stop() {
+  stopped_ = true;
+  timer_.cancel();
+  callbacks_ = {};
+}
+
+void RaftDriver::Step(const raft::Message& message) {
+  fsm_.Step(message, ReadMonotonicClock());
+  ScheduleDrain();
+}
+
+Result<raft::Fsm::Proposal> RaftDriver::Propose(std::string command) {
+  auto proposal = fsm_.Propose(std::move(command), ReadMonotonicClock());
+  ScheduleDrain();
+  return proposal;
+}
+
+Result<raft::Fsm::Proposal> RaftDriver::AddLearner(const raft::Member& member) {
+  auto proposal = fsm_.AddLearner(member, ReadMonotonicClock());
+  ScheduleDrain();
+  return proposal;
+}
+
+Result<raft::Fsm::Proposal> RaftDriver::PromoteLearner(raft::NodeId id) {
+  auto proposal = fsm_.PromoteLearner(id, ReadMonotonicClock());
+  ScheduleDrain();
+  return proposal;
+}
+
+Result<raft::Fsm::Proposal> RaftDriver::RemoveMember(raft::NodeId id) {
+  auto proposal = fsm_.RemoveMember(id, ReadMonotonicClock());
+  ScheduleDrain();
+  return proposal;
+}
+
+Result<void> RaftDriver::TransferLeadership(raft::NodeId to) {
+  auto result = fsm_.TransferLeadership(to, ReadMonotonicClock());
+  ScheduleDrain();
+  return result;
+}
+
+void RaftDriver::ScheduleDrain() {
+  if (drain_scheduled_ || stopped_) {
+    return;
+  }
+  drain_scheduled_ = true;
+  asio::post(context_, [self = shared_from_this()] {
+    self->drain_scheduled_ = false;
+    self->Drain();
+  });
+}
+
+void RaftDriver::Drain() {
+  if (stopped_) {
+    return;
+  }
+  for (raft::Ready ready = fsm_.TakeReady(); !ready.empty();
+       ready = fsm_.TakeReady()) {
+    if (!CarryOut(std::move(ready)) || stopped_) {
+      return;
+    }
+  }
+  CompactIfLarge();
+  if (stopped_) {
+    return;
+  }
+  callbacks_.on_change();
+  ArmTimer();
+}
+
+bool RaftDriver::CarryOut(raft::Ready ready) {
+  const bool durable =
+      ready.hard_state || ready.snapshot || !ready.entries.empty();
+  if (durable) {
+    if (auto written = store_->Write(ready); !written) {
+      Fail(written.error());
+      return false;
+    }
+  }
+  if (!ready.entries.empty()) {
+    fsm_.Persisted(ready.entries.back().index, ReadMonotonicClock());
+  } else if (ready.snapshot) {
+    fsm_.Persisted(ready.snapshot->index, ReadMonotonicClock());
+  }
+  callbacks_.send(std::move(ready.messages));
+  if (ready.snapshot) {
+    logging::LogEvent(kSnapshotInstalled,
+                      {{"node", id_}, {"index", ready.snapshot->index}});
+    callbacks_.install(*ready.snapshot);
+    applied_ = ready.snapshot->index;
+    fsm_.Applied(applied_);
+    bytes_since_snapshot_ = 0;
+    entries_since_snapshot_ = 0;
+  }
+  Apply(ready.committed);
+  return true;
+}
+
+void RaftDriver::Apply(const std::vector<raft::Entry>& committed) {
+  for (const raft::Entry& entry : committed) {
+    callbacks_.apply(entry);
+    applied_ = entry.index;
+    bytes_since_snapshot_ += entry.data.size();
+    ++entries_since_snapshot_;
+  }
+  if (!committed.empty()) {
+    fsm_.Applied(applied_);
+  }
+}
+
+void RaftDriver::CompactIfLarge() {
+  const bool large = bytes_since_snapshot_ >= limits_.bytes ||
+                     entries_since_snapshot_ >= limits_.entries;
+  if (!large || entries_since_snapshot_ == 0) {
+    return;
+  }
+  raft::Snapshot snapshot =
+      fsm_.MakeSnapshot(applied_, callbacks_.encode_state());
+  if (auto stored = store_->Compact(snapshot, limits_.kept_entries); !stored) {
+    Fail(stored.error());
+    return;
+  }
+  logging::LogEvent(kLogCompacted, {{"node", id_},
+                                    {"index", snapshot.index},
+                                    {"bytes", snapshot.data.size()}});
+  fsm_.Compacted(std::move(snapshot));
+  bytes_since_snapshot_ = 0;
+  entries_since_snapshot_ = 0;
+}
+
+void RaftDriver::ArmTimer() {
+  const MonotonicTime now = ReadMonotonicClock();
+  const MonotonicTime deadline =
+      std::min(fsm_.NextDeadline(), now + kMaximumSleep);
+  timer_.expires_after(std::max(Duration(deadline - now), Duration(0)));
+  timer_.async_wait([self = shared_from_this()](const asio::error_code& error) {
+    if (error || self->stopped_) {
+      return;
+    }
+    self->fsm_.Tick(ReadMonotonicClock());
+    self->Drain();
+  });
+}
+
+void RaftDriver::Fail(const Error& error) {
+  logging::LogEvent(kStoreFailed,
+                    {{"node", id_}, {"error", FormatError(error)}});
+  const auto on_failure = callbacks_.on_failure;
+  Stop();
+  on_failure(error);
+}
+
+}  // namespace juniperway::control
--- a/source/common/protocol/control_generated.h
+++ b/source/common/protocol/control_generated.h
@@ -1523,7 +1523,7 @@
   std::string method{};
   std::string path{};
   std::vector<std::unique_ptr<juniperway::protocol::TextPairT>> parameters{};
-  std::vector<std::unique_ptr<juniperway::protocol::TextPairT>> headers{};
+  std::string change_id{};
   std::string body{};
   ForwardCallT() = default;
   ForwardCallT(const ForwardCallT &o);
@@ -1540,7 +1540,7 @@
     VT_METHOD = 6,
     VT_PATH = 8,
     VT_PARAMETERS = 10,
-    VT_HEADERS = 12,
+    VT_CHANGE_ID = 12,
     VT_BODY = 14
   };
   uint64_t call_id() const {
@@ -1555,8 +1555,8 @@
   const flatbuffers::Vector<flatbuffers::Offset<juniperway::protocol::TextPair>> *parameters() const {
     return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<juniperway::protocol::TextPair>> *>(VT_PARAMETERS);
   }
-  const flatbuffers::Vector<flatbuffers::Offset<juniperway::protocol::TextPair>> *headers() const {
-    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<juniperway::protocol::TextPair>> *>(VT_HEADERS);
+  const flatbuffers::String *change_id() const {
+    return GetPointer<const flatbuffers::String *>(VT_CHANGE_ID);
   }
   const flatbuffers::String *body() const {
     return GetPointer<const flatbuffers::String *>(VT_BODY);
@@ -1571,9 +1571,8 @@
            VerifyOffset(verifier, VT_PARAMETERS) &&
            verifier.VerifyVector(parameters()) &&
            verifier.VerifyVectorOfTables(parameters()) &&
-           VerifyOffset(verifier, VT_HEADERS) &&
-           verifier.VerifyVector(headers()) &&
-           verifier.VerifyVectorOfTables(headers()) &&
+           VerifyOffset(verifier, VT_CHANGE_ID) &&
+           verifier.VerifyString(change_id()) &&
            VerifyOffset(verifier, VT_BODY) &&
            verifier.VerifyString(body()) &&
            verifier.EndTable();
@@ -1599,8 +1598,8 @@
   void add_parameters(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<juniperway::protocol::TextPair>>> parameters) {
     fbb_.AddOffset(ForwardCall::VT_PARAMETERS, parameters);
   }
-  void add_headers(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<juniperway::protocol::TextPair>>> headers) {
-    fbb_.AddOffset(ForwardCall::VT_HEADERS, headers);
+  void add_change_id(flatbuffers::Offset<flatbuffers::String> change_id) {
+    fbb_.AddOffset(ForwardCall::VT_CHANGE_ID, change_id);
   }
   void add_body(flatbuffers::Offset<flatbuffers::String> body) {
     fbb_.AddOffset(ForwardCall::VT_BODY, body);
@@ -1622,12 +1621,12 @@
     flatbuffers::Offset<flatbuffers::String> method = 0,
     flatbuffers::Offset<flatbuffers::String> path = 0,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<juniperway::protocol::TextPair>>> parameters = 0,
-    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<juniperway::protocol::TextPair>>> headers = 0,
+    flatbuffers::Offset<flatbuffers::String> change_id = 0,
     flatbuffers::Offset<flatbuffers::String> body = 0) {
   ForwardCallBuilder builder_(_fbb);
   builder_.add_call_id(call_id);
   builder_.add_body(body);
-  builder_.add_headers(headers);
+  builder_.add_change_id(change_id);
   builder_.add_parameters(parameters);
   builder_.add_path(path);
   builder_.add_method(method);
@@ -1645,12 +1644,12 @@
     const char *method = nullptr,
     const char *path = nullptr,
     const std::vector<flatbuffers::Offset<juniperway::protocol::TextPair>> *parameters = nullptr,
-    const std::vector<flatbuffers::Offset<juniperway::protocol::TextPair>> *headers = nullptr,
+    const char *change_id = nullptr,
     const char *body = nullptr) {
   auto method__ = method ? _fbb.CreateString(method) : 0;
   auto path__ = path ? _fbb.CreateString(path) : 0;
   auto parameters__ = parameters ? _fbb.CreateVector<flatbuffers::Offset<juniperway::protocol::TextPair>>(*parameters) : 0;
-  auto headers__ = headers ? _fbb.CreateVector<flatbuffers::Offset<juniperway::protocol::TextPair>>(*headers) : 0;
+  auto change_id__ = change_id ? _fbb.CreateString(change_id) : 0;
   auto body__ = body ? _fbb.CreateString(body) : 0;
   return juniperway::protocol::CreateForwardCall(
       _fbb,
@@ -1658,7 +1657,7 @@
       method__,
       path__,
       parameters__,
-      headers__,
+      change_id__,
       body__);
 }
 
@@ -3793,11 +3792,10 @@
       : call_id(o.call_id),
         method(o.method),
         path(o.path),
+        change_id(o.change_id),
         body(o.body) {
   parameters.reserve(o.parameters.size());
   for (const auto &parameters_ : o.parameters) { parameters.emplace_back((parameters_) ? new juniperway::protocol::TextPairT(*parameters_) : nullptr); }
-  headers.reserve(o.headers.size());
-  for (const auto &headers_ : o.headers) { headers.emplace_back((headers_) ? new juniperway::protocol::TextPairT(*headers_) : nullptr); }
 }
 
 inline ForwardCallT &ForwardCallT::operator=(ForwardCallT o) FLATBUFFERS_NOEXCEPT {
@@ -3805,7 +3803,7 @@
   std::swap(method, o.method);
   std::swap(path, o.path);
   std::swap(parameters, o.parameters);
-  std::swap(headers, o.headers);
+  std::swap(change_id, o.change_id);
   std::swap(body, o.body);
   return *this;
 }
@@ -3823,7 +3821,7 @@
   { auto _e = method(); if (_e) _o->method = _e->str(); }
   { auto _e = path(); if (_e) _o->path = _e->str(); }
   { auto _e = parameters(); if (_e) { _o->parameters.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->parameters[_i] = std::unique_ptr<juniperway::protocol::TextPairT>(_e->Get(_i)->UnPack(_resolver)); } } }
-  { auto _e = headers(); if (_e) { _o->headers.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->headers[_i] = std::unique_ptr<juniperway::protocol::TextPairT>(_e->Get(_i)->UnPack(_resolver)); } } }
+  { auto _e = change_id(); if (_e) _o->change_id = _e->str(); }
   { auto _e = body(); if (_e) _o->body = _e->str(); }
 }
 
@@ -3839,7 +3837,7 @@
   auto _method = _o->method.empty() ? 0 : _fbb.CreateString(_o->method);
   auto _path = _o->path.empty() ? 0 : _fbb.CreateString(_o->path);
   auto _parameters = _o->parameters.size() ? _fbb.CreateVector<flatbuffers::Offset<juniperway::protocol::TextPair>> (_o->parameters.size(), [](size_t i, _VectorArgs *__va) { return CreateTextPair(*__va->__fbb, __va->__o->parameters[i].get(), __va->__rehasher); }, &_va ) : 0;
-  auto _headers = _o->headers.size() ? _fbb.CreateVector<flatbuffers::Offset<juniperway::protocol::TextPair>> (_o->headers.size(), [](size_t i, _VectorArgs *__va) { return CreateTextPair(*__va->__fbb, __va->__o->headers[i].get(), __va->__rehasher); }, &_va ) : 0;
+  auto _change_id = _o->change_id.empty() ? 0 : _fbb.CreateString(_o->change_id);
   auto _body = _o->body.empty() ? 0 : _fbb.CreateString(_o->body);
   return juniperway::protocol::CreateForwardCall(
       _fbb,
@@ -3847,7 +3845,7 @@
       _method,
       _path,
       _parameters,
-      _headers,
+      _change_id,
       _body);
 }
 
