--- /dev/null
+++ b/source/common/control/resource_api.cc
@@ -0,0 +1,406 @@
+#include "common/control/resource_api.h"
+
+#include <xxhash.h>
+
+#include <algorithm>
+#include <charconv>
+#include <memory>
+#include <nlohmann/json.hpp>
+#include <optional>
+#include <utility>
+
+#include "common/control/events.h"
+#include "common/net/address.h"
+#include "common/resources/resource_json.h"
+#include "common/session/control_frames.h"
+#include "common/session/fleet_codec.h"
+
+namespace juniperway::control {
+namespace {
+
+using nlohmann::json;
+using resources::Resource;
+using resources::ResourceId;
+
+constexpr int kStatusOk = 200;
+constexpr int kStatusAccepted = 202;
+constexpr int kStatusUnavailable = 503;
+// Names of lagging daemons in one answer; the count is always whole.
+constexpr std::size_t kMaximumNames = 100;
+
+std::optional<std::uint64_t> ParseNumber(const std::string& text) {
+  std::uint64_t number = 0;
+  const char* end = text.data() + text.size();
+  const auto parsed = std::from_chars(text.data(), end, number);
+  const bool whole = parsed.ec == std::errc() && parsed.ptr == end;
+  return whole ? std::optional(number) : std::nullopt;
+}
+
+// Tells a resend from another call that uses the same change id.
+std::uint64_t DigestOf(const ApiCall& call) {
+  std::string content = call.method + " " + call.path + "\n";
+  auto version = call.parameters.find("version");
+  if (version != call.parameters.end()) {
+    content += version->second;
+  }
+  content += "\n" + call.body;
+  return XXH3_64bits(content.data(), content.size());
+}
+
+json FirstNames(const std::vector<std::string>& names) {
+  const std::size_t count = std::min(names.size(), kMaximumNames);
+  return json(std::vector<std::string>(
+      names.begin(), names.begin() + static_cast<std::ptrdiff_t>(count)));
+}
+
+json MemberToJson(const raft::Progress& progress) {
+  return {
+      {"id", progress.member.id},        {"address", progress.member.address},
+      {"voter", progress.voter},         {"active", progress.active},
+      {"caught_up", progress.caught_up}, {"lost_data", progress.regressed},
+      {"match", progress.match}};
+}
+
+}  // namespace
+
+std::vector<std::string> SplitPath(const std::string& path) {
+  std::vector<std::string> parts;
+  std::size_t begin = 0;
+  while (begin < path.size()) {
+    const std::size_t end = std::min(path.find('/', begin), path.size());
+    if (end > begin) {
+      parts.push_back(path.substr(begin, end - begin));
+    }
+    begin = end + 1;
+  }
+  return parts;
+}
+
+net::HttpResponse JsonResponse(int status, const json& body) {
+  net::HttpResponse response;
+  response.status = status;
+  response.body = body.dump() + "\n";
+  return response;
+}
+
+net::HttpResponse FailureResponse(const Error& error) {
+  return net::ErrorResponse(net::HttpStatusOf(error.code), error, "not-run");
+}
+
+void ResourceApi::Handle(const ApiCall& call, const ApiCallback& answer) const {
+  if (!ports_.is_leading()) {
+    answer(net::ErrorResponse(
+        kStatusUnavailable,
+        {ErrorCode::kUnavailable, "", "this machine does not lead"},
+        "not-run"));
+    return;
+  }
+  const auto parts = SplitPath(call.path);
+  if (call.method == "GET") {
+    answer(Read(call));
+  } else if (call.method == "POST" && call.path == "/v1/apply") {
+    Apply(call, answer);
+  } else if (call.method == "DELETE" && parts.size() == 4 &&
+             parts[1] == "resources") {
+    Delete(call, parts[2], parts[3], answer);
+  } else if (call.method == "POST" && call.path == "/v1/members") {
+    answer(AddMember(call));
+  } else if (call.method == "DELETE" && parts.size() == 3 &&
+             parts[1] == "members") {
+    answer(RemoveMember(parts[2]));
+  } else {
+    answer(
+        FailureResponse({ErrorCode::kNotFound, "", "there is no such call"}));
+  }
+}
+
+net::HttpResponse ResourceApi::ReadLocally(const ApiCall& call) const {
+  return Read(call);
+}
+
+// --- Reads -------------------------------------------------------------------
+
+net::HttpResponse ResourceApi::Read(const ApiCall& call) const {
+  const auto parts = SplitPath(call.path);
+  if (call.path == "/v1/status") {
+    return GetStatus();
+  }
+  if (parts.size() == 3 && parts[1] == "resources") {
+    return List(parts[2]);
+  }
+  if (parts.size() == 4 && parts[1] == "resources") {
+    return Get(parts[2], parts[3]);
+  }
+  if (parts.size() == 3 && parts[1] == "changes") {
+    return GetChange(parts[2]);
+  }
+  return FailureResponse({ErrorCode::kNotFound, "", "there is no such call"});
+}
+
+net::HttpResponse ResourceApi::List(const std::string& kind) const {
+  const auto parsed = resources::ParseKind(kind);
+  if (!parsed) {
+    return FailureResponse(
+        {ErrorCode::kNotFound, "kind", "there is no kind " + kind});
+  }
+  const ControlState& state = ports_.state();
+  json items = json::array();
+  const auto& all = state.fleet().resources();
+  for (auto resource = all.lower_bound({*parsed, ""});
+       resource != all.end() && resource->first.kind == *parsed; ++resource) {
+    items.push_back(Describe(resource->second));
+  }
+  return JsonResponse(
+      kStatusOk, {{"revision", state.revision()}, {"items", std::move(items)}});
+}
+
+net::HttpResponse ResourceApi::Get(const std::string& kind,
+                                   const std::string& name) const {
+  const auto parsed = resources::ParseKind(kind);
+  const Resource* resource =
+      parsed ? ports_.state().fleet().Find({*parsed, name}) : nullptr;
+  if (resource == nullptr) {
+    return FailureResponse(
+        {ErrorCode::kNotFound, "name", "there is no " + kind + " " + name});
+  }
+  return JsonResponse(kStatusOk, Describe(*resource));
+}
+
+json ResourceApi::Describe(const Resource& resource) const {
+  const FleetStore& fleet = ports_.state().fleet();
+  const std::string& name = resource.id.name;
+  json status = {{"in_force", ports_.leases().in_force() >= resource.version}};
+  switch (resource.id.kind) {
+    case resources::Kind::kService: {
+      auto serving = fleet.serving.find(name);
+      status["serving"] = serving == fleet.serving.end()
+                              ? json(nullptr)
+                              : json(serving->second);
+      break;
+    }
+    case resources::Kind::kBackend: {
+      auto report = fleet.reports.find(name);
+      status["reported"] = report != fleet.reports.end();
+      status["held_versions"] = report == fleet.reports.end()
+                                    ? json::array()
+                                    : json(report->second.held_versions);
+      status["draining"] = fleet.IsDraining(name);
+      status["platform_leaving"] = fleet.platform_leaving.contains(name);
+      break;
+    }
+    case resources::Kind::kIndexSnapshot: {
+      const auto& snapshot =
+          std::get<resources::IndexSnapshot>(resource.specification);
+      auto serving = fleet.serving.find(snapshot.service);
+      status["serving"] = serving != fleet.serving.end() &&
+                          serving->second == snapshot.index_version;
+      break;
+    }
+    case resources::Kind::kMachine: {
+      auto member = fleet.members.find(name);
+      status["member"] = member != fleet.members.end();
+      status["leaving"] =
+          member != fleet.members.end() && fleet.IsLeaving(member->second);
+      break;
+    }
+  }
+  json described = resources::ResourceToJson(resource);
+  described["status"] = std::move(status);
+  return described;
+}
+
+net::HttpResponse ResourceApi::GetChange(const std::string& change_id) const {
+  const auto* change = ports_.state().FindChange(change_id);
+  if (change == nullptr) {
+    return FailureResponse(
+        {ErrorCode::kNotFound, "change_id", "is not known (any more)"});
+  }
+  json body = {{"change_id", change_id}, {"revision", change->revision}};
+  if (change->error) {
+    const Error error = session::DecodeError(*change->error);
+    body["state"] = "refused";
+    body["error"] = {{"code", ErrorCodeName(error.code)},
+                     {"field", error.field},
+                     {"message", error.message}};
+    return JsonResponse(kStatusOk, body);
+  }
+  const LeaseTable& leases = ports_.leases();
+  const RevisionProgress progress = leases.ProgressOf(change->revision);
+  body["state"] =
+      leases.in_force() >= change->revision ? "in_force" : "accepted";
+  body["daemons"] = progress.daemons;
+  body["confirmed"] = progress.confirmed;
+  body["waiting_for"] = FirstNames(progress.waiting_for);
+  body["without_lease"] = FirstNames(progress.without_lease);
+  return JsonResponse(kStatusOk, body);
+}
+
+net::HttpResponse ResourceApi::GetStatus() const {
+  const raft::Status status = ports_.raft_status();
+  const LeaseTable& leases = ports_.leases();
+  json members = json::array();
+  bool lost_data = false;
+  for (const raft::Progress& progress : status.progress) {
+    members.push_back(MemberToJson(progress));
+    lost_data = lost_data || progress.regressed;
+  }
+  // "Repaired": another machine may be lost now.
+  const bool repaired = status.tolerated_losses >= 1 &&
+                        status.configuration.learners.empty() && !lost_data;
+  const RevisionProgress progress =
+      leases.ProgressOf(ports_.state().revision());
+  return JsonResponse(kStatusOk,
+                      {{"members", std::move(members)},
+                       {"voters", status.configuration.voters.size()},
+                       {"tolerated_losses", status.tolerated_losses},
+                       {"repaired", repaired},
+                       {"revision", ports_.state().revision()},
+                       {"in_force_revision", leases.in_force()},
+                       {"daemons", progress.daemons},
+                       {"without_lease", FirstNames(progress.without_lease)},
+                       {"claims", ports_.state().claims().size()}});
+}
+
+// --- Changes -----------------------------------------------------------------
+
+void ResourceApi::Apply(const ApiCall& call, const ApiCallback& answer) const {
+  auto set = resources::ParseResources(call.body);
+  if (!set) {
+    answer(FailureResponse(set.error()));
+    return;
+  }
+  protocol::ApplyResourcesT operation;
+  operation.change_id = call.change_id;
+  operation.digest = DigestOf(call);
+  for (const Resource& resource : *set) {
+    operation.resources.push_back(std::make_unique<protocol::ResourceRecordT>(
+        session::EncodeResource(resource)));
+  }
+  Submit(session::MakeOperation(std::move(operation)), call, answer);
+}
+
+void ResourceApi::Delete(const ApiCall& call, const std::string& kind,
+                         const std::string& name,
+                         const ApiCallback& answer) const {
+  const auto parsed = resources::ParseKind(kind);
+  auto parameter = call.parameters.find("version");
+  const auto version = parameter == call.parameters.end()
+                           ? std::nullopt
+                           : ParseNumber(parameter->second);
+  if (!parsed) {
+    answer(FailureResponse(
+        {ErrorCode::kNotFound, "kind", "there is no kind " + kind}));
+    return;
+  }
+  if (!version) {
+    answer(FailureResponse({ErrorCode::kInvalidArgument, "version",
+                            "must be the resource's version"}));
+    return;
+  }
+  protocol::DeleteResourceT operation;
+  operation.change_id = call.change_id;
+  operation.digest = DigestOf(call);
+  operation.key = std::make_unique<protocol::ResourceKeyT>(
+      session::EncodeResourceId({*parsed, name}));
+  operation.version = *version;
+  Submit(session::MakeOperation(std::move(operation)), call, answer);
+}
+
+namespace {
+
+// The answer to a change, from its outcome in the state machine.
+net::HttpResponse ChangeAnswer(const std::string& change_id,
+                               const protocol::OperationResultT& result) {
+  json items = json::array();
+  for (const auto& record : result.resources) {
+    if (auto resource = session::DecodeResource(*record)) {
+      items.push_back(resources::ResourceToJson(*resource));
+    }
+  }
+  if (!result.error) {
+    return JsonResponse(kStatusOk, {{"change_id", change_id},
+                                    {"revision", result.revision},
+                                    {"state", "accepted"},
+                                    {"resent", result.resent},
+                                    {"items", std::move(items)}});
+  }
+  const Error error = session::DecodeError(*result.error);
+  net::HttpResponse response = FailureResponse(error);
+  if (error.code == ErrorCode::kConflict) {
+    json body = json::parse(response.body);
+    body["current"] = items.empty() ? json(nullptr) : items.front();
+    body["change_id"] = change_id;
+    response.body = body.dump() + "\n";
+  }
+  return response;
+}
+
+}  // namespace
+
+void ResourceApi::Submit(protocol::OperationItemT operation,
+                         const ApiCall& call, const ApiCallback& answer) const {
+  Operations operations;
+  operations.push_back(
+      std::make_unique<protocol::OperationItemT>(std::move(operation)));
+  ports_.submit(std::move(operations), [answer, change_id = call.change_id](
+                                           Result<OperationResults> results) {
+    if (!results) {
+      // The caller's machine sends it again: the change id makes it safe.
+      answer(net::ErrorResponse(kStatusUnavailable, results.error(),
+                                "may-have-run"));
+      return;
+    }
+    const protocol::OperationResultT& result = *results->front();
+    logging::LogEvent(result.error ? kChangeRefused : kChangeAccepted,
+                      {{"change", change_id},
+                       {"revision", result.revision},
+                       {"resent", result.resent}});
+    answer(ChangeAnswer(change_id, result));
+  });
+}
+
+// --- Control machines --------------------------------------------------------
+
+net::HttpResponse ResourceApi::AddMember(const ApiCall& call) const {
+  const json body = json::parse(call.body, nullptr, false);
+  const bool shaped = body.is_object() && body.size() == 2 &&
+                      body.contains("node_id") && body.contains("address") &&
+                      body["node_id"].is_number_unsigned() &&
+                      body["address"].is_string();
+  if (!shaped) {
+    return FailureResponse({ErrorCode::kInvalidArgument, "",
+                            "the body must hold node_id and address"});
+  }
+  raft::Member member;
+  member.id = body["node_id"].get<raft::NodeId>();
+  member.address = body["address"].get<std::string>();
+  if (member.id == raft::kNoNode) {
+    return FailureResponse(
+        {ErrorCode::kInvalidArgument, "node_id", "must be above 0"});
+  }
+  if (auto endpoint = net::ParseEndpoint(member.address, "address");
+      !endpoint) {
+    return FailureResponse(endpoint.error());
+  }
+  if (auto added = ports_.add_member(member); !added) {
+    return FailureResponse(added.error());
+  }
+  return JsonResponse(kStatusAccepted, {{"node_id", member.id},
+                                        {"address", member.address},
+                                        {"state", "catching_up"}});
+}
+
+net::HttpResponse ResourceApi::RemoveMember(const std::string& id) const {
+  const auto node = ParseNumber(id);
+  if (!node) {
+    return FailureResponse(
+        {ErrorCode::kInvalidArgument, "id", "must be a node id"});
+  }
+  if (auto removed = ports_.remove_member(*node); !removed) {
+    return FailureResponse(removed.error());
+  }
+  return JsonResponse(kStatusAccepted,
+                      {{"node_id", *node}, {"state", "removing"}});
+}
+
+}  // namespace juniperway::control
--- /dev/null
+++ b/source/common/control/session_server.cc
@@ -0,0 +1,367 @@
+#include "common/control/session_server.h"
+
+#include <algorithm>
+#include <asio/post.hpp>
+#include <utility>
+
+#include "common/control/events.h"
+#include "common/session/control_frames.h"
+
+namespace juniperway::control {
+namespace {
+
+// A heartbeat that the leader left unanswered for this long is answered with
+// "no leader": the daemon learns that this machine is alive and the leader not.
+constexpr Duration kLeaderAnswerTimeout = milliseconds(800);
+// A session without a heartbeat for this long is closed.
+constexpr Duration kDeadSessionTimeout = seconds(15);
+// A daemon with this much unread gets no further update until it has read.
+constexpr std::size_t kMaximumQueuedBytes = 16U << 20;
+
+bool MayComeFromDaemon(protocol::Operation type) {
+  return type == protocol::Operation::LeaveMember ||
+         type == protocol::Operation::ClaimRequest ||
+         type == protocol::Operation::RecordOutcome ||
+         type == protocol::Operation::ReportBackends;
+}
+
+}  // namespace
+
+SessionServer::SessionServer(asio::io_context& context, raft::NodeId node_id,
+                             std::string cluster, Duration update_delay,
+                             Ports ports)
+    : context_(context),
+      node_id_(node_id),
+      cluster_(std::move(cluster)),
+      update_delay_(update_delay),
+      ports_(std::move(ports)),
+      update_timer_(context) {}
+
+SessionServer::~SessionServer() { *alive_ = false; }
+
+std::uint64_t SessionServer::Open(
+    const std::shared_ptr<net::FrameConnection>& connection,
+    const protocol::SessionHelloT& hello) {
+  const bool valid = hello.cluster == cluster_ && hello.member &&
+                     !hello.member->daemon_id.empty();
+  if (!valid) {
+    logging::LogEvent(kDaemonRefused,
+                      {{"node", node_id_}, {"cluster", hello.cluster}});
+    protocol::SessionRefusedT refused;
+    refused.message = "this is cluster " + cluster_;
+    session::SendMessage(*connection, std::move(refused));
+    return 0;
+  }
+  const std::string& daemon_id = hello.member->daemon_id;
+  if (auto old = sessions_by_daemon_.find(daemon_id);
+      old != sessions_by_daemon_.end()) {
+    sessions_.at(old->second).connection->Close();
+    OnClosed(old->second);
+  }
+  const std::uint64_t number = ++last_number_;
+  Session& session = sessions_[number];
+  session.connection = connection;
+  session.member = *hello.member;
+  session.sent_revision = hello.view_revision;
+  session.minimum_revision = hello.minimum_revision;
+  session.heard = ReadMonotonicClock();
+  sessions_by_daemon_[daemon_id] = number;
+  logging::LogEvent(kDaemonConnected, {{"node", node_id_},
+                                       {"daemon", daemon_id},
+                                       {"revision", hello.view_revision}});
+  OnStateChanged();
+  return number;
+}
+
+void SessionServer::OnFrame(std::uint64_t number, net::FrameBytes bytes) {
+  auto found = sessions_.find(number);
+  if (found == sessions_.end()) {
+    return;
+  }
+  Session& session = found->second;
+  auto frame = session::DecodeFrame(bytes);
+  if (!frame) {
+    logging::LogEvent(kDaemonRefused, {{"node", node_id_},
+                                       {"daemon", session.member.daemon_id},
+                                       {"reason", "invalid frame"}});
+    session.connection->Close();
+    return;
+  }
+  session.heard = ReadMonotonicClock();
+  if (const auto* heartbeat = frame->message.AsHeartbeat()) {
+    OnHeartbeat(session, *heartbeat);
+  } else if (const auto* call = frame->message.AsSessionCall()) {
+    OnCall(number, session, *call);
+  } else if (frame->message.AsSessionGoodbye() != nullptr) {
+    OnGoodbye(session);
+  }
+}
+
+void SessionServer::OnClosed(std::uint64_t number) {
+  auto session = sessions_.find(number);
+  if (session == sessions_.end()) {
+    return;
+  }
+  const std::string daemon_id = session->second.member.daemon_id;
+  sessions_.erase(session);
+  auto by_daemon = sessions_by_daemon_.find(daemon_id);
+  if (by_daemon != sessions_by_daemon_.end() && by_daemon->second == number) {
+    sessions_by_daemon_.erase(by_daemon);
+  }
+  logging::LogEvent(kDaemonDisconnected,
+                    {{"node", node_id_}, {"daemon", daemon_id}});
+}
+
+// --- Heartbeats --------------------------------------------------------------
+
+void SessionServer::OnHeartbeat(Session& session,
+                                const protocol::HeartbeatT& heartbeat) {
+  if (session.unanswered_sequence == 0) {
+    session.unanswered_sequence = heartbeat.sequence;
+    session.unanswered_since = session.heard;
+  }
+  auto item = std::make_unique<protocol::MemberHeartbeatT>();
+  item->daemon_id = session.member.daemon_id;
+  item->incarnation = session.member.incarnation;
+  item->heartbeat = std::make_unique<protocol::HeartbeatT>(heartbeat);
+  queued_heartbeats_.push_back(std::move(item));
+  if (!flush_scheduled_) {
+    flush_scheduled_ = true;
+    asio::post(context_, [this, alive = alive_] {
+      if (*alive) {
+        flush_scheduled_ = false;
+        FlushHeartbeats();
+      }
+    });
+  }
+}
+
+void SessionServer::FlushHeartbeats() {
+  Heartbeats heartbeats = std::exchange(queued_heartbeats_, {});
+  std::vector<std::pair<DaemonKey, std::uint64_t>> sequences;
+  sequences.reserve(heartbeats.size());
+  for (const auto& item : heartbeats) {
+    sequences.push_back(
+        {{item->daemon_id, item->incarnation}, item->heartbeat->sequence});
+  }
+  if (stopped_ || ports_.forward_heartbeats(std::move(heartbeats))) {
+    return;
+  }
+  for (const auto& [key, sequence] : sequences) {
+    if (Session* session =
+            FindByDaemon(key.daemon_id, key.incarnation, nullptr)) {
+      SendNoLeader(*session, sequence);
+    }
+  }
+}
+
+void SessionServer::OnReplies(const HeartbeatReplies& replies) {
+  for (const auto& item : replies) {
+    std::uint64_t number = 0;
+    Session* session =
+        FindByDaemon(item->daemon_id, item->incarnation, &number);
+    if (session == nullptr || !item->reply) {
+      continue;
+    }
+    if (item->reply->sequence >= session->unanswered_sequence) {
+      session->unanswered_sequence = 0;
+    }
+    if (item->reply->outcome == protocol::HeartbeatOutcome::kNotMember) {
+      Join(number, *session);
+    }
+    session::SendMessage(*session->connection, *item->reply);
+  }
+}
+
+void SessionServer::SendNoLeader(Session& session, std::uint64_t sequence) {
+  session.unanswered_sequence = 0;
+  protocol::HeartbeatReplyT reply;
+  reply.sequence = sequence;
+  reply.outcome = protocol::HeartbeatOutcome::kNoLeader;
+  session::SendMessage(*session.connection, reply);
+}
+
+void SessionServer::OnProgress(
+    resources::Revision in_force,
+    const std::map<std::string, resources::Revision>& zones) {
+  std::map<std::string, flatbuffers::FlatBufferBuilder> frames;
+  for (auto& [number, session] : sessions_) {
+    auto frame = frames.find(session.member.zone);
+    if (frame == frames.end()) {
+      protocol::SessionProgressT progress;
+      progress.in_force_revision = in_force;
+      auto zone = zones.find(session.member.zone);
+      progress.zone_released_revision = zone == zones.end() ? 0 : zone->second;
+      frame = frames
+                  .emplace(session.member.zone,
+                           session::EncodeFrame(std::move(progress)))
+                  .first;
+    }
+    session.connection->Send(frame->second);
+  }
+}
+
+// --- Operations --------------------------------------------------------------
+
+void SessionServer::Join(std::uint64_t number, Session& session) {
+  if (session.join_under_way || session.said_goodbye) {
+    return;
+  }
+  session.join_under_way = true;
+  protocol::JoinMemberT join;
+  join.member = std::make_unique<protocol::FleetMemberT>(session.member);
+  Operations operations;
+  operations.push_back(std::make_unique<protocol::OperationItemT>(
+      session::MakeOperation(std::move(join))));
+  ports_.submit(
+      std::move(operations),
+      [this, alive = alive_, number](const Result<OperationResults>& result) {
+        if (!*alive) {
+          return;
+        }
+        auto found = sessions_.find(number);
+        if (found == sessions_.end()) {
+          return;
+        }
+        found->second.join_under_way = false;
+        if (result && result->front()->error) {
+          logging::LogEvent(kDaemonRefused,
+                            {{"node", node_id_},
+                             {"daemon", found->second.member.daemon_id},
+                             {"reason", result->front()->error->message}});
+        }
+      });
+}
+
+void SessionServer::OnCall(std::uint64_t number, Session& session,
+                           const protocol::SessionCallT& call) {
+  Operations operations;
+  for (const auto& item : call.operations) {
+    if (!MayComeFromDaemon(item->operation.type)) {
+      session.connection->Close();
+      return;
+    }
+    if (item->operation.type == protocol::Operation::LeaveMember) {
+      session.member.leaving = true;  // also if it must join again
+    }
+    operations.push_back(std::make_unique<protocol::OperationItemT>(*item));
+  }
+  ports_.submit(std::move(operations), [this, alive = alive_, number,
+                                        call_id = call.call_id](
+                                           Result<OperationResults> result) {
+    if (!*alive) {
+      return;
+    }
+    auto found = sessions_.find(number);
+    if (found == sessions_.end()) {
+      return;
+    }
+    protocol::SessionCallReplyT reply;
+    reply.call_id = call_id;
+    if (result) {
+      reply.results = std::move(*result);
+    } else {
+      reply.error = session::EncodeError(result.error());
+    }
+    session::SendMessage(*found->second.connection, std::move(reply));
+  });
+}
+
+void SessionServer::OnGoodbye(Session& session) {
+  session.said_goodbye = true;
+  ports_.forward_goodbye(KeyOf(session));
+}
+
+// --- Updates -----------------------------------------------------------------
+
+void SessionServer::OnStateChanged() {
+  if (update_scheduled_ || stopped_) {
+    return;
+  }
+  update_scheduled_ = true;
+  update_timer_.expires_after(update_delay_);
+  update_timer_.async_wait([this, alive = alive_](const asio::error_code& e) {
+    if (!e && *alive) {
+      update_scheduled_ = false;
+      SendUpdates();
+    }
+  });
+}
+
+void SessionServer::SendUpdates() {
+  const ControlState& state = ports_.state();
+  // Most sessions stand at the same revision and share one frame.
+  std::map<resources::Revision, flatbuffers::FlatBufferBuilder> frames;
+  for (auto& [number, session] : sessions_) {
+    const bool due = session.sent_revision < state.revision() &&
+                     session.minimum_revision <= state.revision();
+    if (!due || session.connection->queued_bytes() > kMaximumQueuedBytes) {
+      continue;
+    }
+    auto frame = frames.find(session.sent_revision);
+    if (frame == frames.end()) {
+      frame = frames
+                  .emplace(session.sent_revision,
+                           session::EncodeFrame(
+                               state.UpdateSince(session.sent_revision)))
+                  .first;
+    }
+    session.connection->Send(frame->second);
+    session.sent_revision = state.revision();
+  }
+}
+
+void SessionServer::Tick(MonotonicTime now) {
+  std::vector<std::uint64_t> dead;
+  for (auto& [number, session] : sessions_) {
+    if (session.unanswered_sequence != 0 &&
+        now - session.unanswered_since > kLeaderAnswerTimeout) {
+      SendNoLeader(session, session.unanswered_sequence);
+    }
+    if (now - session.heard > kDeadSessionTimeout) {
+      dead.push_back(number);
+    }
+  }
+  for (const std::uint64_t number : dead) {
+    sessions_.at(number).connection->Close();
+    OnClosed(number);
+  }
+  if (std::ranges::any_of(sessions_, [this](const auto& session) {
+        return session.second.sent_revision < ports_.state().revision();
+      })) {
+    OnStateChanged();
+  }
+}
+
+void SessionServer::Stop() {
+  stopped_ = true;
+  update_timer_.cancel();
+  for (auto& [number, session] : sessions_) {
+    session.connection->Close();
+  }
+  sessions_.clear();
+  sessions_by_daemon_.clear();
+}
+
+SessionServer::Session* SessionServer::FindByDaemon(
+    const std::string& daemon_id, std::uint64_t incarnation,
+    std::uint64_t* number) {
+  auto by_daemon = sessions_by_daemon_.find(daemon_id);
+  if (by_daemon == sessions_by_daemon_.end()) {
+    return nullptr;
+  }
+  Session& session = sessions_.at(by_daemon->second);
+  if (session.member.incarnation != incarnation) {
+    return nullptr;
+  }
+  if (number != nullptr) {
+    *number = by_daemon->second;
+  }
+  return &session;
+}
+
+DaemonKey SessionServer::KeyOf(const Session& session) const {
+  return {session.member.daemon_id, session.member.incarnation};
+}
+
+}  // namespace juniperway::control
--- /dev/null
+++ b/source/common/control/session_server.h
@@ -0,0 +1,113 @@
+// The sessions of the daemons that are connected to this control machine. Any
+// control machine may hold any session: heartbeats and operations go to the
+// leader, updates come from the state that was committed here.
+#pragma once
+
+#include <asio/io_context.hpp>
+#include <asio/steady_timer.hpp>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "common/control/command_pipeline.h"
+#include "common/control/control_state.h"
+#include "common/control/lease_table.h"
+#include "common/net/frame_connection.h"
+#include "common/protocol/control_generated.h"
+
+namespace juniperway::control {
+
+// A daemon's heartbeat on its way to the leader, and the answer on its way
+// back.
+using Heartbeats = std::vector<std::unique_ptr<protocol::MemberHeartbeatT>>;
+using HeartbeatReplies =
+    std::vector<std::unique_ptr<protocol::MemberHeartbeatReplyT>>;
+
+class SessionServer {
+ public:
+  struct Ports {
+    // The committed state of this machine.
+    std::function<const ControlState&()> state;
+    // Brings heartbeats to the leader; the replies come through OnReplies.
+    // @return false when no leader can be reached.
+    std::function<bool(Heartbeats)> forward_heartbeats;
+    std::function<void(const DaemonKey&)> forward_goodbye;
+    // Brings operations to the leader and back.
+    std::function<void(Operations, CommandPipeline::Callback)> submit;
+  };
+
+  SessionServer(asio::io_context& context, raft::NodeId node_id,
+                std::string cluster, Duration update_delay, Ports ports);
+  ~SessionServer();
+  SessionServer(const SessionServer&) = delete;
+  SessionServer& operator=(const SessionServer&) = delete;
+
+  // A daemon said hello on a new connection.
+  // @return its session's number; 0 when it was refused.
+  std::uint64_t Open(const std::shared_ptr<net::FrameConnection>& connection,
+                     const protocol::SessionHelloT& hello);
+  void OnFrame(std::uint64_t session, net::FrameBytes bytes);
+  void OnClosed(std::uint64_t session);
+
+  // The leader's answers to forwarded heartbeats.
+  void OnReplies(const HeartbeatReplies& replies);
+  // The leader's watermarks grew.
+  void OnProgress(resources::Revision in_force,
+                  const std::map<std::string, resources::Revision>& zones);
+  // The state's revision grew.
+  void OnStateChanged();
+
+  // Answers what the leader left unanswered and closes dead sessions; to be
+  // called a few times a second.
+  void Tick(MonotonicTime now);
+  void Stop();
+
+  std::size_t size() const { return sessions_.size(); }
+
+ private:
+  struct Session {
+    std::shared_ptr<net::FrameConnection> connection;
+    protocol::FleetMemberT member;
+    // Revision that the daemon has, or that is on its way to it.
+    resources::Revision sent_revision = 0;
+    resources::Revision minimum_revision = 0;
+    bool join_under_way = false;
+    bool said_goodbye = false;
+    // Oldest heartbeat without an answer; 0: none.
+    std::uint64_t unanswered_sequence = 0;
+    MonotonicTime unanswered_since;
+    MonotonicTime heard;
+  };
+
+  void OnHeartbeat(Session& session, const protocol::HeartbeatT& heartbeat);
+  void OnCall(std::uint64_t number, Session& session,
+              const protocol::SessionCallT& call);
+  void OnGoodbye(Session& session);
+  void Join(std::uint64_t number, Session& session);
+  void FlushHeartbeats();
+  void SendNoLeader(Session& session, std::uint64_t sequence);
+  void SendUpdates();
+  Session* FindByDaemon(const std::string& daemon_id, std::uint64_t incarnation,
+                        std::uint64_t* number);
+  DaemonKey KeyOf(const Session& session) const;
+
+  asio::io_context& context_;
+  raft::NodeId node_id_;
+  std::string cluster_;
+  Duration update_delay_;
+  Ports ports_;
+  asio::steady_timer update_timer_;
+  bool update_scheduled_ = false;
+  bool flush_scheduled_ = false;
+  bool stopped_ = false;
+  std::uint64_t last_number_ = 0;
+  std::map<std::uint64_t, Session> sessions_;
+  std::map<std::string, std::uint64_t> sessions_by_daemon_;
+  Heartbeats queued_heartbeats_;
+  // Callbacks that outlive this object find it gone.
+  std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
+};
+
+}  // namespace juniperway::control
