--- a/source/common/net/http_server.cc
+++ b/source/common/net/http_server.cc
@@ -295,19 +295,28 @@
 // Tells PendingRequests which connections closed.
 class ConnectionListener {
  public:
-  explicit ConnectionListener(std::shared_ptr<PendingRequests> pending)
-      : pending_(std::move(pending)) {}
+  using Observer = decltype(HttpServerOptions::connection_listener);
+
+  ConnectionListener(std::shared_ptr<PendingRequests> pending,
+                     Observer observer)
+      : pending_(std::move(pending)), observer_(std::move(observer)) {}
 
   void state_changed(  // NOLINT: RESTinio's name
       const restinio::connection_state::notice_t& notice) noexcept {
-    if (std::holds_alternative<restinio::connection_state::closed_t>(
-            notice.cause())) {
+    const bool closed =
+        std::holds_alternative<restinio::connection_state::closed_t>(
+            notice.cause());
+    if (closed) {
       pending_->OnClosed(notice.connection_id());
     }
+    if (observer_) {
+      observer_(notice.remote_endpoint(), !closed);
+    }
   }
 
  private:
   std::shared_ptr<PendingRequests> pending_;
+  Observer observer_;
 };
 
 struct ServerTraits
@@ -401,8 +410,8 @@
         .incoming_http_msg_limits(
             restinio::incoming_http_msg_limits_t{}.max_body_size(
                 options.maximum_body_bytes + 1))
-        .connection_state_listener(
-            std::make_shared<ConnectionListener>(shared->pending))
+        .connection_state_listener(std::make_shared<ConnectionListener>(
+            shared->pending, options.connection_listener))
         .acceptor_post_bind_hook([this](tcp::acceptor& acceptor) {
           local_endpoint = acceptor.local_endpoint();
         })
--- a/source/common/net/http_server.h
+++ b/source/common/net/http_server.h
@@ -63,6 +63,9 @@
   // An idle connection is closed after this time. Longer than clients keep
   // theirs, so that a client does not send on a connection that is closing.
   std::chrono::seconds idle_timeout{300};
+  // Told of each connection that opens and closes; may be empty.
+  std::function<void(const asio::ip::tcp::endpoint& remote, bool open)>
+      connection_listener;
 };
 
 class HttpServer {
