Add a source address for outgoing connections

Cause: the fault proxy must tell machines apart by where a connection comes from, and machines with several addresses need to choose one.

--- a/source/common/net/address.cc
+++ b/source/common/net/address.cc
@@ -19,6 +19,11 @@
   return port;
 }
 
+std::optional<asio::ip::address>& ProcessSourceAddress() {
+  static std::optional<asio::ip::address> address;
+  return address;
+}
+
 }  // namespace
 
 Result<asio::ip::tcp::endpoint> ParseEndpoint(std::string_view text,
@@ -55,4 +60,12 @@
   return text.str();
 }
 
+void SetSourceAddress(const asio::ip::address& address) {
+  ProcessSourceAddress() = address;
+}
+
+const std::optional<asio::ip::address>& SourceAddress() {
+  return ProcessSourceAddress();
+}
+
 }  // namespace juniperway::net
--- a/source/common/net/address.h
+++ b/source/common/net/address.h
@@ -1,7 +1,9 @@
 // "ip:port" endpoints. Names are not resolved: the fleet talks by IP numbers.
 #pragma once
 
+#include <asio/ip/address.hpp>
 #include <asio/ip/tcp.hpp>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -16,4 +18,10 @@
 
 std::string FormatEndpoint(const asio::ip::tcp::endpoint& endpoint);
 
+// The address that outgoing connections of this process come from, for machines
+// with several; nothing: the operating system chooses. Set once, before the
+// first connection.
+void SetSourceAddress(const asio::ip::address& address);
+const std::optional<asio::ip::address>& SourceAddress();
+
 }  // namespace juniperway::net
--- a/source/common/net/frame_connection.cc
+++ b/source/common/net/frame_connection.cc
@@ -1,5 +1,7 @@
 #include "common/net/frame_connection.h"
 
+#include <netinet/in.h>
+
 #include <algorithm>
 #include <asio/error.hpp>
 #include <asio/post.hpp>
@@ -31,6 +33,22 @@
   socket->set_option(tcp::no_delay(true), ignored);
 }
 
+// Failures are left to the connect that follows.
+void BindToSourceAddress(tcp::socket& socket) {
+  if (!SourceAddress()) {
+    return;
+  }
+  const tcp::endpoint source(*SourceAddress(), 0);
+  std::error_code ignored;
+  socket.open(source.protocol(), ignored);
+  // Lets the kernel choose the port at connect, by the whole 4-tuple.
+  const asio::detail::socket_option::integer<IPPROTO_IP,
+                                             IP_BIND_ADDRESS_NO_PORT>
+      late_port(1);
+  socket.set_option(late_port, ignored);
+  socket.bind(source, ignored);
+}
+
 }  // namespace
 
 struct FrameConnection::Implementation {
@@ -215,6 +233,7 @@
       attempt->socket.close(ignored);
     }
   });
+  BindToSourceAddress(attempt->socket);
   attempt->socket.async_connect(endpoint, [attempt, endpoint,
                                            callback = std::move(callback)](
                                               const std::error_code& error) {
--- a/source/common/net/http_client.cc
+++ b/source/common/net/http_client.cc
@@ -14,6 +14,9 @@
 #include <stdexcept>
 #include <string_view>
 #include <unordered_map>
+#include <utility>
+
+#include "common/net/address.h"
 
 namespace juniperway::net {
 namespace {
@@ -181,6 +184,10 @@
   curl_easy_setopt(easy, CURLOPT_PROTOCOLS_STR, "http,https");
   // An empty proxy also disables those named by the environment.
   curl_easy_setopt(easy, CURLOPT_PROXY, "");
+  if (SourceAddress()) {
+    const std::string interface = "host!" + SourceAddress()->to_string();
+    curl_easy_setopt(easy, CURLOPT_INTERFACE, interface.c_str());
+  }
 }
 
 void SetCallbacks(Transfer* transfer) {
