--- /dev/null
+++ b/source/lab/fleet/child_process.cc
@@ -0,0 +1,187 @@
+#include "lab/fleet/child_process.h"
+
+#include <fcntl.h>
+#include <poll.h>
+#include <sys/prctl.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <cerrno>
+#include <csignal>
+#include <cstring>
+#include <sstream>
+#include <thread>
+#include <utility>
+
+#include "lab/events.h"
+
+namespace juniperway::lab {
+namespace {
+
+constexpr int kSignalStatusBase = 128;
+constexpr int kExecFailedStatus = 127;
+constexpr Duration kWaitInterval = milliseconds(5);
+
+int StatusOf(int wait_status) {
+  return WIFEXITED(wait_status) ? WEXITSTATUS(wait_status)
+                                : kSignalStatusBase + WTERMSIG(wait_status);
+}
+
+// Runs in the child between fork and exec: only async-signal-safe calls.
+[[noreturn]] void BecomeProgram(char* const* arguments, int output, int log,
+                                pid_t parent) {
+  ::prctl(PR_SET_PDEATHSIG, SIGKILL);
+  if (::getppid() != parent) {
+    ::_exit(kExecFailedStatus);
+  }
+  ::dup2(output, STDOUT_FILENO);
+  ::dup2(log, STDERR_FILENO);
+  ::execv(arguments[0], arguments);
+  ::_exit(kExecFailedStatus);
+}
+
+}  // namespace
+
+Result<ChildProcess> ChildProcess::Start(
+    const std::string& program, const std::vector<std::string>& arguments,
+    const std::string& log_path) {
+  std::vector<std::string> words = {program};
+  words.insert(words.end(), arguments.begin(), arguments.end());
+  std::vector<char*> pointers;
+  for (std::string& word : words) {
+    pointers.push_back(word.data());
+  }
+  pointers.push_back(nullptr);
+
+  const int log = ::open(log_path.c_str(),
+                         O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0644);
+  int output[2];
+  if (log < 0 || ::pipe2(output, O_CLOEXEC) != 0) {
+    return MakeError(ErrorCode::kIo, log_path, std::strerror(errno));
+  }
+  const pid_t parent = ::getpid();
+  const pid_t pid = ::fork();
+  if (pid == 0) {
+    BecomeProgram(pointers.data(), output[1], log, parent);
+  }
+  ::close(output[1]);
+  ::close(log);
+  if (pid < 0) {
+    ::close(output[0]);
+    return MakeError(ErrorCode::kIo, program, std::strerror(errno));
+  }
+  logging::LogEvent(kProcessStarted, {{"program", program}, {"pid", pid}});
+  return ChildProcess(pid, output[0]);
+}
+
+ChildProcess::ChildProcess(ChildProcess&& other) noexcept
+    : pid_(std::exchange(other.pid_, -1)),
+      output_(std::exchange(other.output_, -1)),
+      unread_(std::move(other.unread_)),
+      exit_status_(other.exit_status_) {}
+
+ChildProcess& ChildProcess::operator=(ChildProcess&& other) noexcept {
+  if (this != &other) {
+    Release();
+    pid_ = std::exchange(other.pid_, -1);
+    output_ = std::exchange(other.output_, -1);
+    unread_ = std::move(other.unread_);
+    exit_status_ = other.exit_status_;
+  }
+  return *this;
+}
+
+ChildProcess::~ChildProcess() { Release(); }
+
+void ChildProcess::Release() {
+  if (pid_ > 0) {
+    Kill();
+  }
+  if (output_ >= 0) {
+    ::close(std::exchange(output_, -1));
+  }
+}
+
+Result<std::map<std::string, std::string>> ChildProcess::WaitUntilReady(
+    Duration timeout) {
+  const MonotonicTime deadline = ReadMonotonicClock() + timeout;
+  std::map<std::string, std::string> addresses;
+  while (true) {
+    const std::size_t end = unread_.find('\n');
+    if (end == std::string::npos) {
+      if (!ReadOutput(deadline - ReadMonotonicClock())) {
+        return MakeError(ErrorCode::kUnavailable, "pid " + std::to_string(pid_),
+                         "did not become ready");
+      }
+      continue;
+    }
+    std::istringstream line(unread_.substr(0, end));
+    unread_.erase(0, end + 1);
+    std::string word;
+    std::string name;
+    std::string address;
+    line >> word >> name >> address;
+    if (word == "ready") {
+      return addresses;
+    }
+    if (word == "listening") {
+      addresses[name] = address;
+    }
+  }
+}
+
+bool ChildProcess::ReadOutput(Duration timeout) {
+  pollfd descriptor = {output_, POLLIN, 0};
+  const auto wait_ms = std::max<std::int64_t>(0, ToMilliseconds(timeout));
+  if (::poll(&descriptor, 1, static_cast<int>(wait_ms)) <= 0) {
+    return false;
+  }
+  char buffer[4096];
+  const ssize_t size = ::read(output_, buffer, sizeof(buffer));
+  if (size <= 0) {
+    return false;
+  }
+  unread_.append(buffer, size);
+  return true;
+}
+
+void ChildProcess::Signal(int signal_number) {
+  if (running()) {
+    ::kill(pid_, signal_number);
+  }
+}
+
+std::optional<int> ChildProcess::Wait(Duration timeout) {
+  const MonotonicTime deadline = ReadMonotonicClock() + timeout;
+  while (running()) {
+    if (ReadMonotonicClock() >= deadline) {
+      return std::nullopt;
+    }
+    std::this_thread::sleep_for(kWaitInterval);
+  }
+  return exit_status_;
+}
+
+void ChildProcess::Kill() {
+  Signal(SIGKILL);
+  while (running()) {
+    std::this_thread::sleep_for(kWaitInterval);
+  }
+}
+
+bool ChildProcess::running() {
+  if (pid_ <= 0 || exit_status_) {
+    return false;
+  }
+  int wait_status = 0;
+  if (::waitpid(pid_, &wait_status, WNOHANG) == pid_) {
+    exit_status_ = StatusOf(wait_status);
+    logging::LogEvent(kProcessEnded,
+                      {{"pid", pid_}, {"status", *exit_status_}});
+    return false;
+  }
+  return true;
+}
+
+}  // namespace juniperway::lab
