--- a/test/support/static_session.h
+++ b/test/support/static_session.h
@@ -13,7 +13,7 @@
 
 #include "common/session/control_session.h"
 
-namespace juniperway::test_support {
+namespace juniperway::test {
 
 class StaticSession : public session::ControlSession {
  public:
@@ -134,4 +134,4 @@
   std::map<std::string, session::BackendReport> reports_;
 };
 
-}  // namespace juniperway::test_support
+}  // namespace juniperway::test
