--- a/source/common/base/json_reader.cc
+++ b/source/common/base/json_reader.cc
@@ -111,10 +111,12 @@
   if (field == nullptr) {
     return std::nullopt;
   }
-  const bool unsigned_integer = field->is_number_unsigned();
-  const std::uint64_t number =
-      unsigned_integer ? field->get<std::uint64_t>() : 0;
-  if (!unsigned_integer || number < limits.minimum || number > limits.maximum) {
+  // Parsed text gives unsigned numbers; JSON built in C++ may hold signed ones.
+  const bool natural =
+      field->is_number_unsigned() ||
+      (field->is_number_integer() && field->get<std::int64_t>() >= 0);
+  const std::uint64_t number = natural ? field->get<std::uint64_t>() : 0;
+  if (!natural || number < limits.minimum || number > limits.maximum) {
     Fail(name, RangeMessage(limits));
     return std::nullopt;
   }
