--- /dev/null
+++ b/source/lab/fleet/fleet.cc
@@ -0,0 +1,391 @@
+#include "lab/fleet/fleet.h"
+
+#include <fmt/format.h>
+
+#include <csignal>
+#include <filesystem>
+#include <utility>
+
+#include "lab/wait.h"
+
+namespace juniperway::lab {
+namespace {
+
+constexpr Duration kReadyTimeout = seconds(30);
+constexpr Duration kLeaderTimeout = seconds(30);
+constexpr Duration kDeclareTimeout = seconds(60);
+constexpr int kOk = 200;
+
+constexpr const char* kGatewayHttp = "gateway.http";
+constexpr const char* kGatewayPeer = "gateway.peer";
+constexpr const char* kControlHttp = "control.http";
+constexpr const char* kControlPeer = "control.peer";
+
+std::string LinkName(const std::string& daemon, const std::string& listener) {
+  return daemon + "/" + listener;
+}
+
+std::vector<std::string> ListenersOf(const DaemonSettings& settings) {
+  std::vector<std::string> listeners;
+  if (settings.gateway) {
+    listeners.insert(listeners.end(), {kGatewayHttp, kGatewayPeer});
+  }
+  if (settings.control_role) {
+    listeners.insert(listeners.end(), {kControlHttp, kControlPeer});
+  }
+  return listeners;
+}
+
+}  // namespace
+
+Fleet::Fleet(const FleetOptions& options)
+    : options_(options), layout_(MakeLayout(options.deployment)) {
+  for (const ServiceLayout& service : layout_.services) {
+    catalog_.AddService(service.name, service.plan.records);
+    catalog_.Publish(service.name, options_.stand_ins.index_version);
+  }
+}
+
+Result<std::unique_ptr<Fleet>> Fleet::Start(const FleetOptions& options) {
+  std::unique_ptr<Fleet> fleet(new Fleet(options));
+  std::error_code error;
+  std::filesystem::create_directories(options.stand_ins.work_folder, error);
+  if (error) {
+    return MakeError(ErrorCode::kIo, options.stand_ins.work_folder,
+                     error.message());
+  }
+  if (Result<void> set_up = fleet->SetUp(); !set_up) {
+    return tl::unexpected<Error>(set_up.error());
+  }
+  return fleet;
+}
+
+Result<void> Fleet::SetUp() {
+  auto stand_ins = StandIns::Start(layout_, options_.stand_ins);
+  if (!stand_ins) {
+    return tl::unexpected<Error>(stand_ins.error());
+  }
+  stand_ins_ = *std::move(stand_ins);
+  PlanDaemons();
+  Result<void> done = DeclareMachines();
+  if (done) {
+    done = MakeLinks();
+  }
+  if (done) {
+    done = StartDaemons();
+  }
+  return done ? AwaitLeader() : done;
+}
+
+DaemonSettings Fleet::CommonSettings(const MachinePlan& machine,
+                                     std::size_t number) const {
+  DaemonSettings settings;
+  settings.name = machine.name;
+  settings.cluster = options_.deployment.cluster;
+  settings.zone = machine.zone.name;
+  settings.region = machine.zone.region;
+  settings.data_folder =
+      fmt::format("{}/{}", options_.stand_ins.work_folder, machine.name);
+  settings.address = fmt::format("127.1.{}.{}", number / 200, number % 200 + 1);
+  return settings;
+}
+
+void Fleet::PlanDaemons() {
+  std::size_t number = 0;
+  std::uint64_t node_id = 0;
+  for (const MachinePlan& machine : layout_.control) {
+    Daemon& daemon = daemons_[machine.name];
+    daemon.settings = CommonSettings(machine, number++);
+    daemon.settings.control_role = true;
+    daemon.settings.node_id = ++node_id;
+  }
+  for (const MachinePlan& machine : layout_.gateways) {
+    Daemon& daemon = daemons_[machine.name];
+    daemon.settings = CommonSettings(machine, number++);
+    daemon.settings.gateway = true;
+  }
+  for (auto& [name, daemon] : daemons_) {
+    daemon.settings_path =
+        fmt::format("{}/{}.toml", options_.stand_ins.work_folder, name);
+  }
+}
+
+Result<void> Fleet::DeclareMachines() {
+  nlohmann::json machines = nlohmann::json::array();
+  for (const auto& [name, daemon] : daemons_) {
+    machines.push_back({{"name", name},
+                        {"address", daemon.settings.address},
+                        {"zone", daemon.settings.zone},
+                        {"region", daemon.settings.region}});
+  }
+  std::map<std::string, std::string> live;
+  for (const ServiceLayout& service : layout_.services) {
+    for (const BackendPlan& backend : service.backends) {
+      machines.push_back({{"name", backend.name},
+                          // Opens no connections: never looked up by address.
+                          {"address", "of " + backend.name},
+                          {"zone", backend.zone.name},
+                          {"region", backend.zone.region}});
+      live[backend.name] = "live";
+    }
+  }
+  for (const auto& [name, daemon] : daemons_) {
+    live[name] = "live";
+  }
+  if (Result<void> listed = stand_ins_->ChangePlatform(live); !listed) {
+    return listed;
+  }
+  return stand_ins_->SetMachines(
+      {{"delays", nlohmann::json::parse(options_.deployment.delays_json)},
+       {"machines", machines}});
+}
+
+Result<void> Fleet::MakeLinks() {
+  std::vector<ProxyLink> links;
+  for (const auto& [name, daemon] : daemons_) {
+    for (const std::string& listener : ListenersOf(daemon.settings)) {
+      links.push_back({LinkName(name, listener), name, ""});
+    }
+  }
+  for (const ServiceLayout& service : layout_.services) {
+    for (const BackendPlan& backend : service.backends) {
+      links.push_back({LinkName("backend", backend.name), backend.name,
+                       stand_ins_->BackendAddress(backend.name)});
+    }
+  }
+  return stand_ins_->SetLinks(links);
+}
+
+Result<void> Fleet::StartDaemons() {
+  std::vector<std::string> control_peers;
+  std::vector<std::string> members;
+  std::vector<std::string> control_http;
+  for (const MachinePlan& machine : layout_.control) {
+    const std::string& peer =
+        stand_ins_->LinkAddress(LinkName(machine.name, kControlPeer));
+    control_peers.push_back(peer);
+    members.push_back(
+        fmt::format("{}={}", daemons_[machine.name].settings.node_id, peer));
+    control_http.push_back(
+        stand_ins_->LinkAddress(LinkName(machine.name, kControlHttp)));
+  }
+  control_ = std::make_unique<ControlClient>(control_http);
+  for (auto& [name, daemon] : daemons_) {
+    DaemonSettings& settings = daemon.settings;
+    settings.control = control_peers;
+    if (settings.control_role) {
+      settings.initial_members = members;
+      settings.control_peer_advertise =
+          stand_ins_->LinkAddress(LinkName(name, kControlPeer));
+      settings.platform_url =
+          fmt::format("http://{}/v1/machines", stand_ins_->platform_address());
+    }
+    if (settings.gateway) {
+      settings.gateway_peer_advertise =
+          stand_ins_->LinkAddress(LinkName(name, kGatewayPeer));
+    }
+    std::error_code ignored;
+    std::filesystem::create_directories(settings.data_folder, ignored);
+    Result<void> launched = WriteSettings(settings, daemon.settings_path);
+    if (launched) {
+      launched = Launch(daemon);
+    }
+    if (!launched) {
+      return launched;
+    }
+  }
+  for (auto& [name, daemon] : daemons_) {
+    if (Result<void> ready = AwaitReady(daemon); !ready) {
+      return ready;
+    }
+  }
+  return {};
+}
+
+Result<void> Fleet::Launch(Daemon& daemon) {
+  Result<ChildProcess> process = ChildProcess::Start(
+      options_.stand_ins.binary_folder + "/juniperwayd",
+      {"--settings", daemon.settings_path},
+      fmt::format("{}/{}.log", options_.stand_ins.work_folder,
+                  daemon.settings.name));
+  if (!process) {
+    return tl::unexpected<Error>(process.error());
+  }
+  daemon.process = *std::move(process);
+  return {};
+}
+
+Result<void> Fleet::AwaitReady(Daemon& daemon) {
+  const auto addresses = daemon.process->WaitUntilReady(kReadyTimeout);
+  if (!addresses) {
+    return MakeError(addresses.error().code, daemon.settings.name,
+                     addresses.error().message);
+  }
+  std::vector<ProxyLink> links;
+  for (const std::string& listener : ListenersOf(daemon.settings)) {
+    const auto address = addresses->find(listener);
+    if (address == addresses->end()) {
+      return MakeError(ErrorCode::kInternal, daemon.settings.name,
+                       "does not say where its " + listener + " listens");
+    }
+    links.push_back({LinkName(daemon.settings.name, listener),
+                     daemon.settings.name, address->second});
+  }
+  return stand_ins_->SetLinks(links);
+}
+
+Result<void> Fleet::AwaitLeader() {
+  const bool elected = WaitFor(kLeaderTimeout, [this] {
+    const ControlReply reply = control_->GetAnywhere("/v1/status");
+    return reply.status == kOk &&
+           !reply.body.value("leader", nlohmann::json()).is_null();
+  });
+  if (!elected) {
+    return MakeError(ErrorCode::kUnavailable, "control", "elects no leader");
+  }
+  return {};
+}
+
+std::vector<resources::Resource> Fleet::InitialResources() const {
+  std::vector<resources::Resource> resources;
+  for (const ServiceLayout& service : layout_.services) {
+    resources.push_back(MakeServiceResource(service));
+    for (const BackendPlan& backend : service.backends) {
+      resources.push_back(MakeBackendResource(
+          service, backend, BackendResourceAddress(backend.name)));
+    }
+    resources.push_back(MakeSnapshotResource(
+        service.name, options_.stand_ins.index_version, service.partitions));
+  }
+  return resources;
+}
+
+Result<void> Fleet::Declare() {
+  Result<ChangeRecord> change =
+      control_->Apply(InitialResources(), "declare", kDeclareTimeout);
+  if (!change) {
+    return tl::unexpected<Error>(change.error());
+  }
+  const bool serving = WaitFor(kDeclareTimeout, [this] {
+    for (const ServiceLayout& service : layout_.services) {
+      if (!AllServe(service.name, options_.stand_ins.index_version)) {
+        return false;
+      }
+    }
+    return true;
+  });
+  if (!serving) {
+    return MakeError(ErrorCode::kDeadlineExceeded, "declare",
+                     "the gateways do not serve the first snapshots");
+  }
+  return {};
+}
+
+void Fleet::Kill(const std::string& daemon) {
+  daemons_.at(daemon).process->Kill();
+}
+
+void Fleet::Freeze(const std::string& daemon) {
+  daemons_.at(daemon).process->Signal(SIGSTOP);
+}
+
+void Fleet::Thaw(const std::string& daemon) {
+  daemons_.at(daemon).process->Signal(SIGCONT);
+}
+
+Result<StopRecord> Fleet::Stop(const std::string& daemon, Duration timeout) {
+  ChildProcess& process = *daemons_.at(daemon).process;
+  StopRecord record;
+  record.gateway = daemon;
+  record.signalled = ReadMonotonicClock();
+  process.Signal(SIGTERM);
+  const std::optional<int> status = process.Wait(timeout);
+  if (!status) {
+    return MakeError(ErrorCode::kDeadlineExceeded, daemon,
+                     "still runs after SIGTERM");
+  }
+  record.exited = ReadMonotonicClock();
+  record.exit_status = *status;
+  return record;
+}
+
+Result<void> Fleet::Restart(const std::string& name) {
+  Daemon& daemon = daemons_.at(name);
+  Result<void> launched = Launch(daemon);
+  return launched ? AwaitReady(daemon) : launched;
+}
+
+Result<void> Fleet::LoseDisk(const std::string& name) {
+  const std::string& folder = daemons_.at(name).settings.data_folder;
+  std::error_code error;
+  std::filesystem::remove_all(folder, error);
+  std::filesystem::create_directories(folder, error);
+  if (error) {
+    return MakeError(ErrorCode::kIo, folder, error.message());
+  }
+  return {};
+}
+
+bool Fleet::IsRunning(const std::string& daemon) {
+  return daemons_.at(daemon).process->running();
+}
+
+std::optional<nlohmann::json> Fleet::GetFromGateway(const std::string& gateway,
+                                                    const std::string& path) {
+  const net::HttpClientResponse response = http_.Get(
+      fmt::format("http://{}{}",
+                  stand_ins_->LinkAddress(LinkName(gateway, kGatewayHttp)),
+                  path),
+      seconds(1));
+  nlohmann::json json = nlohmann::json::parse(response.body, nullptr, false);
+  if (response.status != kOk || json.is_discarded()) {
+    return std::nullopt;
+  }
+  return json;
+}
+
+std::vector<RevisionRecord> Fleet::ObserveRevisions() {
+  std::vector<RevisionRecord> records;
+  for (const MachinePlan& gateway : layout_.gateways) {
+    if (!IsRunning(gateway.name)) {
+      continue;
+    }
+    const auto view = GetFromGateway(gateway.name, "/v1/view");
+    if (view) {
+      records.push_back(
+          {gateway.name, ReadMonotonicClock(), view->value("revision", 0UL)});
+    }
+  }
+  return records;
+}
+
+bool Fleet::AllServe(const std::string& service,
+                     resources::IndexVersion index_version) {
+  for (const MachinePlan& gateway : layout_.gateways) {
+    if (!IsRunning(gateway.name)) {
+      continue;
+    }
+    const auto view = GetFromGateway(gateway.name, "/v1/view");
+    if (!view ||
+        view->value("serving", nlohmann::json::object()).value(service, 0UL) !=
+            index_version) {
+      return false;
+    }
+  }
+  return true;
+}
+
+std::vector<LoadSettings::Gateway> Fleet::Gateways() const {
+  std::vector<LoadSettings::Gateway> gateways;
+  for (const MachinePlan& gateway : layout_.gateways) {
+    gateways.push_back({gateway.name, stand_ins_->LinkAddress(LinkName(
+                                          gateway.name, kGatewayHttp))});
+  }
+  return gateways;
+}
+
+std::string Fleet::BackendResourceAddress(const std::string& backend) const {
+  return stand_ins_->LinkAddress(LinkName("backend", backend));
+}
+
+}  // namespace juniperway::lab
