--- a/source/common/control/raft_driver.cc
+++ b/source/common/control/raft_driver.cc
@@ -145,8 +145,12 @@
   if (!large || entries_since_snapshot_ == 0) {
     return;
   }
-  raft::Snapshot snapshot =
+  Result<raft::Snapshot> made =
       fsm_.MakeSnapshot(applied_, callbacks_.encode_state());
+  if (!made) {
+    return;  // The leader sent a later one meanwhile.
+  }
+  raft::Snapshot snapshot = std::move(*made);
   if (auto stored = store_->Compact(snapshot, limits_.kept_entries); !stored) {
     Fail(stored.error());
     return;
--- a/test/property/owner/owner_world.cc
+++ b/test/property/owner/owner_world.cc
@@ -171,11 +171,12 @@
     const std::string owner = "g" + std::to_string(Between(1, options_.owners));
     const std::string backend =
         "b" + std::to_string(Between(1, options_.backends));
-    const auto member = view.members.find(owner);
-    if (Chance(70) && member != view.members.end()) {
-      member->second.leaving = !member->second.leaving;
+    if (Chance(70) && view.members.contains(owner)) {
+      session::Member& member = view.members[owner];
+      member.leaving = !member.leaving;
     } else {
-      view.backends.at(backend).drain = !view.backends.at(backend).drain;
+      resources::Backend& changed = view.backends[backend];
+      changed.drain = !changed.drain;
     }
   });
   // Often more than one change at a time, so that views get skipped.
