Run benchmarks by name

Cause: the state benchmark had no command, and others are to follow. Change: juniperway-lab bench NAME; benchmarks live in source/lab/bench.

--- a/source/lab/bench_state.cc
+++ b/source/lab/bench/state.cc
@@ -1,4 +1,4 @@
-#include "lab/bench_state.h"
+#include "lab/bench/state.h"
 
 #include <malloc.h>
 
--- a/source/lab/main.cc
+++ b/source/lab/main.cc
@@ -16,6 +16,7 @@
 const std::map<std::string, Command>& Commands() {
   static const std::map<std::string, Command> commands = {
       {"backend", juniperway::lab::RunBackendCommand},
+      {"bench", juniperway::lab::RunBenchCommand},
       {"caller", juniperway::lab::RunCallerCommand},
       {"platform", juniperway::lab::RunPlatformCommand},
       {"proxy", juniperway::lab::RunProxyCommand},
