--- a/source/lab/fleet/control_client.cc
+++ b/source/lab/fleet/control_client.cc
@@ -11,6 +11,7 @@
 namespace {
 
 constexpr int kOk = 200;
+constexpr int kFirstRedirect = 300;
 constexpr int kFirstServerError = 500;
 constexpr Duration kCallTimeout = seconds(3);
 constexpr Duration kRetryInterval = milliseconds(100);
@@ -103,6 +104,46 @@
                  body.dump(), timeout));
 }
 
+Result<void> ControlClient::CallUntilDone(const net::HttpClientRequest& request,
+                                          const std::string& path,
+                                          Duration timeout) {
+  const MonotonicTime deadline = ReadMonotonicClock() + timeout;
+  ControlReply reply;
+  while (ReadMonotonicClock() < deadline) {
+    net::HttpClientRequest attempt = request;
+    attempt.url = fmt::format("http://{}{}", addresses_[preferred_], path);
+    attempt.timeout = kCallTimeout;
+    reply = ToReply(http_.Call(std::move(attempt)));
+    if (reply.status >= kOk && reply.status < kFirstRedirect) {
+      return {};
+    }
+    preferred_ = (preferred_ + 1) % addresses_.size();
+    std::this_thread::sleep_for(kRetryInterval);
+  }
+  return MakeError(
+      ErrorCode::kDeadlineExceeded, path,
+      fmt::format("last status {}: {}", reply.status, reply.body.dump()));
+}
+
+Result<void> ControlClient::AddMember(std::uint64_t node_id,
+                                      const std::string& address,
+                                      Duration timeout) {
+  net::HttpClientRequest request;
+  request.method = "POST";
+  request.headers = {{"Content-Type", "application/json"}};
+  request.body =
+      nlohmann::json{{"node_id", node_id}, {"address", address}}.dump();
+  return CallUntilDone(request, "/v1/members", timeout);
+}
+
+Result<void> ControlClient::RemoveMember(std::uint64_t node_id,
+                                         Duration timeout) {
+  net::HttpClientRequest request;
+  request.method = "DELETE";
+  return CallUntilDone(request, fmt::format("/v1/members/{}", node_id),
+                       timeout);
+}
+
 Result<resources::Resource> ControlClient::Read(
     const resources::ResourceId& id) {
   const ControlReply reply = GetAnywhere(fmt::format(
--- a/source/lab/fleet/control_client.h
+++ b/source/lab/fleet/control_client.h
@@ -45,12 +45,21 @@
   ControlReply Post(std::size_t machine, const std::string& path,
                     const nlohmann::json& body, Duration timeout = seconds(10));
 
+  // Changes the control machines; tried until it is taken or `timeout` passed.
+  Result<void> AddMember(std::uint64_t node_id, const std::string& address,
+                         Duration timeout);
+  Result<void> RemoveMember(std::uint64_t node_id, Duration timeout);
+
   // The resource as it is now, for a change at its version.
   Result<resources::Resource> Read(const resources::ResourceId& id);
 
   std::size_t machines() const { return addresses_.size(); }
 
  private:
+  // Calls each machine in turn until one answers with success.
+  Result<void> CallUntilDone(const net::HttpClientRequest& request,
+                             const std::string& path, Duration timeout);
+
   std::vector<std::string> addresses_;
   std::size_t preferred_ = 0;
   BlockingHttp http_;
--- a/source/lab/fleet/fleet.cc
+++ b/source/lab/fleet/fleet.cc
@@ -14,6 +14,7 @@
 constexpr Duration kReadyTimeout = seconds(30);
 constexpr Duration kLeaderTimeout = seconds(30);
 constexpr Duration kDeclareTimeout = seconds(60);
+constexpr Duration kMemberTimeout = seconds(30);
 constexpr int kOk = 200;
 
 constexpr const char* kGatewayHttp = "gateway.http";
@@ -159,17 +160,16 @@
 Result<void> Fleet::StartDaemons() {
   std::vector<std::string> control_peers;
   std::vector<std::string> members;
-  std::vector<std::string> control_http;
   for (const MachinePlan& machine : layout_.control) {
     const std::string& peer =
         stand_ins_->LinkAddress(LinkName(machine.name, kControlPeer));
     control_peers.push_back(peer);
     members.push_back(
         fmt::format("{}={}", daemons_[machine.name].settings.node_id, peer));
-    control_http.push_back(
+    control_addresses_.push_back(
         stand_ins_->LinkAddress(LinkName(machine.name, kControlHttp)));
   }
-  control_ = std::make_unique<ControlClient>(control_http);
+  control_ = std::make_unique<ControlClient>(control_addresses_);
   for (auto& [name, daemon] : daemons_) {
     DaemonSettings& settings = daemon.settings;
     settings.control = control_peers;
@@ -326,6 +326,45 @@
   return {};
 }
 
+Result<void> Fleet::ReplaceControl(const std::string& name) {
+  Daemon& daemon = daemons_.at(name);
+  std::uint64_t highest = 0;
+  for (const auto& [other, other_daemon] : daemons_) {
+    highest = std::max(highest, other_daemon.settings.node_id);
+  }
+  const std::uint64_t old_node = daemon.settings.node_id;
+  daemon.settings.node_id = highest + 1;
+  // It learns the members from those that are there.
+  daemon.settings.initial_members.clear();
+  Result<void> done = LoseDisk(name);
+  if (done) {
+    done = control_->RemoveMember(old_node, kMemberTimeout);
+  }
+  if (done) {
+    done = WriteSettings(daemon.settings, daemon.settings_path);
+  }
+  if (done) {
+    done = Restart(name);
+  }
+  return done ? control_->AddMember(daemon.settings.node_id,
+                                    daemon.settings.control_peer_advertise,
+                                    kMemberTimeout)
+              : done;
+}
+
+std::optional<std::string> Fleet::LeaderName() {
+  const ControlReply reply = control_->GetAnywhere("/v1/status");
+  const nlohmann::json leader =
+      reply.status == kOk ? reply.body.value("leader", nlohmann::json())
+                          : nlohmann::json();
+  for (const auto& [name, daemon] : daemons_) {
+    if (daemon.settings.control_role && leader == daemon.settings.node_id) {
+      return name;
+    }
+  }
+  return std::nullopt;
+}
+
 bool Fleet::IsRunning(const std::string& daemon) {
   return daemons_.at(daemon).process->running();
 }
--- a/source/lab/fleet/fleet.h
+++ b/source/lab/fleet/fleet.h
@@ -47,7 +47,12 @@
   Result<void> Restart(const std::string& daemon);
   // Empties the data folder of a daemon that has ended.
   Result<void> LoseDisk(const std::string& daemon);
+  // Replaces a control machine that has ended and lost its disk: a new node of
+  // the same name joins in its place.
+  Result<void> ReplaceControl(const std::string& daemon);
   bool IsRunning(const std::string& daemon);
+  // The control machine that leads; nothing when none says so.
+  std::optional<std::string> LeaderName();
 
   // GET at a gateway ("/v1/view"); nothing when it gave no JSON.
   std::optional<nlohmann::json> GetFromGateway(const std::string& gateway,
@@ -64,6 +69,10 @@
   ControlClient& control() { return *control_; }
   // As callers reach them, through the proxy.
   std::vector<LoadSettings::Gateway> Gateways() const;
+  // "ip:port" of each control machine's resource API.
+  const std::vector<std::string>& ControlAddresses() const {
+    return control_addresses_;
+  }
   std::string BackendResourceAddress(const std::string& backend) const;
 
  private:
@@ -92,6 +101,7 @@
   Catalog catalog_;
   std::unique_ptr<StandIns> stand_ins_;
   std::map<std::string, Daemon> daemons_;
+  std::vector<std::string> control_addresses_;
   std::unique_ptr<ControlClient> control_;
   BlockingHttp http_;
 };
--- a/source/lab/promises/history_check.cc
+++ b/source/lab/promises/history_check.cc
@@ -107,7 +107,8 @@
         continue;
       }
       std::optional<MonotonicTime> until;
-      if (index + 1 < record.attempts.size()) {
+      if (index + 1 < record.attempts.size() &&
+          record.attempts[index + 1].request_id == attempt.request_id) {
         until = record.attempts[index + 1].sent;
       }
       const std::string fault =
