Give the control machines' addresses their own settings key

Cause: the settings page and the lab wrote control = [...] beside the table [control]; TOML takes a key once, so the lab's control daemons got no [control] table at all. Conclusion: one name, one meaning.

--- a/source/lab/fleet/settings_file.cc
+++ b/source/lab/fleet/settings_file.cc
@@ -50,7 +50,7 @@
   table.insert("region", settings.region);
   table.insert("data_folder", settings.data_folder);
   table.insert("source_address", settings.address);
-  table.insert("control", ToArray(settings.control));
+  table.insert("control_peers", ToArray(settings.control));
   toml::array roles;
   if (settings.gateway) {
     roles.push_back("gateway");
