Let the daemon name its address after listening, and read its incarnation

Cause: with port 0 the peer address is known only after the owner listens, and the owner needs the session first. Change: ControlSessionClient::SetPeerAddress and incarnation(). Conclusion: needed by the gateway role.

--- a/source/common/session/control_session_client.cc
+++ b/source/common/session/control_session_client.cc
@@ -92,6 +92,11 @@
     WaitUntilSent(Now() + timeout, std::move(done));
   }
 
+  void SetPeerAddress(const std::string& address) {
+    options_.peer_address = address;
+  }
+
+  std::uint64_t incarnation() const { return record_.incarnation; }
   FleetViewPointer view() const { return view_; }
   const SessionState& state() const { return *state_; }
   const Counters& counters() const { return counters_; }
@@ -617,6 +622,14 @@
 
 ControlSessionClient::~ControlSessionClient() { implementation_->Close(); }
 
+void ControlSessionClient::SetPeerAddress(const std::string& address) {
+  implementation_->SetPeerAddress(address);
+}
+
+std::uint64_t ControlSessionClient::incarnation() const {
+  return implementation_->incarnation();
+}
+
 void ControlSessionClient::Start() { implementation_->Start(); }
 
 void ControlSessionClient::Goodbye(Duration timeout,
--- a/source/common/session/control_session_client.h
+++ b/source/common/session/control_session_client.h
@@ -51,6 +51,13 @@
   ControlSessionClient(const ControlSessionClient&) = delete;
   ControlSessionClient& operator=(const ControlSessionClient&) = delete;
 
+  // For listeners whose port the kernel chose: replaces the options'
+  // peer_address. Before Start.
+  void SetPeerAddress(const std::string& address);
+
+  // Changes with each start of the process.
+  std::uint64_t incarnation() const;
+
   // Starts to connect. Set the listeners before.
   void Start();
 
