--- /dev/null
+++ b/source/daemon/events.h
@@ -0,0 +1,23 @@
+// Log events of the daemon itself (1000-1099). Catalogue: docs/EVENTS.md.
+#pragma once
+
+#include "common/logging/event_log.h"
+
+namespace juniperway::daemon {
+
+using logging::EventType;
+using logging::Severity;
+
+inline constexpr EventType kDaemonStarted{1000, "daemon_started",
+                                          Severity::kInfo};
+inline constexpr EventType kStopRequested{1001, "stop_requested",
+                                          Severity::kInfo};
+inline constexpr EventType kStopStep{1002, "stop_step", Severity::kInfo};
+inline constexpr EventType kStopIncomplete{1003, "stop_incomplete",
+                                           Severity::kWarning};
+inline constexpr EventType kDaemonStopped{1004, "daemon_stopped",
+                                          Severity::kInfo};
+inline constexpr EventType kDaemonFailed{1005, "daemon_failed",
+                                         Severity::kError};
+
+}  // namespace juniperway::daemon
--- /dev/null
+++ b/source/daemon/settings.cc
@@ -0,0 +1,296 @@
+#include "daemon/settings.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <charconv>
+#include <fstream>
+#include <set>
+#include <sstream>
+#include <utility>
+
+#include "common/net/address.h"
+
+namespace juniperway::daemon {
+namespace {
+
+using asio::ip::tcp;
+
+constexpr std::size_t kMaximumNameLength = 253;
+constexpr std::int64_t kMaximumNodeId = 1'000'000;
+constexpr std::int64_t kMinimumStopTimeoutMs = 100;
+constexpr std::int64_t kMaximumStopTimeoutMs = 3'600'000;
+constexpr std::int64_t kMaximumConcurrentQueries = 1'000'000;
+
+constexpr const char* kGatewayRole = "gateway";
+constexpr const char* kControlRole = "control";
+
+using Wrong = std::optional<std::string>;
+
+Wrong CheckName(const std::string& text) {
+  const auto is_plain = [](char character) {
+    return (character >= 'a' && character <= 'z') ||
+           (character >= '0' && character <= '9');
+  };
+  const bool fits = !text.empty() && text.size() <= kMaximumNameLength &&
+                    std::all_of(text.begin(), text.end(),
+                                [&](char character) {
+                                  return is_plain(character) ||
+                                         character == '.' || character == '-';
+                                }) &&
+                    is_plain(text.front()) && is_plain(text.back());
+  if (fits) {
+    return std::nullopt;
+  }
+  return fmt::format(
+      "must be 1 to {} of a-z, 0-9, '.' and '-', first and last a letter or "
+      "digit",
+      kMaximumNameLength);
+}
+
+Wrong CheckFilled(const std::string& text) {
+  return text.empty() ? Wrong("must not be empty") : std::nullopt;
+}
+
+Wrong CheckEndpoint(const std::string& text) {
+  const auto endpoint = net::ParseEndpoint(text, "");
+  return endpoint ? Wrong() : endpoint.error().message;
+}
+
+// An address that others can dial.
+Wrong CheckDialled(const std::string& text) {
+  const auto endpoint = net::ParseEndpoint(text, "");
+  if (!endpoint) {
+    return endpoint.error().message;
+  }
+  if (endpoint->port() == 0 || endpoint->address().is_unspecified()) {
+    return "must be an address that others can dial, not '" + text + "'";
+  }
+  return std::nullopt;
+}
+
+Wrong CheckAddress(const std::string& text) {
+  std::error_code error;
+  asio::ip::make_address(text, error);
+  return error ? Wrong("must be an IP address like 10.0.0.1") : std::nullopt;
+}
+
+Wrong CheckUrl(const std::string& text) {
+  constexpr std::string_view kScheme = "http://";
+  const bool fits = text.starts_with(kScheme) && text.size() > kScheme.size();
+  return fits ? std::nullopt
+              : Wrong("must be a URL like http://10.0.0.9:9000/v1/machines");
+}
+
+Wrong CheckRole(const std::string& text) {
+  const bool known = text == kGatewayRole || text == kControlRole;
+  return known ? std::nullopt : Wrong("must be \"gateway\" or \"control\"");
+}
+
+// "1=10.0.0.1:7100"
+std::optional<raft::Member> ParseMember(const std::string& text) {
+  const std::size_t equals = text.find('=');
+  if (equals == std::string::npos) {
+    return std::nullopt;
+  }
+  raft::Member member;
+  const char* end = text.data() + equals;
+  const auto [stop, error] = std::from_chars(text.data(), end, member.id);
+  member.address = text.substr(equals + 1);
+  const bool fits = error == std::errc() && stop == end && member.id > 0 &&
+                    member.id <= static_cast<raft::NodeId>(kMaximumNodeId) &&
+                    !CheckDialled(member.address);
+  return fits ? std::optional(member) : std::nullopt;
+}
+
+Wrong CheckMember(const std::string& text) {
+  return ParseMember(text)
+             ? std::nullopt
+             : Wrong("must be like \"1=10.0.0.1:7100\", not '" + text + "'");
+}
+
+// Both checked before, where they are used.
+tcp::endpoint ToEndpoint(const std::string& text) {
+  const auto endpoint = net::ParseEndpoint(text, "");
+  return endpoint ? *endpoint : tcp::endpoint();
+}
+
+tcp::endpoint ReadListener(TableReader& reader, std::string_view key) {
+  std::string text;
+  reader.Text(key, Presence::kRequired, CheckEndpoint, text);
+  return ToEndpoint(text);
+}
+
+GatewaySettings ReadGateway(TableReader& reader) {
+  GatewaySettings gateway;
+  gateway.http_listen = ReadListener(reader, "http_listen");
+  gateway.peer_listen = ReadListener(reader, "peer_listen");
+  reader.Text("peer_advertise", Presence::kOptional, CheckDialled,
+              gateway.peer_advertise);
+  if (!reader.Has("peer_advertise") && reader.Has("peer_listen") &&
+      gateway.peer_listen.address().is_unspecified()) {
+    reader.Refuse("peer_advertise",
+                  "is required where peer_listen is no address that others "
+                  "can dial");
+  }
+  auto queries = static_cast<std::int64_t>(gateway.maximum_concurrent_queries);
+  reader.Integer("maximum_concurrent_queries", Presence::kOptional, 1,
+                 kMaximumConcurrentQueries, queries);
+  gateway.maximum_concurrent_queries = static_cast<std::size_t>(queries);
+  reader.RefuseUnknownKeys();
+  return gateway;
+}
+
+void CheckMembers(TableReader& reader, const ControlSettings& control,
+                  const std::string& advertised) {
+  if (control.initial_members.empty()) {
+    return;
+  }
+  std::set<raft::NodeId> ids;
+  for (const raft::Member& member : control.initial_members) {
+    if (!ids.insert(member.id).second) {
+      reader.Refuse("initial_members",
+                    fmt::format("names node {} twice", member.id));
+    }
+    if (member.id == control.node_id && member.address != advertised) {
+      reader.Refuse("initial_members",
+                    fmt::format("gives this node's address as {}, but others "
+                                "dial {} (peer_advertise)",
+                                member.address, advertised));
+    }
+  }
+  if (control.node_id != raft::kNoNode && !ids.contains(control.node_id)) {
+    reader.Refuse("initial_members",
+                  fmt::format("must hold this node ({})", control.node_id));
+  }
+}
+
+ControlSettings ReadControl(TableReader& reader) {
+  ControlSettings control;
+  std::int64_t node_id = 0;
+  reader.Integer("node_id", Presence::kRequired, 1, kMaximumNodeId, node_id);
+  control.node_id = static_cast<raft::NodeId>(node_id);
+  control.http_listen = ReadListener(reader, "http_listen");
+  control.peer_listen = ReadListener(reader, "peer_listen");
+  std::string advertised;
+  reader.Text("peer_advertise", Presence::kOptional, CheckDialled, advertised);
+  if (advertised.empty()) {
+    advertised = net::FormatEndpoint(control.peer_listen);
+  }
+  std::vector<std::string> members;
+  reader.Texts("initial_members", Presence::kOptional, CheckMember, members);
+  for (const std::string& text : members) {
+    control.initial_members.push_back(*ParseMember(text));
+  }
+  CheckMembers(reader, control, advertised);
+  reader.Boolean("bootstrap", control.bootstrap);
+  std::string token_file;
+  reader.Text("token_file", Presence::kOptional, CheckFilled, token_file);
+  control.token_file = token_file;
+  reader.Text("platform_url", Presence::kOptional, CheckUrl,
+              control.platform_url);
+  reader.RefuseUnknownKeys();
+  return control;
+}
+
+void ReadIdentity(TableReader& reader, Settings& settings) {
+  reader.Text("name", Presence::kRequired, CheckName, settings.name);
+  reader.Text("cluster", Presence::kRequired, CheckName, settings.cluster);
+  reader.Text("zone", Presence::kRequired, CheckName, settings.zone);
+  reader.Text("region", Presence::kOptional, CheckName, settings.region);
+  std::string folder;
+  reader.Text("data_folder", Presence::kRequired, CheckFilled, folder);
+  settings.data_folder = folder;
+  std::string log_folder;
+  reader.Text("log_folder", Presence::kOptional, CheckFilled, log_folder);
+  settings.log_folder = log_folder;
+  std::string source;
+  reader.Text("source_address", Presence::kOptional, CheckAddress, source);
+  if (!source.empty()) {
+    settings.source_address = asio::ip::make_address(source);
+  }
+  std::int64_t stop_ms = settings.stop_timeout / milliseconds(1);
+  reader.Integer("stop_timeout_ms", Presence::kOptional, kMinimumStopTimeoutMs,
+                 kMaximumStopTimeoutMs, stop_ms);
+  settings.stop_timeout = milliseconds(stop_ms);
+}
+
+// A role and its table come together.
+// @return the table when the role is there too.
+const toml::table* RoleTable(TableReader& reader,
+                             const std::vector<std::string>& roles,
+                             const char* role, const char* key) {
+  const toml::table* table = reader.Table(key);
+  const bool wanted =
+      std::find(roles.begin(), roles.end(), role) != roles.end();
+  if (wanted && !reader.Has(key)) {
+    reader.Refuse(key, fmt::format("is required for the role \"{}\"", role));
+  }
+  if (!wanted && table != nullptr) {
+    reader.Refuse(key, fmt::format("needs \"{}\" among the roles", role));
+  }
+  return wanted ? table : nullptr;
+}
+
+Settings ReadRoot(const toml::table& root, const std::string& file,
+                  std::vector<SettingsFault>& faults) {
+  TableReader reader(root, "", file, faults);
+  Settings settings;
+  ReadIdentity(reader, settings);
+  std::vector<std::string> roles;
+  reader.Texts("roles", Presence::kRequired, CheckRole, roles);
+  const toml::table* gateway =
+      RoleTable(reader, roles, kGatewayRole, "gateway");
+  const toml::table* control =
+      RoleTable(reader, roles, kControlRole, "control");
+  reader.Texts("control_peers",
+               gateway != nullptr ? Presence::kRequired : Presence::kOptional,
+               CheckDialled, settings.control_peers);
+  if (gateway != nullptr) {
+    TableReader table(*gateway, "gateway", file, faults);
+    settings.gateway = ReadGateway(table);
+  }
+  if (control != nullptr) {
+    TableReader table(*control, "control", file, faults);
+    settings.control = ReadControl(table);
+  }
+  reader.RefuseUnknownKeys();
+  return settings;
+}
+
+}  // namespace
+
+SettingsResult ParseSettings(const std::string& text, const std::string& file,
+                             const Overrides& overrides) {
+  std::vector<SettingsFault> faults;
+  toml::table root;
+  try {
+    root = toml::parse(text, file);
+  } catch (const toml::parse_error& error) {
+    faults.push_back({file, error.source().begin.line, "",
+                      std::string(error.description())});
+    return tl::unexpected(std::move(faults));
+  }
+  for (const auto& [key, value] : overrides) {
+    root.insert_or_assign(key, value);
+  }
+  Settings settings = ReadRoot(root, file, faults);
+  if (!faults.empty()) {
+    return tl::unexpected(std::move(faults));
+  }
+  return settings;
+}
+
+SettingsResult LoadSettings(const std::string& file,
+                            const Overrides& overrides) {
+  std::ifstream stream(file);
+  std::ostringstream text;
+  text << stream.rdbuf();
+  if (!stream) {
+    return tl::unexpected(
+        std::vector<SettingsFault>{{file, 1, "", "cannot be read"}});
+  }
+  return ParseSettings(text.str(), file, overrides);
+}
+
+}  // namespace juniperway::daemon
