--- a/source/lab/commands.h
+++ b/source/lab/commands.h
@@ -14,6 +14,7 @@
 int RunCallerCommand(int argc, const char** argv);
 int RunFleetCommand(int argc, const char** argv);
 int RunExperimentCommand(int argc, const char** argv);
+int RunDemoCommand(int argc, const char** argv);
 int RunBenchCommand(int argc, const char** argv);
 
 }  // namespace juniperway::lab
--- a/source/lab/experiment/command.cc
+++ b/source/lab/experiment/command.cc
@@ -15,6 +15,9 @@
 namespace juniperway::lab {
 namespace {
 
+// Queries a second of the demo.
+constexpr double kDemoRate = 100;
+
 struct Flags {
   bool list = false;
   bool json = false;
@@ -29,10 +32,9 @@
   std::string deploy_folder;
 };
 
-CommandLine MakeCommandLine(Flags& flags) {
-  CommandLine line("juniperway-lab experiment");
-  line.Add("list", flags.list, "name the scenarios")
-      .Add("seed", flags.seed, "seed of the run")
+CommandLine MakeCommandLine(const std::string& command, Flags& flags) {
+  CommandLine line("juniperway-lab " + command);
+  line.Add("seed", flags.seed, "seed of the run")
       .Add("seeds", flags.seeds, "A..B: one run for each seed")
       .Add("deployment", flags.deployment, "lin, tadamoun or a file")
       .Add("rate", flags.rate, "queries a second")
@@ -111,6 +113,9 @@
 }
 
 int RunScenarios(const std::vector<std::string>& names, Flags flags) {
+  if (!flags.verbose) {
+    FLAGS_minloglevel = google::GLOG_WARNING;
+  }
   FindFolders(flags);
   const auto seeds = SeedRange(flags);
   Result<ExperimentOptions> options = MakeOptions(flags);
@@ -137,14 +142,12 @@
 
 int RunExperimentCommand(int argc, const char** argv) {
   Flags flags;
-  CommandLine line = MakeCommandLine(flags);
+  CommandLine line = MakeCommandLine("experiment", flags);
+  line.Add("list", flags.list, "name the scenarios");
   const auto names = line.Parse(argc, argv);
   if (!names) {
     return ReportUsage(names.error());
   }
-  if (!flags.verbose) {
-    FLAGS_minloglevel = google::GLOG_WARNING;
-  }
   if (flags.list) {
     return ListScenarios();
   }
@@ -155,4 +158,22 @@
   return RunScenarios(*names, flags);
 }
 
+int RunDemoCommand(int argc, const char** argv) {
+  Flags flags;
+  flags.rate = kDemoRate;
+  CommandLine line = MakeCommandLine("demo", flags);
+  const auto rest = line.Parse(argc, argv);
+  if (!rest) {
+    return ReportUsage(rest.error());
+  }
+  std::cout << "Starting a fleet of the sizes in deploy/" << flags.deployment
+            << ".json: control machines, gateways and back ends as processes\n"
+               "on loopback, every link through a proxy with the delays of "
+               "zones and regions.\nThen queries for half a minute, with "
+               "stragglers, drained back ends and index\nchanges under way; "
+               "every answer is checked against the exact right rows.\n"
+            << std::endl;
+  return RunScenarios({"demo"}, flags);
+}
+
 }  // namespace juniperway::lab
--- a/source/lab/fleet/child_process.cc
+++ b/source/lab/fleet/child_process.cc
@@ -54,8 +54,8 @@
   }
   pointers.push_back(nullptr);
 
-  const int log = ::open(log_path.c_str(),
-                         O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0644);
+  const int log =
+      ::open(log_path.c_str(), O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0644);
   int output[2];
   if (log < 0 || ::pipe2(output, O_CLOEXEC) != 0) {
     return MakeError(ErrorCode::kIo, log_path, std::strerror(errno));
--- a/source/lab/fleet/fleet.cc
+++ b/source/lab/fleet/fleet.cc
@@ -235,11 +235,8 @@
 }
 
 Result<void> Fleet::AwaitLeader() {
-  const bool elected = WaitFor(kLeaderTimeout, [this] {
-    const ControlReply reply = control_->GetAnywhere("/v1/status");
-    return reply.status == kOk &&
-           !reply.body.value("leader", nlohmann::json()).is_null();
-  });
+  const bool elected =
+      WaitFor(kLeaderTimeout, [this] { return LeaderName().has_value(); });
   if (!elected) {
     return MakeError(ErrorCode::kUnavailable, "control", "elects no leader");
   }
--- a/source/lab/fleet/layout.cc
+++ b/source/lab/fleet/layout.cc
@@ -65,8 +65,7 @@
 
 // Lower is better: a region and a zone not used yet, few shards.
 std::tuple<bool, bool, std::size_t> PlacementCost(
-    const BackendPlan& candidate,
-    const std::vector<const BackendPlan*>& used) {
+    const BackendPlan& candidate, const std::vector<const BackendPlan*>& used) {
   bool same_region = false;
   bool same_zone = false;
   for (const BackendPlan* other : used) {
@@ -115,8 +114,8 @@
       BackendPlan* best = nullptr;
       for (std::size_t step = 0; step < backends.size(); ++step) {
         BackendPlan& candidate = backends[(index + step) % backends.size()];
-        const bool taken = std::find(used.begin(), used.end(), &candidate) !=
-                           used.end();
+        const bool taken =
+            std::find(used.begin(), used.end(), &candidate) != used.end();
         if (!taken && (best == nullptr || PlacementCost(candidate, used) <
                                               PlacementCost(*best, used))) {
           best = &candidate;
--- a/source/lab/fleet/layout.h
+++ b/source/lab/fleet/layout.h
@@ -62,8 +62,7 @@
 // What a back end holds of a partition map.
 std::vector<Holding> MakeHoldings(
     const std::vector<resources::Partition>& partitions,
-    const std::set<std::string>& shards,
-    resources::IndexVersion index_version);
+    const std::set<std::string>& shards, resources::IndexVersion index_version);
 
 resources::Resource MakeServiceResource(const ServiceLayout& service);
 // @param address "ip:port" where owners reach it.
--- a/source/lab/fleet/settings_file.cc
+++ b/source/lab/fleet/settings_file.cc
@@ -32,8 +32,8 @@
   table.insert("peer_advertise", settings.control_peer_advertise);
   if (!settings.initial_members.empty()) {
     table.insert("initial_members", ToArray(settings.initial_members));
-    table.insert("bootstrap", true);
   }
+  table.insert("bootstrap", true);
   if (!settings.platform_url.empty()) {
     table.insert("platform_url", settings.platform_url);
   }
--- a/source/lab/main.cc
+++ b/source/lab/main.cc
@@ -18,6 +18,7 @@
       {"backend", juniperway::lab::RunBackendCommand},
       {"bench", juniperway::lab::RunBenchCommand},
       {"caller", juniperway::lab::RunCallerCommand},
+      {"demo", juniperway::lab::RunDemoCommand},
       {"experiment", juniperway::lab::RunExperimentCommand},
       {"platform", juniperway::lab::RunPlatformCommand},
       {"proxy", juniperway::lab::RunProxyCommand},
