Finish writing answers before a front says that it is drained

Cause: the front called itself drained when the last answer was handed to the HTTP server, not when it was written; and kept connections lived until the process ended, so that a next request met a reset. Change: HttpServer counts unwritten answers and, once asked, makes each answer the last of its connection; the front waits for the one and asks for the other when it stops. Measured: ctest -R unit.net/http passes with the new case; without CloseAfterAnswers' effect its check fails. Conclusion: a planned stop cuts no answer off.

--- a/source/common/gateway/front_server.cc
+++ b/source/common/gateway/front_server.cc
@@ -4,6 +4,7 @@
 #include <prometheus/text_serializer.h>
 
 #include <asio/post.hpp>
+#include <asio/steady_timer.hpp>
 #include <nlohmann/json.hpp>
 #include <optional>
 #include <random>
@@ -25,6 +26,8 @@
 constexpr Duration kOverloadRetryAfter = milliseconds(200);
 constexpr Duration kNoLeaseRetryAfter = seconds(1);
 constexpr Duration kStoppingRetryAfter = seconds(1);
+// While stopping: how often it is looked whether the last answers are written.
+constexpr Duration kDrainPoll = milliseconds(2);
 constexpr int kStatusMethodNotAllowed = 405;
 
 // The service's name in "/v1/services/{service}/query".
@@ -247,6 +250,7 @@
   void Stop(std::function<void()> drained_listener) {
     stopping = true;
     drained = std::move(drained_listener);
+    http.CloseAfterAnswers();
     logging::LogEvent(kFrontStopping, {{"running", executor.running()}});
     ReportIfDrained();
   }
@@ -255,6 +259,15 @@
     if (!stopping || executor.running() > 0 || !drained) {
       return;
     }
+    if (http.unwritten_answers() > 0) {
+      drain_poll.expires_after(kDrainPoll);
+      drain_poll.async_wait([this](const asio::error_code& error) {
+        if (!error) {
+          ReportIfDrained();
+        }
+      });
+      return;
+    }
     logging::LogEvent(kFrontDrained, {});
     asio::post(context, std::exchange(drained, nullptr));
   }
@@ -268,6 +281,7 @@
   std::mt19937_64 random;
   bool stopping = false;
   std::function<void()> drained;
+  asio::steady_timer drain_poll{context};
   // Last: its handlers use all of the above.
   net::HttpServer http;
 };
--- a/source/common/net/http_server.cc
+++ b/source/common/net/http_server.cc
@@ -189,6 +189,13 @@
 
 class Responder;
 
+// What the answers of one server share.
+struct AnswerState {
+  // Each answer that is not yet written holds a copy.
+  std::shared_ptr<char> unwritten = std::make_shared<char>();
+  bool close_after_answers = false;
+};
+
 // Which requests of which connection are waiting for their answer.
 class PendingRequests {
  public:
@@ -213,8 +220,11 @@
 class Responder : public HttpResponder,
                   public std::enable_shared_from_this<Responder> {
  public:
-  Responder(asio::io_context* context, restinio::request_handle_t request)
-      : context_(context), request_(std::move(request)) {}
+  Responder(asio::io_context* context, std::shared_ptr<AnswerState> answers,
+            restinio::request_handle_t request)
+      : context_(context),
+        answers_(std::move(answers)),
+        request_(std::move(request)) {}
 
   ~Responder() override {
     if (request_ && !caller_gone_) {
@@ -257,8 +267,8 @@
     });
   }
 
-  static void SendNow(HttpResponse response,
-                      const restinio::request_handle_t& request) {
+  void SendNow(HttpResponse response,
+               const restinio::request_handle_t& request) const {
     auto builder = request->create_response(restinio::http_status_line_t(
         restinio::http_status_code_t(
             static_cast<std::uint16_t>(response.status)),
@@ -271,10 +281,15 @@
                             std::move(response.content_type));
     }
     builder.set_body(std::move(response.body));
-    builder.done();
+    if (answers_->close_after_answers) {
+      builder.connection_close();
+    }
+    // Dropped when the answer was written or cannot be any more.
+    builder.done([token = answers_->unwritten](const auto&) {});
   }
 
   asio::io_context* context_;
+  std::shared_ptr<AnswerState> answers_;
   restinio::request_handle_t request_;
   std::function<void()> on_caller_gone_;
   bool caller_gone_ = false;
@@ -382,6 +397,7 @@
     HttpHandler handler;
     std::shared_ptr<PendingRequests> pending =
         std::make_shared<PendingRequests>();
+    std::shared_ptr<AnswerState> answers = std::make_shared<AnswerState>();
   };
 
   Implementation(asio::io_context& context, const HttpServerOptions& options,
@@ -428,7 +444,8 @@
 
   static void Handle(const Shared& shared,
                      const restinio::request_handle_t& request) {
-    auto responder = std::make_shared<Responder>(shared.context, request);
+    auto responder =
+        std::make_shared<Responder>(shared.context, shared.answers, request);
     shared.pending->Add(request->connection_id(), responder);
     if (request->body().size() > shared.maximum_body_bytes) {
       responder->Send(Refusal(ErrorCode::kTooLarge, "body",
@@ -478,6 +495,15 @@
   return implementation_->local_endpoint;
 }
 
+void HttpServer::CloseAfterAnswers() {
+  implementation_->shared->answers->close_after_answers = true;
+}
+
+std::size_t HttpServer::unwritten_answers() const {
+  // The state itself holds one copy.
+  return implementation_->shared->answers->unwritten.use_count() - 1;
+}
+
 void HttpServer::StopAccepting() { implementation_->server->close_sync(); }
 
 void HttpServer::Close() {
--- a/source/common/net/http_server.h
+++ b/source/common/net/http_server.h
@@ -78,6 +78,11 @@
   HttpServer& operator=(const HttpServer&) = delete;
 
   asio::ip::tcp::endpoint local_endpoint() const;
+  // From now on each answer is the last of its connection, so that callers
+  // connect anew, elsewhere, before this server goes.
+  void CloseAfterAnswers();
+  // Answers that were sent and are not yet written to their connections.
+  std::size_t unwritten_answers() const;
   // Accepts nothing more; requests in flight may still be answered.
   void StopAccepting();
   // Closes the listener and every connection.
--- a/test/unit/net/http_test.cc
+++ b/test/unit/net/http_test.cc
@@ -328,4 +328,28 @@
   CHECK(Exchange(context, client, request).status == 200);
 }
 
+TEST_CASE("a server that is to go ends connections with their answers") {
+  asio::io_context context;
+  std::size_t unwritten = 0;
+  std::unique_ptr<HttpServer> server;
+  server = std::make_unique<HttpServer>(
+      context, LoopbackOptions(), [&](const HttpRequest&, auto responder) {
+        HttpResponse response;
+        response.body = std::string(1'000'000, 'x');
+        responder->Send(response);
+        unwritten = server->unwritten_answers();
+      });
+  HttpClient client(context, 0);
+  HttpClientRequest request;
+  request.url = UrlOf(server->local_endpoint(), "/x");
+  CHECK(Exchange(context, client, request).headers["connection"] != "close");
+  server->CloseAfterAnswers();
+  const auto last = Exchange(context, client, request);
+  CHECK(unwritten == 1);
+  CHECK(last.headers.at("connection") == "close");
+  CHECK(last.body.size() == 1'000'000);
+  CHECK(test::RunUntil(context,
+                       [&] { return server->unwritten_answers() == 0; }));
+}
+
 }  // namespace juniperway::net
