--- a/test/unit/lab/promises/history_check_test.cc
+++ b/test/unit/lab/promises/history_check_test.cc
@@ -90,6 +90,18 @@
   CHECK(earlier.violations() == 1);
 }
 
+TEST_CASE("refusal_honest: late work under a repeatable attempt's own id") {
+  // Attempts of a repeatable query have an id each, so that work which begins
+  // after the next attempt was sent can only be the refused one's.
+  const std::vector<QueryRecord> history = {
+      Record("q", true,
+             {Refused("q-1", 0, ExecutionState::kNotRun),
+              MakeAttempt("q-2", 20, AttemptOutcome::kAnswered)})};
+  PromiseReport report;
+  CheckRefusals(history, GroupByRequest({Begun("q-1", 25, {0, 10})}), report);
+  CHECK(report.violations() == 1);
+}
+
 TEST_CASE("at_most_once: a range begun twice is caught") {
   const std::vector<QueryRecord> history = {
       Record("q", false, {MakeAttempt("q", 0, AttemptOutcome::kAnswered)})};
