Read control frames without the alignment check

Cause: the verifier of DecodeFrame checked alignment from the frame's start, but offsets there are shifted by the size prefix, so whole frames were refused. Change: use net::ReadFrame, which knows this.

--- a/source/common/session/control_frames.cc
+++ b/source/common/session/control_frames.cc
@@ -1,23 +1,14 @@
 #include "common/session/control_frames.h"
 
 namespace juniperway::session {
-namespace {
-
-// A full state of the largest fleet stays far below; a hostile frame does not
-// make the verifier run for long.
-constexpr flatbuffers::uoffset_t kMaximumTables = 10'000'000;
-constexpr flatbuffers::uoffset_t kMaximumDepth = 64;
-
-}  // namespace
 
 std::optional<protocol::ControlFrameT> DecodeFrame(net::FrameBytes frame) {
-  flatbuffers::Verifier verifier(frame.data(), frame.size(), kMaximumDepth,
-                                 kMaximumTables);
-  if (!protocol::VerifyControlFrameBuffer(verifier)) {
+  const auto* root = net::ReadFrame<protocol::ControlFrame>(frame);
+  if (root == nullptr) {
     return std::nullopt;
   }
   protocol::ControlFrameT decoded;
-  protocol::GetControlFrame(frame.data())->UnPackTo(&decoded);
+  root->UnPackTo(&decoded);
   return decoded;
 }
 
