--- /dev/null
+++ b/source/common/control/control_node.cc
@@ -0,0 +1,301 @@
+#include "common/control/control_node.h"
+
+#include <glog/logging.h>
+
+#include <algorithm>
+#include <asio/post.hpp>
+#include <fstream>
+#include <iterator>
+#include <nlohmann/json.hpp>
+#include <utility>
+
+#include "common/control/events.h"
+#include "common/net/address.h"
+#include "common/raft/configuration.h"
+
+namespace juniperway::control {
+namespace {
+
+constexpr Duration kTickInterval = milliseconds(50);
+// Confirmations that come within this time move the watermarks together: each
+// move goes over every lease.
+constexpr Duration kAdvanceDelay = milliseconds(5);
+// How long a machine that stops waits for calls under way once another leads.
+constexpr Duration kStopDrainTime = milliseconds(500);
+constexpr const char* kBackupFileName = "backup.db";
+
+std::string_view RoleName(raft::Role role) {
+  switch (role) {
+    case raft::Role::kFollower:
+      return "follower";
+    case raft::Role::kPreCandidate:
+      return "pre_candidate";
+    case raft::Role::kCandidate:
+      return "candidate";
+    case raft::Role::kLeader:
+      return "leader";
+  }
+  return "unknown";
+}
+
+Result<std::string> ReadFile(const std::filesystem::path& file) {
+  std::ifstream stream(file, std::ios::binary);
+  std::string content{std::istreambuf_iterator<char>(stream), {}};
+  if (!stream) {
+    return MakeError(ErrorCode::kIo, file.string(), "cannot be read");
+  }
+  return content;
+}
+
+}  // namespace
+
+ControlNode::~ControlNode() { Close(); }
+
+void ControlNode::Start() {
+  logging::LogEvent(
+      kControlStarted,
+      {{"node", options_.node_id},
+       {"http", net::FormatEndpoint(api_server_->local_endpoint())},
+       {"peer", net::FormatEndpoint(listener_->local_endpoint())},
+       {"revision", state_.revision()}});
+  OnRaftChange();
+  driver_->Start();
+  if (poller_) {
+    poller_->Start();
+  }
+  ArmTick();
+}
+
+void ControlNode::Close() {
+  if (closed_) {
+    return;
+  }
+  closed_ = true;
+  *alive_ = false;
+  tick_timer_.cancel();
+  advance_timer_.cancel();
+  poller_.reset();
+  leader_client_->Stop();
+  api_server_->Close();
+  sessions_->Stop();
+  listener_->Close();
+  peers_->Stop();
+  driver_->Stop();
+}
+
+// --- Consensus ---------------------------------------------------------------
+
+void ControlNode::Apply(const raft::Entry& entry) {
+  const resources::Revision before = state_.revision();
+  AppliedCommand applied;
+  if (entry.kind == raft::EntryKind::kCommand) {
+    applied = state_.Apply(entry.data);
+  }
+  role_->OnApplied(entry, std::move(applied), ReadMonotonicClock());
+  if (state_.revision() != before) {
+    OnStateChanged();
+  }
+}
+
+void ControlNode::Install(const raft::Snapshot& snapshot) {
+  auto state = ControlState::DecodeSnapshot(snapshot.data);
+  CHECK(state) << FormatError(state.error());
+  state_ = std::move(*state);
+  OnStateChanged();
+}
+
+void ControlNode::OnStateChanged() {
+  sessions_->OnStateChanged();
+  api_server_->OnStateChanged();
+}
+
+void ControlNode::OnRaftChange() {
+  const raft::Status status = driver_->GetStatus();
+  const MonotonicTime now = ReadMonotonicClock();
+  const bool another_leader = status.leader != known_status_.leader ||
+                              status.role != known_status_.role ||
+                              status.term != known_status_.term;
+  if (another_leader) {
+    NoteRole(status);
+  }
+  NoteMembers(status);
+  known_status_ = status;
+  role_->Update(status, now);
+  if (another_leader) {
+    leader_client_->Tick(now);
+  }
+}
+
+void ControlNode::NoteRole(const raft::Status& status) {
+  logging::LogEvent(kRoleChanged, {{"node", options_.node_id},
+                                   {"role", RoleName(status.role)},
+                                   {"term", status.term},
+                                   {"leader", status.leader}});
+}
+
+void ControlNode::NoteMembers(const raft::Status& status) {
+  if (status.configuration != known_status_.configuration) {
+    peers_->SetPeers(raft::AllMembers(status.configuration));
+  }
+  for (const raft::Progress& progress : status.progress) {
+    if (progress.regressed && lost_data_.insert(progress.member.id).second) {
+      logging::LogEvent(kMemberLostData, {{"node", progress.member.id},
+                                          {"match", progress.match}});
+    }
+  }
+}
+
+raft::NodeId ControlNode::KnownLeader() const {
+  if (known_status_.role == raft::Role::kLeader) {
+    return options_.node_id;
+  }
+  return known_status_.leader == options_.node_id ? raft::kNoNode
+                                                  : known_status_.leader;
+}
+
+// --- Resource API ------------------------------------------------------------
+
+Result<void> ControlNode::AddMember(const raft::Member& member) {
+  const auto members = raft::AllMembers(driver_->GetStatus().configuration);
+  if (std::ranges::find(members, member) != members.end()) {
+    return {};  // A resend.
+  }
+  return driver_->AddLearner(member).map(
+      [](const raft::Fsm::Proposal& /*proposal*/) {});
+}
+
+Result<void> ControlNode::RemoveMember(raft::NodeId id) {
+  if (id != options_.node_id) {
+    return driver_->RemoveMember(id).map(
+        [](const raft::Fsm::Proposal& /*proposal*/) {});
+  }
+  // The call is tried again, and reaches the next leader then.
+  if (auto handed_over = TransferLeadership(); !handed_over) {
+    return handed_over;
+  }
+  return MakeError(ErrorCode::kUnavailable, "id",
+                   "leads now and hands leadership over first");
+}
+
+nlohmann::json ControlNode::DescribeNode() const {
+  const raft::Status status = driver_->GetStatus();
+  return {{"node_id", status.id},
+          {"cluster", options_.cluster},
+          {"role", RoleName(status.role)},
+          {"term", status.term},
+          {"leader", status.leader},
+          {"commit", status.commit},
+          {"applied", status.applied},
+          {"last", status.last},
+          {"local_revision", state_.revision()},
+          {"sessions", sessions_->size()}};
+}
+
+Result<std::string> ControlNode::MakeBackup() {
+  const std::filesystem::path file = options_.data_folder / kBackupFileName;
+  if (auto made = driver_->Backup(file); !made) {
+    return tl::unexpected(made.error());
+  }
+  auto content = ReadFile(file);
+  std::error_code ignored;
+  std::filesystem::remove(file, ignored);
+  return content;
+}
+
+// --- Time --------------------------------------------------------------------
+
+void ControlNode::ScheduleFlush() {
+  if (flush_scheduled_ || closed_) {
+    return;
+  }
+  flush_scheduled_ = true;
+  asio::post(context_, [this, alive = alive_] {
+    if (*alive) {
+      flush_scheduled_ = false;
+      role_->FlushOperations(ReadWallClock());
+    }
+  });
+}
+
+void ControlNode::ScheduleAdvance() {
+  if (advance_scheduled_ || closed_) {
+    return;
+  }
+  advance_scheduled_ = true;
+  advance_timer_.expires_after(kAdvanceDelay);
+  advance_timer_.async_wait([this, alive = alive_](const asio::error_code& e) {
+    if (!e && *alive) {
+      advance_scheduled_ = false;
+      role_->Advance(ReadMonotonicClock());
+    }
+  });
+}
+
+void ControlNode::ArmTick() {
+  tick_timer_.expires_after(kTickInterval);
+  tick_timer_.async_wait([this, alive = alive_](const asio::error_code& error) {
+    if (error || !*alive) {
+      return;
+    }
+    Tick(ReadMonotonicClock());
+    if (*alive) {
+      ArmTick();
+    }
+  });
+}
+
+void ControlNode::Tick(MonotonicTime now) {
+  peers_->Tick(now);
+  listener_->Tick(now);
+  role_->Tick(now);
+  leader_client_->Tick(now);
+  sessions_->Tick(now);
+  api_server_->Tick(now);
+  if (on_stopped_) {
+    ContinueStop(now);
+  }
+}
+
+void ControlNode::Stop(Duration timeout, std::function<void()> done) {
+  stop_deadline_ = ReadMonotonicClock() + timeout;
+  on_stopped_ = std::move(done);
+  api_server_->StopAccepting();
+  // Tick goes on with it.
+}
+
+Result<void> ControlNode::TransferLeadership() {
+  const raft::Status status = driver_->GetStatus();
+  const raft::Progress* best = nullptr;
+  for (const raft::Progress& progress : status.progress) {
+    const bool fit = progress.member.id != options_.node_id && progress.voter &&
+                     progress.active && progress.caught_up &&
+                     !progress.regressed;
+    if (fit && (best == nullptr || progress.match > best->match)) {
+      best = &progress;
+    }
+  }
+  if (best == nullptr) {
+    return MakeError(ErrorCode::kUnavailable, "",
+                     "no other voter could take over now");
+  }
+  return driver_->TransferLeadership(best->member.id);
+}
+
+void ControlNode::ContinueStop(MonotonicTime now) {
+  const bool leads = known_status_.role == raft::Role::kLeader;
+  const bool alone = known_status_.configuration.voters.size() <= 1;
+  if (leads && !alone && now < stop_deadline_) {
+    static_cast<void>(TransferLeadership());  // Tried again each tick.
+    return;
+  }
+  stop_deadline_ = std::min(stop_deadline_, now + kStopDrainTime);
+  const bool idle = leader_client_->idle() || alone;
+  if (!idle && now < stop_deadline_) {
+    return;
+  }
+  const auto done = std::exchange(on_stopped_, nullptr);
+  Close();
+  done();
+}
+
+}  // namespace juniperway::control
--- /dev/null
+++ b/source/common/control/control_node.h
@@ -0,0 +1,133 @@
+// The parts of one control machine and how they talk to each other. The set-up
+// is in control_node_setup.cc, what happens at run time in control_node.cc.
+// Everything runs on the event loop's thread.
+#pragma once
+
+#include <asio/io_context.hpp>
+#include <asio/steady_timer.hpp>
+#include <functional>
+#include <map>
+#include <memory>
+#include <nlohmann/json_fwd.hpp>
+#include <string>
+#include <vector>
+
+#include "common/control/api_server.h"
+#include "common/control/control_server.h"
+#include "common/control/control_state.h"
+#include "common/control/leader_client.h"
+#include "common/control/leader_role.h"
+#include "common/control/peer_listener.h"
+#include "common/control/peer_network.h"
+#include "common/control/platform_poller.h"
+#include "common/control/raft_driver.h"
+#include "common/control/resource_api.h"
+#include "common/control/session_server.h"
+
+namespace juniperway::control {
+
+class ControlNode {
+ public:
+  // Throws std::exception on set-up faults.
+  ControlNode(asio::io_context& context, const ControlServerOptions& options,
+              std::unique_ptr<storage::LogStore> store);
+  ~ControlNode();
+  ControlNode(const ControlNode&) = delete;
+  ControlNode& operator=(const ControlNode&) = delete;
+
+  void Start();
+  // See ControlServer::Stop.
+  void Stop(Duration timeout, std::function<void()> done);
+  // Nothing runs after this.
+  void Close();
+
+  asio::ip::tcp::endpoint http_endpoint() const {
+    return api_server_->local_endpoint();
+  }
+  asio::ip::tcp::endpoint peer_endpoint() const {
+    return listener_->local_endpoint();
+  }
+
+ private:
+  // --- Set-up (control_node_setup.cc)
+  void MakeDriver(raft::InitialState initial,
+                  std::unique_ptr<storage::LogStore> store);
+  RaftDriver::Callbacks DriverCallbacks();
+  void MakePeers();
+  void MakeListener();
+  void MakeRole();
+  void MakeLeaderClient();
+  void MakeSessions();
+  void MakeApi();
+
+  // --- Consensus
+  void SendConsensus(const std::vector<raft::Message>& messages);
+  void Apply(const raft::Entry& entry);
+  void Install(const raft::Snapshot& snapshot);
+  void OnRaftChange();
+  void NoteRole(const raft::Status& status);
+  void NoteMembers(const raft::Status& status);
+  void OnStateChanged();
+  // This machine only while it leads; kNoNode when nobody is known to.
+  raft::NodeId KnownLeader() const;
+
+  // --- Between control machines
+  void OnPeerFrame(raft::NodeId from, const protocol::ControlFrameT& frame);
+  void OnForwardedOperations(raft::NodeId from,
+                             const protocol::ForwardOperationsT& forwarded);
+  void OnForwardedCall(raft::NodeId from,
+                       const protocol::ForwardCallT& forwarded);
+  void OnForwardedHeartbeats(raft::NodeId from,
+                             const protocol::ForwardHeartbeatsT& forwarded);
+  void OnProgressUpdate(const protocol::ProgressUpdateT& progress);
+  bool ForwardHeartbeats(Heartbeats heartbeats);
+  void ForwardGoodbye(const DaemonKey& daemon);
+  void AnnounceProgress(
+      resources::Revision in_force,
+      const std::map<std::string, resources::Revision>& zones);
+
+  // --- Resource API
+  Result<void> AddMember(const raft::Member& member);
+  Result<void> RemoveMember(raft::NodeId id);
+  nlohmann::json DescribeNode() const;
+  Result<std::string> MakeBackup();
+
+  // --- Time
+  void ScheduleFlush();
+  void ScheduleAdvance();
+  void ArmTick();
+  void Tick(MonotonicTime now);
+  Result<void> TransferLeadership();
+  void ContinueStop(MonotonicTime now);
+
+  asio::io_context& context_;
+  ControlServerOptions options_;
+  std::uint64_t seed_;
+  asio::steady_timer tick_timer_;
+  asio::steady_timer advance_timer_;
+  bool flush_scheduled_ = false;
+  bool advance_scheduled_ = false;
+  bool closed_ = false;
+  // A planned stop is under way when this is set.
+  std::function<void()> on_stopped_;
+  MonotonicTime stop_deadline_;
+
+  ControlState state_;
+  raft::Status known_status_;
+  // Members last seen without their data.
+  std::set<raft::NodeId> lost_data_;
+
+  std::shared_ptr<RaftDriver> driver_;
+  std::shared_ptr<PeerNetwork> peers_;
+  std::unique_ptr<LeaderRole> role_;
+  std::unique_ptr<LeaderClient> leader_client_;
+  std::unique_ptr<SessionServer> sessions_;
+  std::unique_ptr<ResourceApi> resource_api_;
+  std::unique_ptr<PeerListener> listener_;
+  std::unique_ptr<ApiServer> api_server_;
+  std::unique_ptr<PlatformPoller> poller_;
+  // Handlers that outlive this object find it gone.
+  std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
+};
+
+}  // namespace juniperway::control
--- /dev/null
+++ b/source/common/control/control_node_peers.cc
@@ -0,0 +1,174 @@
+// What control machines say to each other; see control_node.h.
+#include <utility>
+
+#include "common/control/consensus_codec.h"
+#include "common/control/control_node.h"
+#include "common/raft/configuration.h"
+#include "common/session/control_frames.h"
+
+namespace juniperway::control {
+
+void ControlNode::SendConsensus(const std::vector<raft::Message>& messages) {
+  std::map<raft::NodeId, protocol::ConsensusMessagesT> by_receiver;
+  for (const raft::Message& message : messages) {
+    by_receiver[message.to].messages.push_back(EncodeMessage(message));
+  }
+  for (auto& [to, batch] : by_receiver) {
+    peers_->Send(to, std::move(batch));
+  }
+}
+
+void ControlNode::OnPeerFrame(raft::NodeId from,
+                              const protocol::ControlFrameT& frame) {
+  const auto& message = frame.message;
+  if (const auto* consensus = message.AsConsensusMessages()) {
+    for (const auto& record : consensus->messages) {
+      const auto decoded = DecodeMessage(*record);
+      if (decoded && decoded->from == from) {
+        driver_->Step(*decoded);
+      }
+    }
+  } else if (const auto* heartbeats = message.AsForwardHeartbeats()) {
+    OnForwardedHeartbeats(from, *heartbeats);
+  } else if (const auto* replies = message.AsForwardHeartbeatsReply()) {
+    sessions_->OnReplies(replies->replies);
+  } else if (const auto* progress = message.AsProgressUpdate()) {
+    OnProgressUpdate(*progress);
+  } else if (const auto* operations = message.AsForwardOperations()) {
+    OnForwardedOperations(from, *operations);
+  } else if (const auto* results = message.AsForwardOperationsReply()) {
+    leader_client_->OnReply(*results);
+  } else if (const auto* call = message.AsForwardCall()) {
+    OnForwardedCall(from, *call);
+  } else if (const auto* answer = message.AsForwardCallReply()) {
+    leader_client_->OnReply(*answer);
+  }
+}
+
+void ControlNode::OnForwardedOperations(
+    raft::NodeId from, const protocol::ForwardOperationsT& forwarded) {
+  Operations operations;
+  for (const auto& item : forwarded.operations) {
+    operations.push_back(std::make_unique<protocol::OperationItemT>(*item));
+  }
+  role_->Submit(std::move(operations),
+                [this, alive = alive_, from,
+                 id = forwarded.call_id](Result<OperationResults> result) {
+                  if (!*alive) {
+                    return;
+                  }
+                  protocol::ForwardOperationsReplyT reply;
+                  reply.call_id = id;
+                  if (result) {
+                    reply.results = std::move(*result);
+                  } else {
+                    reply.error = session::EncodeError(result.error());
+                  }
+                  peers_->Send(from, std::move(reply));
+                });
+}
+
+void ControlNode::OnForwardedCall(raft::NodeId from,
+                                  const protocol::ForwardCallT& forwarded) {
+  ApiCall call;
+  call.method = forwarded.method;
+  call.path = forwarded.path;
+  call.change_id = forwarded.change_id;
+  call.body = forwarded.body;
+  for (const auto& parameter : forwarded.parameters) {
+    call.parameters[parameter->key] = parameter->value;
+  }
+  resource_api_->Handle(
+      call, [this, alive = alive_, from,
+             id = forwarded.call_id](const net::HttpResponse& response) {
+        if (!*alive) {
+          return;
+        }
+        protocol::ForwardCallReplyT reply;
+        reply.call_id = id;
+        reply.status = static_cast<std::uint16_t>(response.status);
+        reply.body = response.body;
+        for (const auto& [name, value] : response.headers) {
+          auto& header = reply.headers.emplace_back(
+              std::make_unique<protocol::TextPairT>());
+          header->key = name;
+          header->value = value;
+        }
+        peers_->Send(from, std::move(reply));
+      });
+}
+
+void ControlNode::OnForwardedHeartbeats(
+    raft::NodeId from, const protocol::ForwardHeartbeatsT& forwarded) {
+  for (const auto& goodbye : forwarded.goodbyes) {
+    role_->OnGoodbye({goodbye->daemon_id, goodbye->incarnation});
+  }
+  if (forwarded.heartbeats.empty()) {
+    return;
+  }
+  protocol::ForwardHeartbeatsReplyT reply;
+  reply.replies =
+      role_->OnHeartbeats(forwarded.heartbeats, ReadMonotonicClock());
+  peers_->Send(from, std::move(reply));
+}
+
+void ControlNode::OnProgressUpdate(const protocol::ProgressUpdateT& progress) {
+  // Watermarks only grow and stay true, whoever announced them.
+  std::map<std::string, resources::Revision> zones;
+  for (const auto& zone : progress.zones) {
+    zones[zone->zone] = zone->released_revision;
+  }
+  sessions_->OnProgress(progress.in_force_revision, zones);
+}
+
+bool ControlNode::ForwardHeartbeats(Heartbeats heartbeats) {
+  const raft::NodeId leader = KnownLeader();
+  if (leader == raft::kNoNode) {
+    return false;
+  }
+  if (leader == options_.node_id) {
+    sessions_->OnReplies(role_->OnHeartbeats(heartbeats, ReadMonotonicClock()));
+    return true;
+  }
+  protocol::ForwardHeartbeatsT message;
+  message.heartbeats = std::move(heartbeats);
+  return peers_->Send(leader, std::move(message));
+}
+
+void ControlNode::ForwardGoodbye(const DaemonKey& daemon) {
+  const raft::NodeId leader = KnownLeader();
+  if (leader == options_.node_id) {
+    role_->OnGoodbye(daemon);
+    return;
+  }
+  protocol::ForwardHeartbeatsT message;
+  auto& goodbye = message.goodbyes.emplace_back(
+      std::make_unique<protocol::MemberGoodbyeT>());
+  goodbye->daemon_id = daemon.daemon_id;
+  goodbye->incarnation = daemon.incarnation;
+  peers_->Send(leader, std::move(message));
+}
+
+void ControlNode::AnnounceProgress(
+    resources::Revision in_force,
+    const std::map<std::string, resources::Revision>& zones) {
+  sessions_->OnProgress(in_force, zones);
+  for (const raft::Member& member :
+       raft::AllMembers(known_status_.configuration)) {
+    if (member.id == options_.node_id) {
+      continue;
+    }
+    protocol::ProgressUpdateT progress;
+    progress.term = known_status_.term;
+    progress.in_force_revision = in_force;
+    for (const auto& [zone, released] : zones) {
+      auto& item = progress.zones.emplace_back(
+          std::make_unique<protocol::ZoneProgressT>());
+      item->zone = zone;
+      item->released_revision = released;
+    }
+    peers_->Send(member.id, std::move(progress));
+  }
+}
+
+}  // namespace juniperway::control
--- /dev/null
+++ b/source/common/control/control_node_setup.cc
@@ -0,0 +1,264 @@
+#include <glog/logging.h>
+
+#include <algorithm>
+#include <cstdlib>
+#include <nlohmann/json.hpp>
+#include <random>
+#include <stdexcept>
+#include <utility>
+
+#include "common/control/control_node.h"
+#include "common/control/events.h"
+
+namespace juniperway::control {
+namespace {
+
+bool IsBlank(const raft::InitialState& state) {
+  return state.hard_state == raft::HardState{} && state.entries.empty() &&
+         state.snapshot.index == 0 &&
+         state.snapshot.configuration == raft::Configuration{};
+}
+
+// What the store holds; in a blank one the first configuration is stored.
+raft::InitialState LoadStore(const ControlServerOptions& options,
+                             storage::LogStore& store) {
+  auto state = store.Load();
+  if (!state) {
+    throw std::runtime_error(FormatError(state.error()));
+  }
+  if (!IsBlank(*state) || options.initial_members.empty()) {
+    return std::move(*state);
+  }
+  raft::Snapshot snapshot;
+  snapshot.configuration.voters = options.initial_members;
+  std::ranges::sort(snapshot.configuration.voters);
+  raft::Ready ready;
+  ready.snapshot = snapshot;
+  if (auto written = store.Write(ready); !written) {
+    throw std::runtime_error(FormatError(written.error()));
+  }
+  logging::LogEvent(kStoreBootstrapped,
+                    {{"node", options.node_id},
+                     {"voters", snapshot.configuration.voters.size()}});
+  state->snapshot = std::move(snapshot);
+  return std::move(*state);
+}
+
+std::uint64_t DrawSeed(std::uint64_t seed) {
+  return seed != 0 ? seed : std::random_device()();
+}
+
+[[noreturn]] void EndProcess(const Error& error) {
+  LOG(ERROR) << FormatError(error);
+  google::FlushLogFiles(google::GLOG_INFO);
+  std::_Exit(EXIT_FAILURE);
+}
+
+}  // namespace
+
+ControlNode::ControlNode(asio::io_context& context,
+                         const ControlServerOptions& options,
+                         std::unique_ptr<storage::LogStore> store)
+    : context_(context),
+      options_(options),
+      seed_(DrawSeed(options.seed)),
+      tick_timer_(context),
+      advance_timer_(context) {
+  raft::InitialState initial = LoadStore(options_, *store);
+  if (!initial.snapshot.data.empty()) {
+    auto state = ControlState::DecodeSnapshot(initial.snapshot.data);
+    if (!state) {
+      throw std::runtime_error(FormatError(state.error()));
+    }
+    state_ = std::move(*state);
+  }
+  MakeDriver(std::move(initial), std::move(store));
+  MakePeers();
+  MakeRole();
+  MakeLeaderClient();
+  MakeSessions();
+  MakeListener();
+  MakeApi();
+  if (!options_.platform_url.empty()) {
+    poller_ = std::make_unique<PlatformPoller>(
+        context_, options_.platform_url, options_.platform_poll_interval,
+        [this](const PlatformList& list) { role_->OnPlatformList(list); });
+  }
+}
+
+void ControlNode::MakeDriver(raft::InitialState initial,
+                             std::unique_ptr<storage::LogStore> store) {
+  raft::Options raft_options;
+  raft_options.id = options_.node_id;
+  raft_options.heartbeat_interval = options_.raft_heartbeat_interval;
+  raft_options.election_timeout = options_.raft_election_timeout;
+  raft_options.maximum_clock_drift = options_.maximum_clock_drift;
+  raft_options.kept_entries = options_.kept_entries;
+  raft_options.seed = seed_;
+  const CompactionLimits limits{.bytes = options_.compaction_bytes,
+                                .entries = options_.compaction_entries,
+                                .kept_entries = options_.kept_entries};
+  driver_ =
+      std::make_shared<RaftDriver>(context_, raft_options, std::move(initial),
+                                   std::move(store), limits, DriverCallbacks());
+}
+
+RaftDriver::Callbacks ControlNode::DriverCallbacks() {
+  return {
+      .send =
+          [this](const std::vector<raft::Message>& messages) {
+            SendConsensus(messages);
+          },
+      .apply = [this](const raft::Entry& entry) { Apply(entry); },
+      .install = [this](const raft::Snapshot& snapshot) { Install(snapshot); },
+      .encode_state = [this] { return state_.EncodeSnapshot(); },
+      .on_change = [this] { OnRaftChange(); },
+      .on_failure =
+          [this](const Error& error) {
+            options_.on_store_failure ? options_.on_store_failure(error)
+                                      : EndProcess(error);
+          }};
+}
+
+void ControlNode::MakePeers() {
+  peers_ = std::make_shared<PeerNetwork>(
+      context_, options_.cluster, options_.node_id, seed_,
+      [this](raft::NodeId from, protocol::ControlFrameT frame) {
+        OnPeerFrame(from, frame);
+      });
+}
+
+void ControlNode::MakeListener() {
+  listener_ = std::make_unique<PeerListener>(
+      context_, options_.peer_listen, options_.cluster, options_.node_id,
+      PeerListener::Ports{
+          .adopt_peer =
+              [this](raft::NodeId from, PeerListener::Connection connection) {
+                peers_->Adopt(from, std::move(connection));
+              },
+          .on_peer_frame =
+              [this](raft::NodeId from, net::FrameBytes bytes,
+                     const PeerListener::Connection& connection) {
+                peers_->OnFrame(from, bytes, connection);
+              },
+          .open_session =
+              [this](const PeerListener::Connection& connection,
+                     const protocol::SessionHelloT& hello) {
+                return sessions_->Open(connection, hello);
+              },
+          .on_session_frame =
+              [this](std::uint64_t session, net::FrameBytes bytes) {
+                sessions_->OnFrame(session, bytes);
+              },
+          .on_session_closed =
+              [this](std::uint64_t session) { sessions_->OnClosed(session); }});
+}
+
+void ControlNode::MakeRole() {
+  LeaseTable::Options lease_options;
+  lease_options.lease = options_.lease_duration;
+  lease_options.maximum_clock_drift = options_.maximum_clock_drift;
+  role_ = std::make_unique<LeaderRole>(
+      lease_options,
+      LeaderRole::Ports{
+          .state = [this]() -> const ControlState& { return state_; },
+          .raft_status = [this] { return driver_->GetStatus(); },
+          .has_leader_lease =
+              [this](MonotonicTime now) {
+                return driver_->HasLeaderLease(now);
+              },
+          .propose =
+              [this](std::string command) {
+                return driver_->Propose(std::move(command));
+              },
+          .promote_learner =
+              [this](raft::NodeId id) { return driver_->PromoteLearner(id); },
+          .announce =
+              [this](resources::Revision in_force,
+                     const std::map<std::string, resources::Revision>& zones) {
+                AnnounceProgress(in_force, zones);
+              },
+          .on_queued = [this] { ScheduleFlush(); },
+          .on_confirmed = [this] { ScheduleAdvance(); }});
+}
+
+void ControlNode::MakeLeaderClient() {
+  leader_client_ = std::make_unique<LeaderClient>(
+      options_.node_id,
+      LeaderClient::Ports{
+          .leader = [this] { return KnownLeader(); },
+          .run_operations =
+              [this](Operations operations,
+                     CommandPipeline::Callback callback) {
+                role_->Submit(std::move(operations), std::move(callback));
+              },
+          .run_call =
+              [this](const ApiCall& call, const ApiCallback& answer) {
+                resource_api_->Handle(call, answer);
+              },
+          .send_operations =
+              [this](raft::NodeId to, protocol::ForwardOperationsT message) {
+                return peers_->Send(to, std::move(message));
+              },
+          .send_call =
+              [this](raft::NodeId to, protocol::ForwardCallT message) {
+                return peers_->Send(to, std::move(message));
+              }});
+}
+
+void ControlNode::MakeSessions() {
+  sessions_ = std::make_unique<SessionServer>(
+      context_, options_.node_id, options_.cluster, options_.update_delay,
+      SessionServer::Ports{
+          .state = [this]() -> const ControlState& { return state_; },
+          .forward_heartbeats =
+              [this](Heartbeats heartbeats) {
+                return ForwardHeartbeats(std::move(heartbeats));
+              },
+          .forward_goodbye =
+              [this](const DaemonKey& daemon) { ForwardGoodbye(daemon); },
+          .submit =
+              [this](Operations operations,
+                     CommandPipeline::Callback callback) {
+                leader_client_->Submit(
+                    std::move(operations),
+                    ReadMonotonicClock() + options_.call_timeout,
+                    std::move(callback));
+              }});
+}
+
+void ControlNode::MakeApi() {
+  resource_api_ = std::make_unique<ResourceApi>(ResourceApi::Ports{
+      .state = [this]() -> const ControlState& { return state_; },
+      .leases = [this]() -> const LeaseTable& { return role_->leases(); },
+      .raft_status = [this] { return driver_->GetStatus(); },
+      .is_leading = [this] { return role_->IsLeading(ReadMonotonicClock()); },
+      .submit =
+          [this](Operations operations, CommandPipeline::Callback callback) {
+            role_->Submit(std::move(operations), std::move(callback));
+          },
+      .add_member =
+          [this](const raft::Member& member) { return AddMember(member); },
+      .remove_member = [this](raft::NodeId id) { return RemoveMember(id); }});
+  api_server_ = std::make_unique<ApiServer>(
+      context_,
+      ApiServer::Options{.listen = options_.http_listen,
+                         .bearer_token = options_.bearer_token,
+                         .call_timeout = options_.call_timeout,
+                         .seed = seed_},
+      ApiServer::Ports{
+          .state = [this]() -> const ControlState& { return state_; },
+          .call =
+              [this](ApiCall call, MonotonicTime deadline, ApiCallback answer) {
+                leader_client_->Call(std::move(call), deadline,
+                                     std::move(answer));
+              },
+          .read_locally =
+              [this](const ApiCall& call) {
+                return resource_api_->ReadLocally(call);
+              },
+          .describe_node = [this] { return DescribeNode(); },
+          .backup = [this] { return MakeBackup(); }});
+}
+
+}  // namespace juniperway::control
--- a/source/common/control/leader_client.h
+++ b/source/common/control/leader_client.h
@@ -54,6 +54,9 @@
   // Answers everything with kUnavailable.
   void Stop();
 
+  // Nothing waits for an answer.
+  bool idle() const { return pending_.empty(); }
+
  private:
   struct PendingOperations {
     Operations operations;
--- /dev/null
+++ b/source/common/control/leader_role.cc
@@ -0,0 +1,267 @@
+#include "common/control/leader_role.h"
+
+#include <utility>
+
+#include "common/control/events.h"
+#include "common/session/control_frames.h"
+
+namespace juniperway::control {
+namespace {
+
+protocol::HeartbeatOutcome ToOutcome(GrantOutcome outcome) {
+  switch (outcome) {
+    case GrantOutcome::kGranted:
+      return protocol::HeartbeatOutcome::kGranted;
+    case GrantOutcome::kNotMember:
+      return protocol::HeartbeatOutcome::kNotMember;
+    case GrantOutcome::kBehind:
+      return protocol::HeartbeatOutcome::kBehind;
+    case GrantOutcome::kNewTerm:
+      return protocol::HeartbeatOutcome::kNewTerm;
+    case GrantOutcome::kSuperseded:
+      return protocol::HeartbeatOutcome::kSuperseded;
+  }
+  return protocol::HeartbeatOutcome::kNoLeader;
+}
+
+template <typename Operation>
+Operations OneOperation(Operation operation) {
+  Operations operations;
+  operations.push_back(std::make_unique<protocol::OperationItemT>(
+      session::MakeOperation(std::move(operation))));
+  return operations;
+}
+
+}  // namespace
+
+LeaderRole::LeaderRole(const LeaseTable::Options& options, Ports ports)
+    : lease_(options.lease),
+      ports_(std::move(ports)),
+      leases_(options),
+      alive_(std::make_shared<bool>(true)) {}
+
+LeaderRole::~LeaderRole() { *alive_ = false; }
+
+void LeaderRole::Update(const raft::Status& status, MonotonicTime now) {
+  const bool leads = status.role == raft::Role::kLeader;
+  if (pipeline_term_ != 0 && (!leads || status.term != pipeline_term_)) {
+    pipeline_term_ = 0;
+    pipeline_.FailAll();
+  }
+  if (leases_.active() && (!leads || status.term != leases_.term())) {
+    leases_.Stop();
+    removals_.clear();
+  }
+  if (!leads) {
+    return;
+  }
+  pipeline_term_ = status.term;
+  // Holding the leader lease implies that an entry of this term was applied.
+  if (!leases_.active() && ports_.has_leader_lease(now)) {
+    const ControlState& state = ports_.state();
+    leases_.Start(status.term, state.revision(), state.fleet().members, now);
+    announced_in_force_ = 0;
+    announced_zones_.clear();
+    logging::LogEvent(kLeasesStarted,
+                      {{"node", status.id},
+                       {"term", status.term},
+                       {"revision", state.revision()},
+                       {"members", state.fleet().members.size()}});
+  }
+}
+
+void LeaderRole::OnApplied(const raft::Entry& entry, AppliedCommand applied,
+                           MonotonicTime now) {
+  const auto& members = ports_.state().fleet().members;
+  for (const std::string& daemon_id : applied.changed_members) {
+    auto member = members.find(daemon_id);
+    leases_.SetMember(daemon_id,
+                      member == members.end() ? nullptr : &member->second, now);
+  }
+  pipeline_.OnApplied(entry.index, entry.term, std::move(applied.results));
+  ports_.on_confirmed();
+}
+
+// --- Leases ------------------------------------------------------------------
+
+bool LeaderRole::IsLeading(MonotonicTime now) const {
+  return leases_.active() && ports_.has_leader_lease(now);
+}
+
+HeartbeatReplies LeaderRole::OnHeartbeats(const Heartbeats& heartbeats,
+                                          MonotonicTime now) {
+  HeartbeatReplies replies;
+  replies.reserve(heartbeats.size());
+  const bool leading = IsLeading(now);
+  for (const auto& item : heartbeats) {
+    if (!item->heartbeat) {
+      continue;
+    }
+    auto& reply = replies.emplace_back(
+        std::make_unique<protocol::MemberHeartbeatReplyT>());
+    reply->daemon_id = item->daemon_id;
+    reply->incarnation = item->incarnation;
+    reply->reply = std::make_unique<protocol::HeartbeatReplyT>();
+    if (leading) {
+      *reply->reply = AnswerHeartbeat(*item, now);
+    } else {
+      reply->reply->sequence = item->heartbeat->sequence;
+      reply->reply->outcome = protocol::HeartbeatOutcome::kNoLeader;
+    }
+  }
+  if (leading) {
+    ports_.on_confirmed();
+  }
+  return replies;
+}
+
+protocol::HeartbeatReplyT LeaderRole::AnswerHeartbeat(
+    const protocol::MemberHeartbeatT& item, MonotonicTime now) {
+  const protocol::HeartbeatT& heartbeat = *item.heartbeat;
+  HeartbeatFacts facts;
+  facts.daemon = {item.daemon_id, item.incarnation};
+  facts.confirmed = heartbeat.confirmed_revision;
+  facts.released = heartbeat.released_revision;
+  facts.term = heartbeat.term;
+  facts.holds_lease = heartbeat.holds_lease;
+  facts.known_in_force = heartbeat.in_force_revision;
+  facts.known_zone_released = heartbeat.zone_released_revision;
+  const GrantOutcome outcome = leases_.OnHeartbeat(facts, now);
+  protocol::HeartbeatReplyT reply;
+  reply.sequence = heartbeat.sequence;
+  reply.outcome = ToOutcome(outcome);
+  reply.granted_us = outcome == GrantOutcome::kGranted ? lease_.count() : 0;
+  reply.term = leases_.term();
+  reply.in_force_revision = leases_.in_force();
+  const auto& members = ports_.state().fleet().members;
+  auto member = members.find(item.daemon_id);
+  if (member != members.end()) {
+    auto zone = leases_.zones().find(member->second.zone);
+    reply.zone_released_revision =
+        zone == leases_.zones().end() ? 0 : zone->second;
+  }
+  return reply;
+}
+
+void LeaderRole::OnGoodbye(const DaemonKey& daemon) {
+  if (leases_.active()) {
+    leases_.OnGoodbye(daemon);
+    ports_.on_confirmed();
+  }
+}
+
+void LeaderRole::Advance(MonotonicTime now) {
+  if (!IsLeading(now)) {
+    return;
+  }
+  leases_.Advance(ports_.state().revision(), now);
+  if (leases_.in_force() == announced_in_force_ &&
+      leases_.zones() == announced_zones_) {
+    return;
+  }
+  announced_in_force_ = leases_.in_force();
+  announced_zones_ = leases_.zones();
+  ports_.announce(announced_in_force_, announced_zones_);
+}
+
+void LeaderRole::Tick(MonotonicTime now) {
+  Update(ports_.raft_status(), now);
+  if (!IsLeading(now)) {
+    return;
+  }
+  Advance(now);
+  for (DaemonKey& daemon : leases_.TakeRemovals(now)) {
+    removals_.push_back(std::move(daemon));
+  }
+  ProposeRemovals();
+  PromoteLearners();
+}
+
+void LeaderRole::ProposeRemovals() {
+  for (DaemonKey& daemon : std::exchange(removals_, {})) {
+    protocol::RemoveMemberT remove;
+    remove.daemon_id = daemon.daemon_id;
+    remove.incarnation = daemon.incarnation;
+    Submit(
+        OneOperation(std::move(remove)),
+        [this, alive = alive_, daemon](const Result<OperationResults>& result) {
+          if (!*alive || !leases_.active()) {
+            return;
+          }
+          if (!result) {
+            // A leader that keeps on leading must not forget it: the table
+            // names each removal once.
+            removals_.push_back(daemon);
+            return;
+          }
+          logging::LogEvent(kDaemonRemoved,
+                            {{"daemon", daemon.daemon_id},
+                             {"incarnation", daemon.incarnation}});
+        });
+  }
+}
+
+void LeaderRole::PromoteLearners() {
+  for (const raft::Progress& progress : ports_.raft_status().progress) {
+    const bool ready = !progress.voter && progress.active &&
+                       progress.caught_up && !progress.regressed;
+    // Refused while another change is pending: the next Tick tries again.
+    if (ready && ports_.promote_learner(progress.member.id)) {
+      logging::LogEvent(kMemberPromoted, {{"node", progress.member.id},
+                                          {"match", progress.match}});
+    }
+  }
+}
+
+// --- Operations --------------------------------------------------------------
+
+void LeaderRole::Submit(Operations operations,
+                        CommandPipeline::Callback callback) {
+  pipeline_.Add(std::move(operations), std::move(callback));
+  ports_.on_queued();
+}
+
+void LeaderRole::FlushOperations(WallTime now) {
+  // Proposals of an earlier term must be failed before their places in the log
+  // are taken by new ones.
+  const raft::Status status = ports_.raft_status();
+  const bool same_term = status.term == pipeline_term_;
+  if (status.role != raft::Role::kLeader || !same_term) {
+    pipeline_term_ = 0;
+    pipeline_.FailAll();
+    return;
+  }
+  pipeline_.Flush(now, ports_.propose);
+}
+
+void LeaderRole::OnPlatformList(const PlatformList& list) {
+  if (!leases_.active() || platform_update_under_way_) {
+    return;
+  }
+  const FleetStore& fleet = ports_.state().fleet();
+  const std::set<std::string> leaving = MergePlatformLeaving(
+      list, fleet.platform_leaving, [&fleet](const std::string& name) {
+        return fleet.members.contains(name) ||
+               fleet.Find({resources::Kind::kBackend, name}) != nullptr;
+      });
+  if (leaving == fleet.platform_leaving) {
+    return;
+  }
+  protocol::SetPlatformLeavingT operation;
+  operation.names.assign(leaving.begin(), leaving.end());
+  platform_update_under_way_ = true;
+  Submit(OneOperation(std::move(operation)),
+         [this, alive = alive_,
+          count = leaving.size()](const Result<OperationResults>& result) {
+           if (!*alive) {
+             return;
+           }
+           // After a failure the next poll tries again.
+           platform_update_under_way_ = false;
+           if (result) {
+             logging::LogEvent(kPlatformListChanged, {{"leaving", count}});
+           }
+         });
+}
+
+}  // namespace juniperway::control
--- /dev/null
+++ b/source/common/control/leader_role.h
@@ -0,0 +1,95 @@
+// What a control machine does only while it leads: it keeps the lease table,
+// moves the watermarks, proposes operations, removes daemons whose lease ran
+// out, and promotes control machines that have caught up. Every call names the
+// time; the log, the state and the network are reached through ports.
+#pragma once
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "common/control/command_pipeline.h"
+#include "common/control/control_state.h"
+#include "common/control/lease_table.h"
+#include "common/control/platform_poller.h"
+#include "common/control/session_server.h"
+#include "common/raft/fsm.h"
+
+namespace juniperway::control {
+
+class LeaderRole {
+ public:
+  struct Ports {
+    std::function<const ControlState&()> state;
+    std::function<raft::Status()> raft_status;
+    // See raft::Fsm::HasLeaderLease.
+    std::function<bool(MonotonicTime)> has_leader_lease;
+    CommandPipeline::Propose propose;
+    std::function<Result<raft::Fsm::Proposal>(raft::NodeId)> promote_learner;
+    // A watermark grew.
+    std::function<void(resources::Revision in_force,
+                       const std::map<std::string, resources::Revision>& zones)>
+        announce;
+    // Operations were queued: FlushOperations() is to be called soon.
+    std::function<void()> on_queued;
+    // Something moved the watermarks perhaps: Advance() is to be called soon.
+    std::function<void()> on_confirmed;
+  };
+
+  LeaderRole(const LeaseTable::Options& options, Ports ports);
+  ~LeaderRole();
+  LeaderRole(const LeaderRole&) = delete;
+  LeaderRole& operator=(const LeaderRole&) = delete;
+
+  // The consensus status may have changed.
+  void Update(const raft::Status& status, MonotonicTime now);
+
+  // An entry was applied; `applied` is what its command did (empty for entries
+  // without one).
+  void OnApplied(const raft::Entry& entry, AppliedCommand applied,
+                 MonotonicTime now);
+
+  // Answers heartbeats; with "no leader" unless this machine leads for certain.
+  HeartbeatReplies OnHeartbeats(const Heartbeats& heartbeats,
+                                MonotonicTime now);
+  void OnGoodbye(const DaemonKey& daemon);
+
+  // Proposes the operations with the next flush.
+  void Submit(Operations operations, CommandPipeline::Callback callback);
+  void FlushOperations(WallTime now);
+
+  // Moves the watermarks and announces them if they grew.
+  void Advance(MonotonicTime now);
+  // To be called a few times a second.
+  void Tick(MonotonicTime now);
+  void OnPlatformList(const PlatformList& list);
+
+  // Leads for certain: reads are linearizable and leases may be given.
+  bool IsLeading(MonotonicTime now) const;
+  const LeaseTable& leases() const { return leases_; }
+
+ private:
+  protocol::HeartbeatReplyT AnswerHeartbeat(
+      const protocol::MemberHeartbeatT& item, MonotonicTime now);
+  void ProposeRemovals();
+  void PromoteLearners();
+
+  Duration lease_;
+  Ports ports_;
+  LeaseTable leases_;
+  CommandPipeline pipeline_;
+  // Term whose proposals the pipeline holds; 0: none.
+  raft::Term pipeline_term_ = 0;
+  // Daemons that the lease table wants removed, not proposed yet.
+  std::vector<DaemonKey> removals_;
+  bool platform_update_under_way_ = false;
+  resources::Revision announced_in_force_ = 0;
+  std::map<std::string, resources::Revision> announced_zones_;
+  // Callbacks that outlive this object find it gone.
+  std::shared_ptr<bool> alive_;
+};
+
+}  // namespace juniperway::control
--- a/source/common/protocol/control_generated.h
+++ b/source/common/protocol/control_generated.h
@@ -1067,6 +1067,7 @@
   bool reject = false;
   uint64_t round = 0;
   std::unique_ptr<juniperway::protocol::SnapshotRecordT> snapshot{};
+  bool leadership_transfer = false;
   ConsensusMessageT() = default;
   ConsensusMessageT(const ConsensusMessageT &o);
   ConsensusMessageT(ConsensusMessageT&&) FLATBUFFERS_NOEXCEPT = default;
@@ -1088,7 +1089,8 @@
     VT_COMMIT = 18,
     VT_REJECT = 20,
     VT_ROUND = 22,
-    VT_SNAPSHOT = 24
+    VT_SNAPSHOT = 24,
+    VT_LEADERSHIP_TRANSFER = 26
   };
   uint8_t kind() const {
     return GetField<uint8_t>(VT_KIND, 0);
@@ -1123,6 +1125,9 @@
   const juniperway::protocol::SnapshotRecord *snapshot() const {
     return GetPointer<const juniperway::protocol::SnapshotRecord *>(VT_SNAPSHOT);
   }
+  bool leadership_transfer() const {
+    return GetField<uint8_t>(VT_LEADERSHIP_TRANSFER, 0) != 0;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint8_t>(verifier, VT_KIND, 1) &&
@@ -1139,6 +1144,7 @@
            VerifyField<uint64_t>(verifier, VT_ROUND, 8) &&
            VerifyOffset(verifier, VT_SNAPSHOT) &&
            verifier.VerifyTable(snapshot()) &&
+           VerifyField<uint8_t>(verifier, VT_LEADERSHIP_TRANSFER, 1) &&
            verifier.EndTable();
   }
   ConsensusMessageT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -1183,6 +1189,9 @@
   void add_snapshot(flatbuffers::Offset<juniperway::protocol::SnapshotRecord> snapshot) {
     fbb_.AddOffset(ConsensusMessage::VT_SNAPSHOT, snapshot);
   }
+  void add_leadership_transfer(bool leadership_transfer) {
+    fbb_.AddElement<uint8_t>(ConsensusMessage::VT_LEADERSHIP_TRANSFER, static_cast<uint8_t>(leadership_transfer), 0);
+  }
   explicit ConsensusMessageBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -1206,7 +1215,8 @@
     uint64_t commit = 0,
     bool reject = false,
     uint64_t round = 0,
-    flatbuffers::Offset<juniperway::protocol::SnapshotRecord> snapshot = 0) {
+    flatbuffers::Offset<juniperway::protocol::SnapshotRecord> snapshot = 0,
+    bool leadership_transfer = false) {
   ConsensusMessageBuilder builder_(_fbb);
   builder_.add_round(round);
   builder_.add_commit(commit);
@@ -1217,6 +1227,7 @@
   builder_.add_from(from);
   builder_.add_snapshot(snapshot);
   builder_.add_entries(entries);
+  builder_.add_leadership_transfer(leadership_transfer);
   builder_.add_reject(reject);
   builder_.add_kind(kind);
   return builder_.Finish();
@@ -1239,7 +1250,8 @@
     uint64_t commit = 0,
     bool reject = false,
     uint64_t round = 0,
-    flatbuffers::Offset<juniperway::protocol::SnapshotRecord> snapshot = 0) {
+    flatbuffers::Offset<juniperway::protocol::SnapshotRecord> snapshot = 0,
+    bool leadership_transfer = false) {
   auto entries__ = entries ? _fbb.CreateVector<flatbuffers::Offset<juniperway::protocol::EntryRecord>>(*entries) : 0;
   return juniperway::protocol::CreateConsensusMessage(
       _fbb,
@@ -1253,7 +1265,8 @@
       commit,
       reject,
       round,
-      snapshot);
+      snapshot,
+      leadership_transfer);
 }
 
 flatbuffers::Offset<ConsensusMessage> CreateConsensusMessage(flatbuffers::FlatBufferBuilder &_fbb, const ConsensusMessageT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -3589,7 +3602,8 @@
         commit(o.commit),
         reject(o.reject),
         round(o.round),
-        snapshot((o.snapshot) ? new juniperway::protocol::SnapshotRecordT(*o.snapshot) : nullptr) {
+        snapshot((o.snapshot) ? new juniperway::protocol::SnapshotRecordT(*o.snapshot) : nullptr),
+        leadership_transfer(o.leadership_transfer) {
   entries.reserve(o.entries.size());
   for (const auto &entries_ : o.entries) { entries.emplace_back((entries_) ? new juniperway::protocol::EntryRecordT(*entries_) : nullptr); }
 }
@@ -3606,6 +3620,7 @@
   std::swap(reject, o.reject);
   std::swap(round, o.round);
   std::swap(snapshot, o.snapshot);
+  std::swap(leadership_transfer, o.leadership_transfer);
   return *this;
 }
 
@@ -3629,6 +3644,7 @@
   { auto _e = reject(); _o->reject = _e; }
   { auto _e = round(); _o->round = _e; }
   { auto _e = snapshot(); if (_e) _o->snapshot = std::unique_ptr<juniperway::protocol::SnapshotRecordT>(_e->UnPack(_resolver)); }
+  { auto _e = leadership_transfer(); _o->leadership_transfer = _e; }
 }
 
 inline flatbuffers::Offset<ConsensusMessage> ConsensusMessage::Pack(flatbuffers::FlatBufferBuilder &_fbb, const ConsensusMessageT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -3650,6 +3666,7 @@
   auto _reject = _o->reject;
   auto _round = _o->round;
   auto _snapshot = _o->snapshot ? CreateSnapshotRecord(_fbb, _o->snapshot.get(), _rehasher) : 0;
+  auto _leadership_transfer = _o->leadership_transfer;
   return juniperway::protocol::CreateConsensusMessage(
       _fbb,
       _kind,
@@ -3662,7 +3679,8 @@
       _commit,
       _reject,
       _round,
-      _snapshot);
+      _snapshot,
+      _leadership_transfer);
 }
 
 inline ConsensusMessagesT::ConsensusMessagesT(const ConsensusMessagesT &o) {
--- a/source/common/raft/configuration.cc
+++ b/source/common/raft/configuration.cc
@@ -62,6 +62,13 @@
   return IsVoter(configuration, id) || IsLearner(configuration, id);
 }
 
+std::vector<Member> AllMembers(const Configuration& configuration) {
+  std::vector<Member> members = configuration.voters;
+  members.insert(members.end(), configuration.learners.begin(),
+                 configuration.learners.end());
+  return members;
+}
+
 Configuration WithLearner(Configuration configuration, const Member& member) {
   configuration.learners.push_back(member);
   return configuration;
--- a/source/common/raft/configuration.h
+++ b/source/common/raft/configuration.h
@@ -4,6 +4,7 @@
 #pragma once
 
 #include <deque>
+#include <vector>
 
 #include "common/raft/types.h"
 
@@ -12,6 +13,8 @@
 bool IsVoter(const Configuration& configuration, NodeId id);
 bool IsLearner(const Configuration& configuration, NodeId id);
 bool IsMember(const Configuration& configuration, NodeId id);
+// Voters, then learners.
+std::vector<Member> AllMembers(const Configuration& configuration);
 
 // The configuration with one change made. The caller checked that it applies.
 Configuration WithLearner(Configuration configuration, const Member& member);
