Catalogue the events, and write the install page

Cause: operators had neither page. Change: docs/EVENTS.md with a row for each event, docs/operations/install.md with every settings key, each refusal that a caller can get and the alerts; tests hold both to the code. A connected session is logged, as its event promised. Seen to fail: with a row removed, a severity changed and a number changed on the one page, a key removed and a metric misspelt on the other. Conclusion: both pages follow the code or the build is red.

--- a/source/common/session/control_session_client.cc
+++ b/source/common/session/control_session_client.cc
@@ -294,6 +294,10 @@
             self->OnConnectionClosed();
           }
         });
+    LogEvent(
+        kSessionConnected,
+        {{"daemon", options_.daemon_id},
+         {"control", net::FormatEndpoint(connection_->remote_endpoint())}});
     SendHello();
     state_->OnConnected(Now());
     SchedulePump();
--- a/source/daemon/session_metrics.cc
+++ b/source/daemon/session_metrics.cc
@@ -7,18 +7,15 @@
 
 prometheus::Gauge& MakeGauge(prometheus::Registry& registry,
                              const std::string& name, const std::string& help) {
-  return prometheus::BuildGauge()
-      .Name("juniperway_session_" + name)
-      .Help(help)
-      .Register(registry)
-      .Add({});
+  return prometheus::BuildGauge().Name(name).Help(help).Register(registry).Add(
+      {});
 }
 
 prometheus::Counter& MakeCounter(prometheus::Registry& registry,
                                  const std::string& name,
                                  const std::string& help) {
   return prometheus::BuildCounter()
-      .Name("juniperway_session_" + name)
+      .Name(name)
       .Help(help)
       .Register(registry)
       .Add({});
@@ -32,24 +29,30 @@
 }  // namespace
 
 SessionMetrics::SessionMetrics(prometheus::Registry& registry)
-    : lease_(MakeGauge(registry, "lease", "1 while the lease is valid")),
-      view_revision_(
-          MakeGauge(registry, "view_revision", "Revision in use here")),
-      in_force_revision_(MakeGauge(registry, "in_force_revision",
+    : lease_(MakeGauge(registry, "juniperway_session_lease",
+                       "1 while the lease is valid")),
+      view_revision_(MakeGauge(registry, "juniperway_session_view_revision",
+                               "Revision in use here")),
+      in_force_revision_(MakeGauge(registry,
+                                   "juniperway_session_in_force_revision",
                                    "Revision confirmed by every daemon with a "
                                    "lease")),
       zone_released_revision_(
-          MakeGauge(registry, "zone_released_revision",
+          MakeGauge(registry, "juniperway_session_zone_released_revision",
                     "Revision up to which the zone's gateways have let go of "
                     "back ends")),
-      connects_(MakeCounter(registry, "connects_total",
+      connects_(MakeCounter(registry, "juniperway_session_connects_total",
                             "Attempts to connect to a control machine")),
-      updates_(MakeCounter(registry, "updates_total", "Updates taken")),
-      full_updates_(MakeCounter(registry, "full_updates_total",
+      updates_(MakeCounter(registry, "juniperway_session_updates_total",
+                           "Updates taken")),
+      full_updates_(MakeCounter(registry,
+                                "juniperway_session_full_updates_total",
                                 "Updates taken that held the whole state")),
-      sent_bytes_(MakeCounter(registry, "sent_bytes_total", "Bytes sent")),
-      received_bytes_(
-          MakeCounter(registry, "received_bytes_total", "Bytes received")) {}
+      sent_bytes_(MakeCounter(registry, "juniperway_session_sent_bytes_total",
+                              "Bytes sent")),
+      received_bytes_(MakeCounter(registry,
+                                  "juniperway_session_received_bytes_total",
+                                  "Bytes received")) {}
 
 void SessionMetrics::Update(const session::ControlSessionClient& session) {
   lease_.Set(session.HasLease(ReadMonotonicClock()) ? 1 : 0);
--- /dev/null
+++ b/test/unit/daemon/install_page_test.cc
@@ -0,0 +1,71 @@
+// docs/operations/install.md names the settings keys and metrics that exist.
+#include <doctest/doctest.h>
+
+#include <filesystem>
+#include <fstream>
+#include <iterator>
+#include <regex>
+#include <set>
+#include <string>
+
+namespace juniperway::daemon {
+namespace {
+
+namespace fs = std::filesystem;
+
+const fs::path kRoot = JUNIPERWAY_SOURCE_FOLDER;
+
+std::string ReadFile(const fs::path& file) {
+  std::ifstream stream(file);
+  REQUIRE(stream);
+  return {std::istreambuf_iterator<char>(stream),
+          std::istreambuf_iterator<char>()};
+}
+
+std::set<std::string> FindAll(const std::string& text, const char* pattern) {
+  const std::regex expression(pattern);
+  std::set<std::string> found;
+  const auto end = std::sregex_iterator();
+  for (auto match = std::sregex_iterator(text.begin(), text.end(), expression);
+       match != end; ++match) {
+    found.insert((*match)[1]);
+  }
+  return found;
+}
+
+std::string Page() {
+  return ReadFile(kRoot / "docs" / "operations" / "install.md");
+}
+
+}  // namespace
+
+TEST_CASE("The page lists exactly the keys that the settings reader knows") {
+  const std::string page = Page();
+  const std::string settings =
+      page.substr(page.find("## Settings"),
+                  page.find("A gateway:") - page.find("## Settings"));
+  const auto listed = FindAll(settings, R"re(\n\| `(?:\w+\.)?(\w+)` \|)re");
+  const auto read = FindAll(
+      ReadFile(kRoot / "source" / "daemon" / "settings.cc"),
+      R"re((?:reader\.(?:Text|Texts|Integer|Boolean)\(|ReadListener\(reader,)\s*"(\w+)")re");
+  CHECK(read.size() > 15);
+  CHECK(listed == read);
+}
+
+TEST_CASE("Every metric that the page names is exported") {
+  std::string code;
+  for (const auto& entry : fs::recursive_directory_iterator(kRoot / "source")) {
+    if (entry.path().extension() == ".cc") {
+      code += ReadFile(entry.path());
+    }
+  }
+  const auto named =
+      FindAll(Page(), R"re(\b(juniperway_\w+?)(?:_bucket)?\b)re");
+  CHECK(named.size() > 8);
+  for (const std::string& metric : named) {
+    CAPTURE(metric);
+    CHECK(code.find('"' + metric + '"') != std::string::npos);
+  }
+}
+
+}  // namespace juniperway::daemon
--- /dev/null
+++ b/test/unit/logging/event_catalogue_test.cc
@@ -0,0 +1,91 @@
+// docs/EVENTS.md and the events that the code declares agree, both ways.
+#include <doctest/doctest.h>
+
+#include <filesystem>
+#include <fstream>
+#include <iterator>
+#include <map>
+#include <regex>
+#include <set>
+#include <string>
+
+namespace juniperway {
+namespace {
+
+namespace fs = std::filesystem;
+
+const fs::path kRoot = JUNIPERWAY_SOURCE_FOLDER;
+
+std::string ReadFile(const fs::path& file) {
+  std::ifstream stream(file);
+  REQUIRE(stream);
+  return {std::istreambuf_iterator<char>(stream),
+          std::istreambuf_iterator<char>()};
+}
+
+// "name severity", by number.
+using Catalogue = std::map<int, std::string>;
+
+// @param pattern captures number, name and severity.
+void AddMatches(const std::string& text, const std::regex& pattern,
+                Catalogue* catalogue) {
+  const auto end = std::sregex_iterator();
+  for (auto match = std::sregex_iterator(text.begin(), text.end(), pattern);
+       match != end; ++match) {
+    const int number = std::stoi((*match)[1]);
+    CAPTURE(number);
+    const std::string entry = (*match)[2].str() + " " + (*match)[3].str();
+    // No number is used twice.
+    CHECK(catalogue->emplace(number, entry).second);
+  }
+}
+
+template <typename Visitor>
+void VisitSources(const std::string& extension, const Visitor& visit) {
+  for (const auto& entry : fs::recursive_directory_iterator(kRoot / "source")) {
+    if (entry.path().extension() == extension) {
+      visit(ReadFile(entry.path()));
+    }
+  }
+}
+
+Catalogue EventsOfCode() {
+  const std::regex pattern(
+      R"re(\bEventType\s+k\w+\{\s*(\d+),\s*"(\w+)",\s*(?:logging::)?Severity::k(\w+)\})re");
+  Catalogue catalogue;
+  VisitSources(".h", [&](const std::string& text) {
+    AddMatches(text, pattern, &catalogue);
+  });
+  return catalogue;
+}
+
+Catalogue EventsOfPage() {
+  const std::regex row(R"re(\| (\d+) \| `(\w+)` \| (\w+) \|)re");
+  Catalogue catalogue;
+  AddMatches(ReadFile(kRoot / "docs" / "EVENTS.md"), row, &catalogue);
+  for (auto& [number, entry] : catalogue) {
+    // The page writes severities in lower case.
+    char& first = entry[entry.find(' ') + 1];
+    first = static_cast<char>(std::toupper(first));
+  }
+  return catalogue;
+}
+
+}  // namespace
+
+TEST_CASE("Every event of the code is on the page, and every row in the code") {
+  const Catalogue code = EventsOfCode();
+  const Catalogue page = EventsOfPage();
+  CHECK(code.size() > 50);
+  for (const auto& [number, entry] : code) {
+    CAPTURE(entry);
+    REQUIRE(page.contains(number));
+    CHECK(page.at(number) == entry);
+  }
+  for (const auto& [number, entry] : page) {
+    CAPTURE(entry);
+    CHECK(code.contains(number));
+  }
+}
+
+}  // namespace juniperway
