Mark answers of an unconfirmed configuration

Cause: "configuration.confirmed" was true in every answer, also without a lease. Change: it is whether the gateway held its lease when it admitted the query.

--- a/source/common/gateway/front_server.cc
+++ b/source/common/gateway/front_server.cc
@@ -185,6 +185,7 @@
         query->request_id.empty() ? MakeRequestId() : query->request_id;
     submission.query = std::move(*query);
     submission.resend = IsResend(request);
+    submission.confirmed = session.HasLease(now);
     submission.received = now;
     executor.Execute(std::move(submission), std::move(responder));
   }
--- a/source/common/gateway/query_executor.cc
+++ b/source/common/gateway/query_executor.cc
@@ -45,7 +45,6 @@
   MonotonicTime armed_for = MonotonicTime::max();
   // Null while a claim is under way.
   std::unique_ptr<routing::QueryRun> run;
-  bool confirmed = true;
   bool claim_granted = false;
   bool finished = false;
 };
@@ -272,7 +271,7 @@
   if (const auto* answer = std::get_if<routing::Answer>(&outcome)) {
     query->responder->Send(
         AnswerResponse(submission.request_id, submission.service, *answer,
-                       {query->run->revision(), query->confirmed}));
+                       {query->run->revision(), submission.confirmed}));
   } else if (const auto* refusal = std::get_if<routing::Refusal>(&outcome)) {
     query->responder->Send(RefusalResponse(submission.request_id, *refusal));
   }
--- a/source/common/gateway/query_executor.h
+++ b/source/common/gateway/query_executor.h
@@ -29,6 +29,8 @@
   CallerQuery query;
   // The caller sent it before: an earlier submission may have run.
   bool resend = false;
+  // The gateway had its lease: the configuration was the one in force.
+  bool confirmed = true;
   MonotonicTime received{};
 };
 
