--- a/source/lab/caller/load.cc
+++ b/source/lab/caller/load.cc
@@ -98,6 +98,10 @@
   attempt.sent = ReadMonotonicClock();
   net::HttpClientRequest request =
       MakeQueryRequest(record.query, gateway.address, attempt.request_id);
+  if (!record.query.repeatable && !record.attempts.empty()) {
+    // Its id was sent before: an earlier submission may have run.
+    request.headers.emplace_back("X-Resend", "true");
+  }
   record.attempts.push_back(std::move(attempt));
   client_.Start(std::move(request),
                 [this, index](const net::HttpClientResponse& response) {
