--- /dev/null
+++ b/test/property/routing/query_checker.cc
@@ -0,0 +1,175 @@
+#include "property/routing/query_checker.h"
+
+#include <algorithm>
+
+namespace juniperway::routing::testing {
+namespace {
+
+class Check {
+ public:
+  Check(const QueryRecord& query, std::vector<std::string>& violations)
+      : query_(query), violations_(violations) {}
+
+  void Expect(bool holds, const std::string& what) {
+    if (!holds) {
+      violations_.push_back("query " + std::to_string(query_.id) + ": " + what);
+    }
+  }
+
+  bool AnyBegun() const {
+    return std::ranges::any_of(
+        query_.sent, [](const auto& entry) { return entry.second.begun; });
+  }
+  bool AllToldNotRun() const {
+    return std::ranges::all_of(query_.sent, [](const auto& entry) {
+      return entry.second.told_not_run;
+    });
+  }
+
+  void CheckExecution(ExecutionState execution) {
+    Expect(execution != ExecutionState::kNotRun || !AnyBegun(),
+           "says not-run, but a back end began it");
+    Expect(execution == ExecutionState::kNotRun || !AllToldNotRun(),
+           "says that it may have run, but every subquery was refused unrun");
+  }
+
+  void CheckAnswer(const Answer& answer) {
+    CheckRanges(answer.coverage);
+    CheckRows(answer);
+    for (const auto& [attempt, sent] : query_.sent) {
+      const bool counts =
+          sent.told_rows && sent.version == answer.index_version;
+      Expect(!counts || IsSearched(answer.coverage, sent.range),
+             "rows were given, but their range is called missing");
+    }
+    for (const KeyRange& range : answer.coverage.searched) {
+      CheckWasSearched(answer.index_version, range);
+    }
+    const bool whole = answer.coverage.missing.empty();
+    Expect((answer.execution == ExecutionState::kRan) == whole,
+           "execution does not fit the coverage");
+  }
+
+  void CheckAtMostOnce() {
+    std::vector<KeyRange> begun;
+    for (const auto& [attempt, sent] : query_.sent) {
+      if (!sent.begun) {
+        continue;
+      }
+      const bool again = std::ranges::any_of(begun, [&](const KeyRange& range) {
+        return range.Intersects(sent.range);
+      });
+      Expect(!again, "not repeatable, but a range was begun twice");
+      begun.push_back(sent.range);
+    }
+  }
+
+  void CheckNothingLeft() {
+    for (const auto& [attempt, sent] : query_.sent) {
+      Expect(sent.settled || sent.cancelled,
+             "subquery " + std::to_string(attempt) + " was left running");
+    }
+  }
+
+ private:
+  static bool IsSearched(const Coverage& coverage, KeyRange range) {
+    return std::ranges::any_of(
+        coverage.searched, [range](const KeyRange& searched) {
+          return searched.begin <= range.begin && range.end <= searched.end;
+        });
+  }
+
+  // Searched and missing ranges make up the asked one, without overlap.
+  void CheckRanges(const Coverage& coverage) {
+    std::vector<KeyRange> all = coverage.searched;
+    Key searched = 0;
+    for (const KeyRange& range : coverage.searched) {
+      searched += range.end - range.begin;
+    }
+    for (const MissingRange& missing : coverage.missing) {
+      all.push_back(missing.range);
+    }
+    std::ranges::sort(all);
+    Key next = query_.asked.begin;
+    for (const KeyRange& range : all) {
+      Expect(range.begin == next, "coverage has a gap or an overlap");
+      next = range.end;
+    }
+    Expect(next == query_.asked.end, "coverage ends early or late");
+    const double share = static_cast<double>(searched) /
+                         static_cast<double>(next - query_.asked.begin);
+    Expect(share == coverage.share, "share does not fit the ranges");
+  }
+
+  // Exactly the true rows of the named version in the searched ranges.
+  void CheckRows(const Answer& answer) {
+    std::vector<Key> keys;
+    for (const KeyRange& range : answer.coverage.searched) {
+      const Key first = (range.begin + kRowSpacing - 1) / kRowSpacing;
+      for (Key key = first * kRowSpacing; key < range.end; key += kRowSpacing) {
+        keys.push_back(key);
+      }
+    }
+    Expect(answer.truncated == (keys.size() > query_.row_limit),
+           "truncated is wrong");
+    keys.resize(std::min<std::size_t>(keys.size(), query_.row_limit));
+    bool same = answer.rows.size() == keys.size();
+    for (std::size_t i = 0; same && i < keys.size(); ++i) {
+      same = answer.rows[i].key == keys[i] &&
+             answer.rows[i].value == TrueValue(answer.index_version, keys[i]);
+    }
+    Expect(same, "rows are not those of the named snapshot and ranges");
+  }
+
+  // Subqueries that gave rows in time cover all of it.
+  void CheckWasSearched(resources::IndexVersion version, KeyRange range) {
+    Key covered = range.begin;
+    for (bool grew = true; grew && covered < range.end;) {
+      grew = false;
+      for (const auto& [attempt, sent] : query_.sent) {
+        if (sent.told_rows && sent.version == version &&
+            sent.range.Contains(covered)) {
+          covered = sent.range.end;
+          grew = true;
+        }
+      }
+    }
+    Expect(covered >= range.end, "called searched, but nobody searched it");
+  }
+
+  const QueryRecord& query_;
+  std::vector<std::string>& violations_;
+};
+
+}  // namespace
+
+std::string TrueValue(resources::IndexVersion version, Key key) {
+  return "v" + std::to_string(version) + ":" + std::to_string(key);
+}
+
+void CheckQuery(const QueryRecord& query, Duration latest_end,
+                std::vector<std::string>& violations) {
+  Check check(query, violations);
+  check.Expect(query.outcomes.size() == 1,
+               std::to_string(query.outcomes.size()) + " final answers");
+  check.Expect(query.ended <= query.deadline + latest_end,
+               "ended long after its deadline");
+  if (query.outcomes.empty()) {
+    return;
+  }
+  const QueryOutcome& outcome = query.outcomes.front();
+  if (const auto* answer = std::get_if<Answer>(&outcome)) {
+    check.CheckAnswer(*answer);
+  } else if (const auto* refusal = std::get_if<Refusal>(&outcome)) {
+    check.CheckExecution(refusal->execution);
+    check.Expect(refusal->retry_after.has_value(), "no time to come back");
+  } else {
+    check.CheckExecution(std::get<Abandoned>(outcome).execution);
+  }
+  if (!query.repeatable) {
+    check.CheckAtMostOnce();
+  }
+  check.CheckNothingLeft();
+}
+
+}  // namespace juniperway::routing::testing
--- /dev/null
+++ b/test/property/routing/query_world.cc
@@ -0,0 +1,632 @@
+#include "property/routing/query_world.h"
+
+#include <algorithm>
+#include <array>
+#include <functional>
+#include <memory>
+#include <random>
+#include <set>
+#include <utility>
+
+#include "common/routing/front_state.h"
+#include "common/routing/query_run.h"
+#include "property/routing/query_checker.h"
+
+namespace juniperway::routing::testing {
+namespace {
+
+constexpr const char* kService = "s";
+constexpr int kBackends = 8;
+constexpr int kGateways = 4;
+constexpr double kBudget = 0.05;
+constexpr Duration kSpan = milliseconds(1500);
+constexpr Duration kLatestTimer = microseconds(300);
+constexpr Duration kPause = milliseconds(20);
+
+std::string BackendName(int number) { return "b" + std::to_string(number); }
+std::string ShardName(int layout, int number) {
+  return std::to_string(layout) + "-" + std::to_string(number);
+}
+
+// A partition map of `layout` equal parts.
+resources::IndexSnapshot MakeSnapshot(resources::IndexVersion version,
+                                      int layout) {
+  resources::IndexSnapshot snapshot{kService, version, {}};
+  const Key width = kWorldEnd / static_cast<Key>(layout);
+  for (int i = 0; i < layout; ++i) {
+    const Key begin = static_cast<Key>(i) * width;
+    snapshot.partitions.push_back(
+        {{begin, begin + width}, ShardName(layout, i)});
+  }
+  return snapshot;
+}
+
+struct WorldQuery {
+  QueryRecord record;
+  std::unique_ptr<QueryRun> run;
+  MonotonicTime armed_for = MonotonicTime::max();
+};
+using QueryPointer = std::shared_ptr<WorldQuery>;
+
+// A connection to an owner.
+struct Link {
+  bool connected = false;
+  bool connecting = false;
+  MonotonicTime paused_until{};
+  // Grows with each loss: what was sent before is gone.
+  int generation = 0;
+  // What waits for the connection.
+  std::vector<std::function<void()>> waiting;
+};
+
+class World {
+ public:
+  explicit World(const WorldOptions& options)
+      : options_(options),
+        random_(options.seed),
+        front_({"z0", "r0"}, options.seed) {
+    MakeView();
+    Publish();
+    // Some worlds know latencies from the start, so that hedges go out.
+    if (Chance(0.7)) {
+      for (int i = 0; i < 100; ++i) {
+        front_.services[kService].latency.Record(Between(1, 8));
+      }
+    }
+    for (int i = 0; i < options.queries; ++i) {
+      At(now_ + Between(0, 1500), [this, i] { StartQuery(i); });
+    }
+    const int changes = static_cast<int>(Draw(12));
+    for (int i = 0; i < changes; ++i) {
+      At(now_ + Between(0, 1500), [this] { ChangeView(); });
+    }
+    const int losses = static_cast<int>(Draw(8));
+    for (int i = 0; i < losses; ++i) {
+      At(now_ + Between(0, 1500),
+         [this] { LoseLink(static_cast<OwnerId>(Draw(links_.size() + 1))); });
+    }
+  }
+
+  WorldResult Run() {
+    while (!events_.empty()) {
+      const auto next = events_.begin();
+      now_ = next->first;
+      const auto action = std::move(next->second);
+      events_.erase(next);
+      action();
+    }
+    for (const QueryPointer& query : queries_) {
+      CheckQuery(query->record, kLatestTimer, result_.violations);
+      CountOutcome(query->record);
+    }
+    CheckLoad();
+    return std::move(result_);
+  }
+
+ private:
+  // --- Chance and time ---
+  std::uint64_t Draw(std::uint64_t bound) { return random_() % bound; }
+  bool Chance(double probability) {
+    return static_cast<double>(Draw(1'000'000)) < probability * 1'000'000;
+  }
+  Duration Between(int low_ms, int high_ms) {
+    return microseconds(low_ms * 1000 +
+                        static_cast<int>(Draw((high_ms - low_ms) * 1000 + 1)));
+  }
+  void At(MonotonicTime time, std::function<void()> action) {
+    events_.emplace(time, std::move(action));
+  }
+  void Count(const std::string& what) { ++result_.counts[what]; }
+  void Expect(bool holds, const std::string& what) {
+    if (!holds) {
+      result_.violations.push_back(what);
+    }
+  }
+
+  // --- The fleet ---
+  void MakeView() {
+    view_.revision = 1;
+    resources::Service service;
+    service.retry_budget = kBudget;
+    service.hedge_quantile = 0.9;
+    if (Chance(0.5)) {
+      service.answer_policy = resources::AnswerPolicy::kLatency;
+      service.soft_deadline = Between(5, 60);
+      service.minimum_coverage = 0.5;
+    }
+    view_.services[kService] = service;
+    for (int i = 0; i < kGateways; ++i) {
+      session::Member member;
+      member.daemon_id = "g" + std::to_string(i);
+      member.zone = "z" + std::to_string(i % 2);
+      member.region = "r0";
+      member.gateway = true;
+      view_.members[member.daemon_id] = member;
+    }
+    for (int i = 0; i < kBackends; ++i) {
+      resources::Backend backend;
+      backend.service = kService;
+      backend.zone = "z" + std::to_string(i % 2);
+      backend.slots = 4;
+      for (int layout = 3; layout <= 5; ++layout) {
+        backend.shards.insert(ShardName(layout, i % layout));
+        backend.shards.insert(ShardName(layout, (i + 1) % layout));
+      }
+      view_.backends[BackendName(i)] = backend;
+    }
+    ServeNextVersion();
+  }
+
+  // A new version, with its own map; older ones go from some back ends.
+  void ServeNextVersion() {
+    const resources::IndexVersion version = ++newest_;
+    const int layout = 3 + static_cast<int>(Draw(3));
+    view_.snapshots[{kService, version}] = MakeSnapshot(version, layout);
+    view_.serving[kService] = version;
+    for (int i = 0; i < kBackends; ++i) {
+      std::set<resources::IndexVersion>& held = held_[BackendName(i)];
+      held.insert(version);
+      if (Chance(0.8)) {
+        held = {version};
+      }
+      // The view may lag behind what a back end dropped.
+      auto& report = view_.reports[BackendName(i)];
+      report.held_versions.insert(version);
+      if (Chance(0.5)) {
+        report.held_versions = held;
+      }
+    }
+    Count("snapshots");
+  }
+
+  void ChangeView() {
+    switch (Draw(6)) {
+      case 0:
+      case 1:
+      case 2:
+        ServeNextVersion();
+        break;
+      case 3: {
+        const std::string name = BackendName(static_cast<int>(Draw(kBackends)));
+        resources::Backend backend = view_.backends.at(name);
+        backend.drain = !backend.drain;
+        view_.backends[name] = backend;
+        break;
+      }
+      case 4: {
+        const std::string name = BackendName(static_cast<int>(Draw(kBackends)));
+        view_.machines[name].leaving = !view_.machines[name].leaving;
+        break;
+      }
+      default: {
+        const std::string name = "g" + std::to_string(Draw(kGateways));
+        view_.members[name].leaving = !view_.members[name].leaving;
+      }
+    }
+    ++view_.revision;
+    Publish();
+  }
+
+  void Publish() {
+    session::FleetView seen = view_;
+    if (options_.defect == PlantedDefect::kIgnoresDrains) {
+      seen.machines = {};
+      for (int i = 0; i < kBackends; ++i) {
+        seen.backends[BackendName(i)].drain = false;
+      }
+    }
+    if (options_.defect == PlantedDefect::kOverspends) {
+      seen.services[kService].retry_budget = 10 * kBudget;
+    }
+    front_.SetView(std::make_shared<const session::FleetView>(std::move(seen)));
+  }
+
+  // --- Queries ---
+  void StartQuery(int number) {
+    const auto query = std::make_shared<WorldQuery>();
+    QueryRecord& record = query->record;
+    record.id = static_cast<std::uint64_t>(number);
+    record.repeatable = !Chance(0.3);
+    const Key begin = Chance(0.5) ? 0 : Draw(kWorldEnd / 2);
+    record.asked = {
+        begin, Chance(0.5) ? kWorldEnd : begin + 1 + Draw(kWorldEnd - begin)};
+    record.row_limit = Chance(0.3) ? 1 + Draw(40) : 1000;
+    record.deadline = now_ + Between(2, 150);
+    QueryRequest request;
+    request.request_id = std::to_string(number);
+    request.service = kService;
+    request.range = record.asked;
+    request.row_limit = record.row_limit;
+    request.repeatable =
+        record.repeatable || options_.defect == PlantedDefect::kRepeatsAll;
+    request.received = now_;
+    request.deadline = record.deadline;
+    if (options_.defect == PlantedDefect::kLateDeadline) {
+      request.deadline += milliseconds(5);
+    }
+    query->run = std::make_unique<QueryRun>(std::move(request), front_);
+    queries_.push_back(query);
+    Apply(query, query->run->Start(now_));
+    if (Chance(0.06)) {
+      At(now_ + Between(0, 60),
+         [this, query] { Apply(query, query->run->OnCallerGone(now_)); });
+    }
+  }
+
+  // As the front's shell does it.
+  void Apply(const QueryPointer& query, Actions actions) {
+    QueryRecord& record = query->record;
+    if (!record.outcomes.empty()) {
+      const bool silent = actions.batches.empty() &&
+                          actions.cancellations.empty() && !actions.outcome;
+      Expect(silent, "something was done after the last answer");
+    }
+    std::vector<const Batch*> unsent;
+    for (const Batch& batch : actions.batches) {
+      CheckBatch(record, batch);
+      if (!Send(query, batch)) {
+        unsent.push_back(&batch);
+      }
+    }
+    for (const Cancellation& cancellation : actions.cancellations) {
+      SendCancel(query, cancellation);
+    }
+    if (actions.outcome) {
+      End(record, std::move(*actions.outcome));
+      return;
+    }
+    for (const Batch* batch : unsent) {
+      if (record.outcomes.empty()) {
+        for (const PlannedSubquery& planned : batch->subqueries) {
+          SentSubquery& sent = record.sent.at(planned.attempt_id);
+          sent.told_not_run = sent.settled = true;
+        }
+        Apply(query, query->run->OnBatchUnsent(*batch, now_));
+      }
+    }
+    Arm(query);
+  }
+
+  void Arm(const QueryPointer& query) {
+    const MonotonicTime wanted = query->run->next_timer();
+    if (!query->record.outcomes.empty() || wanted >= query->armed_for) {
+      return;
+    }
+    query->armed_for = wanted;
+    const Duration late(static_cast<Duration::rep>(Draw(kLatestTimer.count())));
+    At(std::max(now_, wanted) + late, [this, query] {
+      query->armed_for = MonotonicTime::max();
+      if (query->record.outcomes.empty()) {
+        Apply(query, query->run->OnTimer(now_));
+      }
+    });
+  }
+
+  void End(QueryRecord& record, QueryOutcome outcome) {
+    Plant(outcome);
+    record.ended = now_;
+    record.outcomes.push_back(std::move(outcome));
+    if (options_.defect == PlantedDefect::kTwoAnswers) {
+      record.outcomes.push_back(record.outcomes.back());
+    }
+  }
+
+  void Plant(QueryOutcome& outcome) const {
+    auto* answer = std::get_if<Answer>(&outcome);
+    if (answer != nullptr && !answer->coverage.missing.empty() &&
+        options_.defect == PlantedDefect::kFalseCoverage) {
+      answer->coverage.searched.push_back(answer->coverage.missing[0].range);
+      answer->coverage.missing.erase(answer->coverage.missing.begin());
+    }
+    if (auto* refusal = std::get_if<Refusal>(&outcome)) {
+      if (options_.defect == PlantedDefect::kFalseNotRun) {
+        refusal->execution = ExecutionState::kNotRun;
+      } else if (options_.defect == PlantedDefect::kFalseMayHaveRun) {
+        refusal->execution = ExecutionState::kMayHaveRun;
+      }
+    }
+  }
+
+  // --- Out ---
+  void CheckBatch(const QueryRecord& record, const Batch& batch) {
+    Expect(now_ < record.deadline, "sent after the deadline");
+    Expect(batch.remaining > Duration::zero() &&
+               now_ + batch.remaining <= record.deadline,
+           "an owner got more time than is left");
+    for (const PlannedSubquery& planned : batch.subqueries) {
+      const std::string name(planned.backend);
+      const auto machine = view_.machines.find(name);
+      const bool leaves =
+          machine != view_.machines.end() && machine->second.leaving;
+      Expect(!leaves && !view_.backends.at(name).drain,
+             "sent to a back end that the view says is draining");
+      Expect(view_.reports.at(name).held_versions.contains(batch.index_version),
+             "sent to a back end that does not hold the snapshot");
+    }
+  }
+
+  bool Send(const QueryPointer& query, const Batch& batch) {
+    Link& link = links_[batch.owner];
+    for (const PlannedSubquery& planned : batch.subqueries) {
+      const bool fresh =
+          query->record.sent
+              .try_emplace(
+                  planned.attempt_id,
+                  SentSubquery{batch.owner, batch.index_version, planned.range})
+              .second;
+      Expect(fresh, "an attempt id was used twice");
+    }
+    if (!link.connected && !link.connecting && now_ < link.paused_until) {
+      Count("unsent batches");
+      return false;
+    }
+    sent_ += batch.subqueries.size();
+    for (const PlannedSubquery& planned : batch.subqueries) {
+      const auto travel = [this, query, id = planned.attempt_id,
+                           backend = std::string(planned.backend),
+                           remaining = batch.remaining, owner = batch.owner] {
+        const int generation = links_[owner].generation;
+        At(now_ + Between(0, 3),
+           [=, this] { Arrive(query, id, backend, remaining, generation); });
+      };
+      link.connected ? travel() : link.waiting.push_back(travel);
+    }
+    if (!link.connected && !link.connecting) {
+      Connect(batch.owner);
+    }
+    return true;
+  }
+
+  void Connect(OwnerId owner) {
+    links_[owner].connecting = true;
+    At(now_ + Between(0, 4), [this, owner] {
+      Link& link = links_[owner];
+      link.connecting = false;
+      if (Chance(0.85)) {
+        link.connected = true;
+        front_.owners.OnConnected(owner);
+        for (const auto& travel : std::exchange(link.waiting, {})) {
+          travel();
+        }
+        return;
+      }
+      Count("failed connects");
+      link.waiting.clear();
+      TellLoss(owner, OwnerLoss::kNothingSent);
+    });
+  }
+
+  // The connection breaks: what is under way may or may not arrive.
+  void LoseLink(OwnerId owner) {
+    Link& link = links_[owner];
+    if (!link.connected) {
+      return;
+    }
+    Count("hang-ups");
+    link.connected = false;
+    ++link.generation;
+    TellLoss(owner, OwnerLoss::kMayHaveRun);
+  }
+
+  void TellLoss(OwnerId owner, OwnerLoss loss) {
+    links_[owner].paused_until = now_ + kPause;
+    front_.owners.OnLost(owner, now_);
+    for (const QueryPointer& query : std::vector(queries_)) {
+      if (!query->record.outcomes.empty()) {
+        continue;
+      }
+      for (auto& [id, sent] : query->record.sent) {
+        if (sent.owner == owner && !sent.settled && !sent.cancelled) {
+          sent.settled = true;
+          sent.told_not_run = loss == OwnerLoss::kNothingSent;
+        }
+      }
+      Apply(query, query->run->OnOwnerLost(owner, loss, now_));
+    }
+  }
+
+  // --- At the owner and the back end ---
+  void Arrive(const QueryPointer& query, AttemptId id,
+              const std::string& backend, Duration remaining, int generation) {
+    SentSubquery& sent = query->record.sent.at(id);
+    const bool hung_up = generation != links_[sent.owner].generation;
+    if (sent.cancelled || (hung_up && Chance(0.5))) {
+      return;
+    }
+    if (!held_[backend].contains(sent.version)) {
+      Reply(query, id, SubqueryOutcome::kWrongSnapshot, Between(0, 2));
+      return;
+    }
+    constexpr std::array kRefusals = {
+        SubqueryOutcome::kShed, SubqueryOutcome::kNotOwner,
+        SubqueryOutcome::kDraining, SubqueryOutcome::kUnreachable};
+    if (Chance(0.12)) {
+      Reply(query, id, kRefusals[Draw(kRefusals.size())], Between(0, 2));
+      return;
+    }
+    const Duration work = Chance(0.1) ? Between(20, 200) : Between(1, 8);
+    if (Chance(0.05)) {
+      Reply(query, id, SubqueryOutcome::kExpiredUnstarted, remaining);
+      return;
+    }
+    sent.begun = true;
+    ++begun_;
+    if (Chance(0.04)) {
+      Count("silent subqueries");
+    } else if (work > remaining) {
+      Reply(query, id, SubqueryOutcome::kExpiredStarted, remaining);
+    } else {
+      Reply(query, id,
+            Chance(0.06) ? SubqueryOutcome::kLost : SubqueryOutcome::kRows,
+            work);
+    }
+  }
+
+  void SendCancel(const QueryPointer& query, const Cancellation& cancellation) {
+    if (options_.defect == PlantedDefect::kNoCancels) {
+      return;
+    }
+    for (const AttemptId id : cancellation.attempts) {
+      SentSubquery& sent = query->record.sent.at(id);
+      Expect(sent.owner == cancellation.owner, "cancelled at another owner");
+      Expect(!sent.settled, "cancelled although it had ended");
+      sent.cancelled = true;
+    }
+  }
+
+  // --- Back ---
+  void Reply(const QueryPointer& query, AttemptId id, SubqueryOutcome outcome,
+             Duration after) {
+    const SentSubquery& sent = query->record.sent.at(id);
+    const int generation = links_[sent.owner].generation;
+    const auto deliver = [=, this] { Deliver(query, id, outcome, generation); };
+    At(now_ + after + Between(0, 3), deliver);
+    if (Chance(0.05)) {
+      Count("duplicates");
+      At(now_ + after + Between(0, 30), deliver);
+    }
+    if (Chance(0.03)) {
+      Count("foreign results");
+      At(now_ + after, [=, this] { DeliverForeign(query, id, outcome); });
+    }
+  }
+
+  void Deliver(const QueryPointer& query, AttemptId id, SubqueryOutcome outcome,
+               int generation) {
+    QueryRecord& record = query->record;
+    SentSubquery& sent = record.sent.at(id);
+    // What comes over a broken connection is late, if it comes at all.
+    const bool hung_up = generation != links_[sent.owner].generation;
+    if (!record.outcomes.empty() || (hung_up && Chance(0.8))) {
+      return;
+    }
+    const bool counts = !sent.settled && !sent.cancelled;
+    if (counts) {
+      sent.settled = true;
+      sent.told_rows = outcome == SubqueryOutcome::kRows;
+      sent.told_not_run = !sent.begun;
+    }
+    std::vector<SubqueryReply> replies;
+    replies.push_back(MakeReply(sent, id, outcome));
+    Apply(query, query->run->OnReplies(sent.owner, std::move(replies), now_));
+  }
+
+  // An attempt that does not exist, or another owner's.
+  void DeliverForeign(const QueryPointer& query, AttemptId id,
+                      SubqueryOutcome outcome) {
+    if (!query->record.outcomes.empty()) {
+      return;
+    }
+    const SentSubquery& sent = query->record.sent.at(id);
+    const bool other_owner = Chance(0.5);
+    std::vector<SubqueryReply> replies;
+    replies.push_back(MakeReply(sent, other_owner ? id : id + 1000, outcome));
+    const OwnerId owner = other_owner ? sent.owner + 1 : sent.owner;
+    Apply(query, query->run->OnReplies(owner, std::move(replies), now_));
+  }
+
+  SubqueryReply MakeReply(const SentSubquery& sent, AttemptId id,
+                          SubqueryOutcome outcome) {
+    SubqueryReply reply;
+    reply.attempt_id = id;
+    reply.outcome = outcome;
+    reply.load = static_cast<std::uint32_t>(Draw(6));
+    reply.slots = 4;
+    if (outcome == SubqueryOutcome::kRows) {
+      const bool mixed =
+          options_.defect == PlantedDefect::kMixedSnapshot && sent.version > 1;
+      reply.block =
+          MakeRows(mixed ? sent.version - 1 : sent.version, sent.range);
+    }
+    return reply;
+  }
+
+  // Now and then with rows of the neighbour's range, or unsorted.
+  RowBlock MakeRows(resources::IndexVersion version, KeyRange range) {
+    if (Chance(0.05)) {
+      range.end = std::min(range.end + 3 * kRowSpacing, kWorldEnd);
+    }
+    auto values = std::make_shared<std::vector<std::string>>();
+    std::vector<Key> keys;
+    const Key first = (range.begin + kRowSpacing - 1) / kRowSpacing;
+    for (Key key = first * kRowSpacing; key < range.end; key += kRowSpacing) {
+      keys.push_back(key);
+      values->push_back(TrueValue(version, key));
+    }
+    RowBlock block;
+    for (std::size_t i = 0; i < keys.size(); ++i) {
+      block.rows.push_back({keys[i], (*values)[i]});
+    }
+    if (Chance(0.1)) {
+      std::ranges::reverse(block.rows);
+    }
+    block.storage = std::move(values);
+    return block;
+  }
+
+  // --- Sums ---
+  void CheckLoad() {
+    const FrontCounters& counters = front_.counters;
+    const auto firsts = static_cast<double>(counters.first_subqueries);
+    const auto extra = static_cast<double>(counters.hedges + counters.retries);
+    const double allowed = kBudget * firsts + RetryBudget::kReserve;
+    Expect(extra <= allowed + 1e-6, "hedges and retries exceed the budget");
+    const std::uint64_t counted = counters.first_subqueries + counters.hedges +
+                                  counters.retries + counters.reroutes +
+                                  counters.restarted_subqueries;
+    Expect(sent_ <= counted, "more was sent than was counted");
+    // What a back end began beyond first subqueries was paid for, or is owed
+    // for a restart.
+    Expect(static_cast<double>(begun_) <=
+               firsts + allowed +
+                   static_cast<double>(counters.restarted_subqueries),
+           "back ends began more than the budget allows");
+    result_.counts["subqueries"] += sent_;
+    result_.counts["hedges"] += counters.hedges;
+    result_.counts["retries"] += counters.retries;
+    result_.counts["reroutes"] += counters.reroutes;
+    result_.counts["restarts"] += counters.restarts;
+    result_.counts["late results"] += counters.late_results;
+    result_.counts["duplicate results"] += counters.duplicate_results;
+    result_.counts["out-of-range rows"] += counters.out_of_range_rows;
+  }
+
+  void CountOutcome(const QueryRecord& record) {
+    if (record.outcomes.empty()) {
+      return;
+    }
+    const QueryOutcome& outcome = record.outcomes.front();
+    if (const auto* answer = std::get_if<Answer>(&outcome)) {
+      Count(answer->coverage.missing.empty() ? "whole" : "partial");
+    } else if (const auto* refusal = std::get_if<Refusal>(&outcome)) {
+      Count(refusal->execution == ExecutionState::kNotRun
+                ? "refused, not run"
+                : "refused, may have run");
+    } else {
+      Count("abandoned");
+    }
+  }
+
+  WorldOptions options_;
+  std::mt19937_64 random_;
+  FrontState front_;
+  session::FleetView view_;
+  MonotonicTime now_{milliseconds(1)};
+  std::multimap<MonotonicTime, std::function<void()>> events_;
+  std::vector<QueryPointer> queries_;
+  std::map<OwnerId, Link> links_;
+  // What back ends really hold.
+  std::map<std::string, std::set<resources::IndexVersion>> held_;
+  resources::IndexVersion newest_ = 0;
+  std::uint64_t sent_ = 0;
+  std::uint64_t begun_ = 0;
+  WorldResult result_;
+};
+
+}  // namespace
+
+WorldResult RunWorld(const WorldOptions& options) {
+  return World(options).Run();
+}
+
+}  // namespace juniperway::routing::testing
