Let the simulated zone serve: undo each change after a while

The world's change step was a symmetric toggle: at any time half of the members were leaving and half of the back ends drained. Of all back-end-milliseconds only 28% were usable at an owner (drained 28%, waiting or without an owner the rest), so the bound was right and the world too idle. Change: a member that leaves comes back, and a drain ends, 20 to 400 ms later. Planted defects must now break the very promise that their rule keeps (slots, connections, drained), not any; the bound of starts is raised from 1000 to 1500 a seed.

--- a/test/property/owner/owner_property_test.cc
+++ b/test/property/owner/owner_property_test.cc
@@ -40,7 +40,7 @@
     skipped_views += world.skipped_views;
   }
   // The runs met what they are meant to provoke.
-  CHECK(total.starts > kSeeds * 1000);
+  CHECK(total.starts > kSeeds * 1500);
   CHECK(total.starts_after_hand_over > kSeeds * 3);
   CHECK(total.starts_with_all_slots_taken > kSeeds * 100);
   CHECK(changes > kSeeds * 10);
@@ -59,24 +59,30 @@
                     << lost_leases << ", skipped views " << skipped_views);
 }
 
-// True if some seed's history breaks a promise.
-bool Caught(PlantedDefect defect) {
+// True if some seed's history breaks the promise that `broken` names.
+bool Caught(PlantedDefect defect, const std::string& broken) {
   for (std::uint64_t seed = 1; seed <= kSeeds; ++seed) {
     const WorldResult world = RunWorld({.seed = seed, .defect = defect});
-    if (!CheckHistory(world.history, world.limits).violations.empty()) {
+    const HistoryReport report = CheckHistory(world.history, world.limits);
+    if (std::ranges::any_of(report.violations, [&](const std::string& text) {
+          return text.find(broken) != std::string::npos;
+        })) {
       return true;
     }
   }
   return false;
 }
 
-TEST_CASE("Without each rule, some seed breaks a promise") {
-  CHECK(Caught(PlantedDefect::kIgnoreWatermark));
-  CHECK(Caught(PlantedDefect::kReleaseEarly));
-  CHECK(Caught(PlantedDefect::kReleaseSkippedViews));
-  CHECK(Caught(PlantedDefect::kFreeSlotOnCancel));
-  CHECK(Caught(PlantedDefect::kKeepRunningWithoutLease));
-  CHECK(Caught(PlantedDefect::kIgnoreDrain));
+TEST_CASE("Without each rule, some seed breaks the promise it keeps") {
+  const std::string slots = "running of";
+  const std::string connections = "connections at";
+  CHECK(Caught(PlantedDefect::kIgnoreWatermark, slots));
+  CHECK(Caught(PlantedDefect::kIgnoreWatermark, connections));
+  CHECK(Caught(PlantedDefect::kReleaseEarly, slots));
+  CHECK(Caught(PlantedDefect::kReleaseSkippedViews, slots));
+  CHECK(Caught(PlantedDefect::kFreeSlotOnCancel, slots));
+  CHECK(Caught(PlantedDefect::kKeepRunningWithoutLease, slots));
+  CHECK(Caught(PlantedDefect::kIgnoreDrain, "started on draining"));
 }
 
 TEST_CASE("The checker sees defects planted in a history") {
--- /dev/null
+++ b/test/property/owner/zone_control.h
@@ -0,0 +1,64 @@
+// The control leader of a simulated zone: publishes views, grants leases and
+// works out the watermarks. Time is an argument.
+#pragma once
+
+#include <functional>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "common/base/time.h"
+#include "common/session/fleet_view.h"
+
+namespace juniperway::owner::testing {
+
+inline constexpr Duration kLease = milliseconds(400);
+// The simulated zone's name.
+inline const std::string kZone = "z";
+
+struct Heartbeat {
+  std::string owner;
+  resources::Revision confirmed = 0;
+  resources::Revision released = 0;
+  // The sender has a lease by its own clock.
+  bool holds_lease = false;
+};
+
+class ZoneControl {
+ public:
+  // Makes the next view out of the newest one.
+  void Publish(const std::function<void(session::FleetView&)>& change);
+
+  // @return whether the sender's lease was granted or renewed.
+  bool OnHeartbeat(const Heartbeat& heartbeat, MonotonicTime now);
+
+  // Ends leases, removes members that stayed without one, moves watermarks.
+  void Tick(MonotonicTime now);
+
+  const session::FleetView& newest() const { return *views_.back(); }
+  // @param revision 1 to newest().revision.
+  session::FleetViewPointer view(resources::Revision revision) const {
+    return views_.at(revision - 1);
+  }
+  resources::Revision in_force() const { return in_force_; }
+  resources::Revision zone_released() const { return zone_released_; }
+
+ private:
+  // What is known of one owner.
+  struct Record {
+    std::optional<MonotonicTime> lease_end;
+    MonotonicTime unleased_since;
+    resources::Revision confirmed = 0;
+    resources::Revision released = 0;
+  };
+
+  void AdvanceWatermarks();
+
+  std::vector<session::FleetViewPointer> views_;
+  std::map<std::string, Record> records_;
+  resources::Revision in_force_ = 0;
+  resources::Revision zone_released_ = 0;
+};
+
+}  // namespace juniperway::owner::testing
