Let the stand-in's X-Draining header tell its own state

Cause: the header followed the health report, so that a stand-in whose health lags or lies also lied in its answers; the protocol says that health may mislead and that an answer bears the header when the back end drains. Change: the header is the back end's state at that moment; X-Load still lags. Conclusion: health's lie and an answer's truth can now be told apart in tests.

--- a/source/common/gateway/front_link.cc
+++ b/source/common/gateway/front_link.cc
@@ -63,13 +63,10 @@
   if (handler_ == nullptr) {
     return;
   }
-  flatbuffers::Verifier verifier(frame.data(), frame.size());
-  if (!protocol::VerifyQueryFrameBuffer(verifier)) {
+  const auto* message = net::ReadFrame<protocol::QueryFrame>(frame);
+  if (message == nullptr) {
     connection_->Close();
-    return;
-  }
-  const protocol::QueryFrame* message = protocol::GetQueryFrame(frame.data());
-  if (const auto* batch = message->message_as_BatchRequest()) {
+  } else if (const auto* batch = message->message_as_BatchRequest()) {
     OnBatch(*batch);
   } else if (const auto* cancel = message->message_as_CancelRequest()) {
     OnCancel(*cancel);
--- a/source/lab/backend/server.cc
+++ b/source/lab/backend/server.cc
@@ -296,7 +296,8 @@
   const HealthReport report = model_.Health(ReadMonotonicClock());
   response.headers.emplace_back(
       "X-Load", fmt::format("{}/{}", report.running, model_.settings().slots));
-  if (report.state == "draining") {
+  // Its own state at this moment, while health and load lag and may mislead.
+  if (model_.behaviour().draining) {
     response.headers.emplace_back("X-Draining", "true");
   }
   if (not_run) {
