Take a shed of newer work as a new sign of overload

Cause: a back end that shed everything while its health said ok got 200 of 200 subqueries: the limit fell once in 10 ms whatever was shed, and the pause comes only when nothing else runs, so two at a time were sent as fast as they were refused. Change: a shed of a search that was sent after the last decrease lowers the limit again; sheds of what was sent before it are still the same sign. Conclusion: a lying back end gets a handful and then one after each pause.

--- a/source/common/owner/backend_gate.cc
+++ b/source/common/owner/backend_gate.cc
@@ -13,8 +13,6 @@
 // Pause after a shed of the only running subquery; doubles with each.
 constexpr Duration kFirstShedPause = milliseconds(5);
 constexpr Duration kLongestShedPause = seconds(1);
-// Sheds within this time (or one service time) are one sign of overload.
-constexpr Duration kShortestShedRound = milliseconds(10);
 constexpr Duration kShortestRetryAfter = milliseconds(1);
 
 }  // namespace
@@ -356,7 +354,7 @@
     case ReplyKind::kRefused:
       break;
     case ReplyKind::kShed:
-      OnShed(reply, now);
+      OnShed(search, reply, now);
       break;
     case ReplyKind::kStopped:
       service_time_.ObserveAtLeast(now - search.started);
@@ -372,8 +370,9 @@
   breaker_.OnAnswer();
 }
 
-void BackendGate::OnShed(const BackendReply& reply, MonotonicTime now) {
-  limit_.OnShed(now, std::max(service_time_.mean(), kShortestShedRound));
+void BackendGate::OnShed(const Running& search, const BackendReply& reply,
+                         MonotonicTime now) {
+  limit_.OnShed(search.started, now);
   if (!running_.empty()) {
     return;
   }
--- a/source/common/owner/backend_gate.h
+++ b/source/common/owner/backend_gate.h
@@ -153,7 +153,8 @@
   void ProbeWhenDue(MonotonicTime now);
   void LearnFrom(const Running& search, const BackendReply& reply,
                  MonotonicTime now);
-  void OnShed(const BackendReply& reply, MonotonicTime now);
+  void OnShed(const Running& search, const BackendReply& reply,
+              MonotonicTime now);
   void Finish(SubqueryId id, protocol::SubqueryOutcome outcome,
               Duration retry_after = Duration::zero());
   Duration RetryAfter(MonotonicTime now) const;
--- a/source/common/owner/concurrency_limit.cc
+++ b/source/common/owner/concurrency_limit.cc
@@ -20,8 +20,8 @@
   limit_ = unrestricted ? slots : std::min<double>(limit_, slots);
 }
 
-void AdaptiveLimit::OnShed(MonotonicTime now, Duration round) {
-  if (decreased_at_ && now < *decreased_at_ + round) {
+void AdaptiveLimit::OnShed(MonotonicTime started, MonotonicTime now) {
+  if (decreased_at_ && started < *decreased_at_) {
     return;
   }
   decreased_at_ = now;
--- a/source/common/owner/concurrency_limit.h
+++ b/source/common/owner/concurrency_limit.h
@@ -17,8 +17,9 @@
   void SetSlots(std::uint32_t slots);
 
   // The back end refused a subquery although at most `limit()` were running.
-  // Sheds within `round` of the last decrease count as the same one.
-  void OnShed(MonotonicTime now, Duration round);
+  // @param started when it was sent: sheds of what was sent before the last
+  //   decrease are the same sign of overload, and change nothing.
+  void OnShed(MonotonicTime started, MonotonicTime now);
 
   // The back end served a subquery.
   void OnServed();
