Give each fleet its own loopback addresses, and show views in failures

Cause: fleets that run at the same time shared addresses, and one's proxy reached another's daemon on a port that had been given up. Change: addresses by the lab's process id; a fleet that does not come up says what each gateway shows.

--- a/source/lab/experiment/selection.cc
+++ b/source/lab/experiment/selection.cc
@@ -112,7 +112,8 @@
                                  ToMilliseconds(ReadMonotonicClock() - begin)));
   if (!recovered) {
     return MakeError(ErrorCode::kDeadlineExceeded, "recovery",
-                     "not every gateway serves the newest snapshots");
+                     "not every gateway serves the newest snapshots: " +
+                         run.fleet().DescribeViews());
   }
   return {};
 }
--- a/source/lab/fleet/fleet.cc
+++ b/source/lab/fleet/fleet.cc
@@ -1,6 +1,7 @@
 #include "lab/fleet/fleet.h"
 
 #include <fmt/format.h>
+#include <unistd.h>
 
 #include <csignal>
 #include <filesystem>
@@ -16,6 +17,8 @@
 constexpr Duration kDeclareTimeout = seconds(60);
 constexpr Duration kMemberTimeout = seconds(30);
 constexpr int kOk = 200;
+// Bounds the second and the third part of the fleet's loopback addresses.
+constexpr std::size_t kFleets = 250;
 
 constexpr const char* kGatewayHttp = "gateway.http";
 constexpr const char* kGatewayPeer = "gateway.peer";
@@ -87,7 +90,11 @@
   settings.region = machine.zone.region;
   settings.data_folder =
       fmt::format("{}/{}", options_.stand_ins.work_folder, machine.name);
-  settings.address = fmt::format("127.1.{}.{}", number / 200, number % 200 + 1);
+  // Fleets that run at the same time have addresses of their own: a port that
+  // one has given up may be another's at once.
+  const auto fleet = static_cast<std::size_t>(getpid());
+  settings.address = fmt::format("127.{}.{}.{}", fleet % kFleets + 1,
+                                 fleet / kFleets % kFleets, number + 1);
   return settings;
 }
 
@@ -272,8 +279,9 @@
     return true;
   });
   if (!serving) {
-    return MakeError(ErrorCode::kDeadlineExceeded, "declare",
-                     "the gateways do not serve the first snapshots");
+    return MakeError(
+        ErrorCode::kDeadlineExceeded, "declare",
+        "the gateways do not serve the first snapshots: " + DescribeViews());
   }
   return {};
 }
@@ -395,6 +403,20 @@
   return records;
 }
 
+std::string Fleet::DescribeViews() {
+  std::string text;
+  for (const MachinePlan& gateway : layout_.gateways) {
+    const auto view = GetFromGateway(gateway.name, "/v1/view");
+    text += fmt::format(
+        "{}: {}; ", gateway.name,
+        view ? fmt::format("revision {} serving {}",
+                           view->value("revision", 0UL),
+                           view->value("serving", nlohmann::json()).dump())
+             : "no view");
+  }
+  return text;
+}
+
 bool Fleet::AllServe(const std::string& service,
                      resources::IndexVersion index_version) {
   for (const MachinePlan& gateway : layout_.gateways) {
--- a/source/lab/fleet/fleet.h
+++ b/source/lab/fleet/fleet.h
@@ -63,6 +63,9 @@
   bool AllServe(const std::string& service,
                 resources::IndexVersion index_version);
 
+  // What each gateway shows, for messages.
+  std::string DescribeViews();
+
   const Layout& layout() const { return layout_; }
   Catalog& catalog() { return catalog_; }
   StandIns& stand_ins() { return *stand_ins_; }
