--- a/source/common/control/control_state.cc
+++ b/source/common/control/control_state.cc
@@ -184,6 +184,14 @@
   return applied;
 }
 
+void ControlState::LeaveGap(resources::Revision revisions, WallTime wall_time) {
+  revision_ += revisions;
+  log_.Reset(revision_);
+  wall_time_ = std::max(wall_time_, wall_time);
+  claims_.Expire(wall_time_);
+  changes_.Expire(wall_time_);
+}
+
 void ControlState::Commit(std::vector<FleetItem> items) {
   ++revision_;
   log_.Record(revision_, std::move(items));
--- a/source/common/control/control_state.h
+++ b/source/common/control/control_state.h
@@ -48,6 +48,11 @@
   // @return kCorrupt when `data` is not a snapshot.
   static Result<ControlState> DecodeSnapshot(std::string_view data);
 
+  // For a state restored from a backup, where history went on after it: leaves
+  // out `revisions`, and raises the wall time, so that neither a revision nor a
+  // request id that may have been used since is taken for a new one.
+  void LeaveGap(resources::Revision revisions, WallTime wall_time);
+
   resources::Revision revision() const { return revision_; }
   // Highest time stamped on a command so far.
   WallTime wall_time() const { return wall_time_; }
--- /dev/null
+++ b/source/common/control/store_restore.cc
@@ -0,0 +1,184 @@
+#include "common/control/store_restore.h"
+
+#include <algorithm>
+#include <system_error>
+#include <utility>
+
+#include "common/control/control_state.h"
+#include "common/storage/backup_file.h"
+#include "common/storage/file_sync.h"
+#include "common/storage/log_store.h"
+
+namespace juniperway::control {
+namespace {
+
+namespace fs = std::filesystem;
+
+// The state after everything in the backup.
+Result<ControlState> StateOf(const raft::InitialState& stored) {
+  ControlState state;
+  if (!stored.snapshot.data.empty()) {
+    auto decoded = ControlState::DecodeSnapshot(stored.snapshot.data);
+    if (!decoded) {
+      return decoded;
+    }
+    state = std::move(*decoded);
+  }
+  for (const raft::Entry& entry : stored.entries) {
+    const bool applies = entry.index > stored.snapshot.index &&
+                         entry.kind == raft::EntryKind::kCommand;
+    if (applies) {
+      state.Apply(entry.data);
+    }
+  }
+  return state;
+}
+
+bool Holds(const raft::Configuration& configuration, raft::NodeId id) {
+  const auto is_it = [id](const raft::Member& member) {
+    return member.id == id;
+  };
+  return std::any_of(configuration.voters.begin(), configuration.voters.end(),
+                     is_it) ||
+         std::any_of(configuration.learners.begin(),
+                     configuration.learners.end(), is_it);
+}
+
+// A machine of the old group that comes back must not be taken for one of the
+// new group.
+Result<void> CheckNewId(const storage::BackupContent& backup, raft::NodeId id) {
+  bool known =
+      id == backup.node || Holds(backup.state.snapshot.configuration, id);
+  for (const raft::Entry& entry : backup.state.entries) {
+    if (entry.kind != raft::EntryKind::kConfiguration) {
+      continue;
+    }
+    auto configuration = raft::DecodeConfiguration(entry.data);
+    if (!configuration) {
+      return tl::unexpected(configuration.error());
+    }
+    known = known || Holds(*configuration, id);
+  }
+  if (known) {
+    return MakeError(ErrorCode::kInvalidArgument, "--node-id",
+                     std::to_string(id) +
+                         " was a control machine of the backup's fleet; ids "
+                         "are never used again");
+  }
+  return {};
+}
+
+// Every claim of the old group expires before this: see kClaimClockAllowance.
+WallTime ClaimsFrom(const ControlState& state, WallTime now) {
+  Duration longest{0};
+  for (const auto& [id, resource] : state.fleet().resources()) {
+    if (const auto* service =
+            std::get_if<resources::Service>(&resource.specification)) {
+      longest = std::max(longest, service->maximum_expiry);
+    }
+  }
+  return std::max(now, state.wall_time()) + longest + kClaimClockAllowance;
+}
+
+Result<void> CheckFolder(const fs::path& folder) {
+  std::error_code reason;
+  if (!fs::exists(folder, reason)) {
+    return {};
+  }
+  if (!fs::is_directory(folder, reason) || !fs::is_empty(folder, reason)) {
+    return MakeError(ErrorCode::kConflict, folder.string(),
+                     "exists and is not an empty folder");
+  }
+  return {};
+}
+
+Result<void> WriteStore(const fs::path& folder, const std::string& cluster,
+                        raft::NodeId node, const raft::Ready& ready) {
+  auto store = storage::OpenSqliteLogStore(
+      {.folder = folder, .cluster = cluster, .node = node, .create = true});
+  if (!store) {
+    return tl::unexpected(store.error());
+  }
+  return (*store)->Write(ready);
+}
+
+// The folder gets its name only when the store in it is whole: one that is
+// half written could be taken for a new group's.
+Result<void> PublishStore(const RestoreOptions& options,
+                          const std::string& cluster,
+                          const raft::Ready& ready) {
+  const fs::path folder = fs::absolute(options.data_folder);
+  const fs::path partial = folder.string() + ".partial";
+  std::error_code reason;
+  if (fs::exists(partial, reason)) {
+    return MakeError(ErrorCode::kConflict, partial.string(),
+                     "is left of a restore that did not end; remove it");
+  }
+  if (auto written = WriteStore(partial, cluster, options.member.id, ready);
+      !written) {
+    return written;
+  }
+  if (auto synced = storage::SyncPath(partial); !synced) {
+    return synced;
+  }
+  fs::rename(partial, folder, reason);
+  if (reason) {
+    return MakeError(ErrorCode::kIo, folder.string(), reason.message());
+  }
+  return storage::SyncPath(folder.parent_path());
+}
+
+raft::Ready MakeFirstReady(const raft::InitialState& stored,
+                           const raft::Member& member, std::string data) {
+  raft::Ready ready;
+  raft::Snapshot snapshot = stored.snapshot;
+  if (!stored.entries.empty()) {
+    snapshot.index = stored.entries.back().index;
+    snapshot.term = stored.entries.back().term;
+  }
+  // An index above 0, also when nothing was ever written.
+  snapshot.index = std::max<raft::Index>(snapshot.index, 1);
+  snapshot.term = std::max<raft::Term>(snapshot.term, 1);
+  snapshot.configuration = {{member}, {}};
+  snapshot.data = std::move(data);
+  ready.hard_state = raft::HardState{
+      std::max(stored.hard_state.term, snapshot.term), raft::kNoNode};
+  ready.snapshot = std::move(snapshot);
+  return ready;
+}
+
+}  // namespace
+
+Result<RestoredStore> RestoreStore(const RestoreOptions& options) {
+  if (auto usable = CheckFolder(options.data_folder); !usable) {
+    return tl::unexpected(usable.error());
+  }
+  auto backup = storage::ReadBackupFile(options.backup);
+  if (!backup) {
+    return tl::unexpected(backup.error());
+  }
+  if (auto fresh = CheckNewId(*backup, options.member.id); !fresh) {
+    return tl::unexpected(fresh.error());
+  }
+  auto state = StateOf(backup->state);
+  if (!state) {
+    return tl::unexpected(state.error());
+  }
+  RestoredStore restored;
+  restored.cluster =
+      options.cluster.empty() ? backup->cluster : options.cluster;
+  restored.backup_revision = state->revision();
+  restored.claims_from = ClaimsFrom(*state, options.now);
+  state->LeaveGap(options.skipped_revisions, restored.claims_from);
+  restored.revision = state->revision();
+  restored.resources = state->fleet().resources().size();
+  const raft::Ready ready =
+      MakeFirstReady(backup->state, options.member, state->EncodeSnapshot());
+  if (auto published = PublishStore(options, restored.cluster, ready);
+      !published) {
+    return tl::unexpected(published.error());
+  }
+  return restored;
+}
+
+}  // namespace juniperway::control
--- a/source/common/storage/log_store.cc
+++ b/source/common/storage/log_store.cc
@@ -2,10 +2,12 @@
 // folder is found here, before the node takes part in anything.
 #include "common/storage/log_store.h"
 
+#include <cstdlib>
 #include <string>
 #include <system_error>
 #include <utility>
 
+#include "common/storage/backup_file.h"
 #include "common/storage/file_sync.h"
 #include "common/storage/schema.h"
 #include "common/storage/sqlite.h"
@@ -163,8 +165,47 @@
   return {};
 }
 
+// The checks that a file must pass before what it holds is believed.
+Result<void> CheckWhole(const Database& database) {
+  return KeepLocks(database)
+      .and_then([&] { return CheckKind(database); })
+      .and_then([&] { return CheckIntegrity(database); });
+}
+
 }  // namespace
 
+Result<BackupContent> ReadBackupFile(const fs::path& file) {
+  const auto found = FindStore(file);
+  if (!found) {
+    return tl::unexpected(found.error());
+  }
+  if (!*found) {
+    return MakeError(ErrorCode::kNotFound, file.string(), "does not exist");
+  }
+  auto database = Database::Open(file, /*create=*/false);
+  if (!database) {
+    return tl::unexpected(database.error());
+  }
+  if (const auto whole = CheckWhole(*database); !whole) {
+    return tl::unexpected(whole.error());
+  }
+  const auto cluster = database->QueryText("SELECT cluster FROM identity");
+  const auto node = database->QueryText("SELECT node FROM identity");
+  if (!cluster || !node) {
+    return tl::unexpected((cluster ? node : cluster).error());
+  }
+  auto store = SqliteLogStore::Make(std::move(*database));
+  if (!store) {
+    return tl::unexpected(store.error());
+  }
+  auto state = (*store)->Load();
+  if (!state) {
+    return tl::unexpected(state.error());
+  }
+  return BackupContent{*cluster, std::strtoull(node->c_str(), nullptr, 10),
+                       std::move(*state)};
+}
+
 Result<std::unique_ptr<LogStore>> OpenSqliteLogStore(
     const OpenOptions& options) {
   const fs::path file = options.folder / kStoreFileName;
