--- a/test/integration/daemon/whole_path_test.cc
+++ b/test/integration/daemon/whole_path_test.cc
@@ -31,7 +31,8 @@
 }
 
 TEST_CASE("A killed gateway's back ends go to the others") {
-  TestFleet test({.control_machines = 1});
+  // Without replicas every back end is needed.
+  TestFleet test({.replicas = 1});
   test.fleet->Kill("a-gateway-2");
   // Until its lease has run out, its back ends cannot be used.
   const bool whole = lab::WaitFor(
