Show no view before the first configuration

Cause: a restarted gateway answered GET /v1/view with revision 0 until its first update, as if it had gone back. Change: 503 until there is a view. Conclusion: what is shown never goes back.

--- a/source/common/gateway/front_server.cc
+++ b/source/common/gateway/front_server.cc
@@ -129,12 +129,21 @@
     if (request.path == "/v1/ready") {
       return Ready();
     }
-    if (request.path == "/v1/view") {
-      net::HttpResponse response;
-      response.body = ViewToJson(*session.View()).dump();
-      return response;
+    return request.path == "/v1/view" ? View() : Metrics();
+  }
+
+  // A daemon that has just started has no view yet, which is not the empty one.
+  net::HttpResponse View() const {
+    const session::FleetViewPointer view = session.View();
+    if (view->revision == 0) {
+      const Error error{ErrorCode::kUnavailable, "",
+                        "this gateway has no configuration yet"};
+      return net::ErrorResponse(net::HttpStatusOf(error.code), error,
+                                ExecutionStateName(ExecutionState::kNotRun));
     }
-    return Metrics();
+    net::HttpResponse response;
+    response.body = ViewToJson(*view).dump();
+    return response;
   }
 
   net::HttpResponse Ready() const {
