Weigh each breaker before it opens, not every 20 ms

Cause: the share of replicas that breakers may take out was looked at every 20 ms only, and each breaker was free to open in between: with four replicas of one shard gone at once all four were out for up to 20 ms, whatever the share. Change: a breaker has no right to open until the owner has weighed it against the other replicas, which it does with each view and whenever one opens. Conclusion: among an owner's back ends the share holds at every moment.

--- a/source/common/gateway/owner_backend.cc
+++ b/source/common/gateway/owner_backend.cc
@@ -66,6 +66,7 @@
     held_.Start(report->second.held_versions);
     gate_.SetReportedDraining(report->second.draining, now);
   }
+  gate_.SetMayEject(may_eject_, now);
   gate_.SetDraining(DrainSource::kOperator, resource_.drain, now);
   gate_.SetDraining(DrainSource::kPlatform,
                     LeavesByPlatform(options_.name, view), now);
@@ -310,7 +311,7 @@
     ReplaceClient();
   }
   ReportChanges();
-  LogChanges(now);
+  TellChanges(now);
   UpdateGauges(now);
   ArmTimer(now);
   if (gate_.access() == GateAccess::kOpen) {
@@ -340,7 +341,7 @@
   listener_.OnReport(options_.name, report);
 }
 
-void OwnerBackend::LogChanges(MonotonicTime now) {
+void OwnerBackend::TellChanges(MonotonicTime now) {
   const DrainSource source = gate_.drain_source();
   if (source != logged_drain_) {
     const bool draining = source != DrainSource::kNone;
@@ -356,6 +357,9 @@
     logging::LogEvent(open ? owner::kBreakerOpened : owner::kBreakerClosed,
                       {{"backend", options_.name}});
     logged_breaker_open_ = open;
+    if (open) {
+      listener_.OnBreakerOpened();
+    }
   }
 }
 
--- a/source/common/gateway/owner_backend.h
+++ b/source/common/gateway/owner_backend.h
@@ -43,6 +43,9 @@
     // What it holds or whether it drains changed.
     virtual void OnReport(const std::string& backend,
                           const session::BackendReport& report) = 0;
+    // Its breaker opened: the right of the others to open theirs changes before
+    // anything else happens. May call SetMayEject of any other.
+    virtual void OnBreakerOpened() = 0;
     // Access is not open and nothing is left at the back end, connections
     // included. The object may be destroyed, but not inside this call.
     virtual void OnLetGo(const std::string& backend) = 0;
@@ -96,7 +99,7 @@
   void Answer(owner::SubqueryId id, SubqueryAnswer answer);
   void AfterChange(MonotonicTime now);
   void ReportChanges();
-  void LogChanges(MonotonicTime now);
+  void TellChanges(MonotonicTime now);
   void UpdateGauges(MonotonicTime now);
   void ArmTimer(MonotonicTime now);
 
@@ -112,7 +115,8 @@
   std::unordered_map<owner::SubqueryId, Open> open_;
   std::optional<session::BackendReport> reported_;
   bool probed_ = false;
-  bool may_eject_ = true;
+  // Not before the server has weighed it against the other replicas.
+  bool may_eject_ = false;
   // OnLetGo was called since access was last open.
   bool let_go_ = true;
   owner::DrainSource logged_drain_ = owner::DrainSource::kNone;
--- a/source/common/gateway/owner_server.cc
+++ b/source/common/gateway/owner_server.cc
@@ -80,6 +80,7 @@
       }
     }
     ejection = owner::EjectionPolicy(*view, owned);
+    RefreshEjection(now);
     RefreshAccess(now);
   }
 
@@ -230,6 +231,8 @@
     session.ReportBackend(backend, report);
   }
 
+  void OnBreakerOpened() override { RefreshEjection(ReadMonotonicClock()); }
+
   void OnLetGo(const std::string& backend) override {
     tracker.OnLetGo(backend);
     ReportReleased();
