--- /dev/null
+++ b/test/integration/gateway/owner_fixture.h
@@ -0,0 +1,93 @@
+// An OwnerServer between a bare front and the lab's stand-in back ends, all in
+// one event loop.
+#pragma once
+
+#include <prometheus/registry.h>
+
+#include <asio/io_context.hpp>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "common/gateway/owner_server.h"
+#include "common/net/frame_connection.h"
+#include "common/routing/query_types.h"
+#include "common/session/fleet_view.h"
+#include "lab/backend/server.h"
+#include "support/static_session.h"
+
+namespace juniperway::test {
+
+inline const std::string kOwnerShard = "s0";
+inline constexpr resources::IndexVersion kOwnerVersion = 7;
+// Probes are out of the way unless a test asks for them.
+inline constexpr Duration kRareProbes = seconds(1000);
+
+// A faultless back end named `name` that takes exactly `service_time`.
+lab::BackendSettings StandIn(const std::string& name, std::uint32_t slots,
+                             Duration service_time);
+
+class OwnerFixture {
+ public:
+  using AttemptId = routing::AttemptId;
+
+  // Adds a stand-in; call before Start. Its resource may then be changed in
+  // `view`.
+  lab::BackendServer& Add(const lab::BackendSettings& settings);
+  // Adds a back end that the test serves itself at `address`.
+  resources::Backend& AddResource(const std::string& name,
+                                  const std::string& address,
+                                  std::uint32_t slots,
+                                  std::uint32_t maximum_connections);
+
+  // Starts the owner with `view`, which gives it every back end, and connects
+  // the front.
+  void Start(Duration probe_interval = kRareProbes);
+
+  // Hands the owner `view` under the next revision, released at once.
+  void Publish();
+
+  // Sends one subquery.
+  AttemptId Ask(const std::string& backend, Duration remaining = seconds(60));
+  void Cancel(AttemptId attempt);
+
+  bool Has(AttemptId attempt) const { return replies.contains(attempt); }
+  // Runs the loop until the result is there.
+  const routing::SubqueryReply& ResultOf(AttemptId attempt);
+  routing::SubqueryOutcome OutcomeOf(AttemptId attempt) {
+    return ResultOf(attempt).outcome;
+  }
+  // Asks `count` times and waits for all results.
+  std::map<routing::SubqueryOutcome, int> Flood(
+      const std::string& backend, int count, Duration remaining = seconds(60));
+
+  bool RunUntil(const std::function<bool()>& condition);
+  // Runs the loop for `time`: a span for faults to show in, never one that a
+  // verdict depends on.
+  void RunFor(Duration time);
+  // Sum over all label values; 0 if there is no such metric.
+  double Metric(const std::string& name);
+  bool Probed(const std::string& backend) const {
+    return session.reports().contains(backend);
+  }
+
+  asio::io_context context;
+  StaticSession session{context};
+  session::FleetView view;
+  std::shared_ptr<prometheus::Registry> registry =
+      std::make_shared<prometheus::Registry>();
+  std::vector<std::unique_ptr<lab::BackendServer>> servers;
+  std::unique_ptr<gateway::OwnerServer> owner;
+  std::map<AttemptId, routing::SubqueryReply> replies;
+
+ private:
+  void Connect();
+
+  std::shared_ptr<net::FrameConnection> front_;
+  AttemptId next_attempt_ = 1;
+};
+
+}  // namespace juniperway::test
--- /dev/null
+++ b/test/integration/gateway/owner_limits_test.cc
@@ -0,0 +1,135 @@
+// The limits of a back end and the deadlines passed on, as the back end sees
+// them: docs/design/ownership.md, "What is never exceeded".
+#include <doctest/doctest.h>
+
+#include <algorithm>
+#include <asio/steady_timer.hpp>
+#include <cstdlib>
+#include <vector>
+
+#include "common/net/address.h"
+#include "common/net/http_server.h"
+#include "integration/gateway/owner_fixture.h"
+
+namespace juniperway::test {
+namespace {
+
+using routing::SubqueryOutcome;
+
+TEST_CASE("A flood takes exactly the slots and no connection too many") {
+  OwnerFixture fixture;
+  lab::BackendServer& server = fixture.Add(StandIn("b", 4, milliseconds(3)));
+  fixture.Start(milliseconds(4));
+  std::vector<OwnerFixture::AttemptId> attempts;
+  for (int i = 0; i < 400; ++i) {
+    attempts.push_back(fixture.Ask("b"));
+  }
+  // Cancels and probes compete for the connections with the searches.
+  for (std::size_t i = 0; i < attempts.size(); i += 2) {
+    REQUIRE(fixture.RunUntil([&] {
+      return server.model().counters().arrived > i / 2 ||
+             fixture.Has(attempts.back());
+    }));
+    fixture.Cancel(attempts[i]);
+  }
+  int served = 0;
+  for (const auto attempt : attempts) {
+    served += fixture.OutcomeOf(attempt) == SubqueryOutcome::kRows ? 1 : 0;
+  }
+  const lab::BackendCounters& counters = server.model().counters();
+  CHECK(served >= 200);
+  CHECK(counters.arrived_over_slots == 0);
+  CHECK(counters.peak_running == 4);
+  CHECK(counters.peak_connections ==
+        server.model().settings().maximum_connections);
+}
+
+TEST_CASE(
+    "Connections that are closed for want of an answer stay in the limit") {
+  OwnerFixture fixture;
+  lab::BackendSettings settings = StandIn("b", 4, seconds(30));
+  settings.maximum_connections = settings.slots;
+  lab::BackendServer& server = fixture.Add(settings);
+  fixture.Start();
+  lab::Behaviour behaviour;
+  behaviour.ignore_deadline = true;
+  server.model().SetBehaviour(behaviour, ReadMonotonicClock());
+  while (fixture.Metric("juniperway_owner_closed_connections_total") < 20) {
+    fixture.Flood("b", 60, milliseconds(40));
+  }
+  CHECK(server.model().counters().peak_connections ==
+        settings.maximum_connections);
+}
+
+TEST_CASE("A cold back end gets its slots one after the other") {
+  lab::BackendSettings settings = StandIn("b", 4, milliseconds(2));
+  settings.cold_start = seconds(1000);
+  settings.cold_factor = 1;
+  OwnerFixture fixture;
+  lab::BackendServer& server = fixture.Add(settings);
+  SUBCASE("with a slow start: one at first") {
+    fixture.view.backends["b"].slow_start = seconds(1000);
+    fixture.Start(milliseconds(10));
+    REQUIRE(fixture.RunUntil([&] { return fixture.Probed("b"); }));
+    fixture.Flood("b", 40);
+    CHECK(server.model().counters().peak_running == 1);
+  }
+  SUBCASE("in the end all") {
+    fixture.view.backends["b"].slow_start = milliseconds(100);
+    fixture.Start(milliseconds(10));
+    REQUIRE(fixture.RunUntil([&] { return fixture.Probed("b"); }));
+    while (server.model().counters().peak_running < 4) {
+      fixture.Flood("b", 40);
+    }
+  }
+  SUBCASE("without one: all at once") {
+    fixture.Start(milliseconds(10));
+    REQUIRE(fixture.RunUntil([&] { return fixture.Probed("b"); }));
+    fixture.Flood("b", 40);
+    CHECK(server.model().counters().peak_running == 4);
+  }
+}
+
+net::HttpResponse WithStatus(int status) {
+  net::HttpResponse response;
+  response.status = status;
+  return response;
+}
+
+TEST_CASE("The deadline passed on shrinks by the time spent waiting") {
+  OwnerFixture fixture;
+  constexpr Duration kService = milliseconds(50);
+  constexpr Duration kRemaining = seconds(20);
+  std::vector<double> deadlines_ms;
+  const net::HttpServerOptions listen{
+      .endpoint = {asio::ip::address_v4::loopback(), 0},
+      .connection_listener = {}};
+  net::HttpServer backend(
+      fixture.context, listen,
+      [&](const net::HttpRequest& request,
+          const std::shared_ptr<net::HttpResponder>& responder) {
+        if (request.path != "/v1/search") {
+          responder->Send(WithStatus(404));
+          return;
+        }
+        deadlines_ms.push_back(
+            std::atof(request.Header("x-deadline-ms").value_or("0").c_str()));
+        auto timer =
+            std::make_shared<asio::steady_timer>(fixture.context, kService);
+        timer->async_wait([timer, responder](const asio::error_code&) {
+          responder->Send(WithStatus(409));
+        });
+      });
+  fixture.AddResource("b", net::FormatEndpoint(backend.local_endpoint()), 1, 3);
+  fixture.Start();
+  fixture.Flood("b", 3, kRemaining);
+  REQUIRE(deadlines_ms.size() == 3);
+  const double hop_margin_ms = 1;
+  CHECK(deadlines_ms[0] <= ToMilliseconds(kRemaining) - hop_margin_ms);
+  CHECK(deadlines_ms[1] <= deadlines_ms[0] - ToMilliseconds(kService));
+  CHECK(deadlines_ms[2] <= deadlines_ms[1] - ToMilliseconds(kService));
+  CHECK(deadlines_ms[2] > 0);
+}
+
+}  // namespace
+}  // namespace juniperway::test
