Sharpen the owner's integration cases by mutation

Cause: of twelve mutations three passed unnoticed: no cancel call (the closed connection cancelled as well), no distrust of health (asked before the next probe), no header (health's answer bore it, too). Change: the cancellation must reach the back end without a closed connection; after a false drain health is asked anew before the verdict; the stand-in's health answer bears no X-Draining, as health may say otherwise than the truth.

--- a/source/lab/backend/server.cc
+++ b/source/lab/backend/server.cc
@@ -272,11 +272,12 @@
   for (const auto& [version, shards] : model_.HeldShards()) {
     versions[std::to_string(version)] = shards;
   }
-  responder.Send(Response(200, false,
-                          {{"state", report.state},
-                           {"running", report.running},
-                           {"slots", model_.settings().slots},
-                           {"index_versions", versions}}));
+  const nlohmann::json body = {{"state", report.state},
+                               {"running", report.running},
+                               {"slots", model_.settings().slots},
+                               {"index_versions", versions}};
+  // Without X-Draining: health may say otherwise than the truth.
+  responder.Send({.headers = {}, .body = body.dump()});
 }
 
 Duration BackendServer::TakeConnectionCost(
--- a/test/integration/gateway/owner_drain_test.cc
+++ b/test/integration/gateway/owner_drain_test.cc
@@ -15,6 +15,14 @@
   server.model().SetBehaviour(behaviour, ReadMonotonicClock());
 }
 
+// Until health was asked and answered anew.
+void WaitForProbes(OwnerFixture& fixture) {
+  const double probes = fixture.Metric("juniperway_owner_probes_total");
+  REQUIRE(fixture.RunUntil([&] {
+    return fixture.Metric("juniperway_owner_probes_total") > probes + 2;
+  }));
+}
+
 // `server` gets nothing although it is asked for.
 void CheckGetsNothing(OwnerFixture& fixture, lab::BackendServer& server) {
   const auto before = server.model().counters().arrived;
@@ -44,10 +52,7 @@
   behaviour.claimed_state = "ok";
   server.model().SetBehaviour(behaviour, ReadMonotonicClock());
   CHECK(fixture.OutcomeOf(fixture.Ask("b")) == SubqueryOutcome::kRows);
-  const double probes = fixture.Metric("juniperway_owner_probes_total");
-  REQUIRE(fixture.RunUntil([&] {
-    return fixture.Metric("juniperway_owner_probes_total") > probes + 2;
-  }));
+  WaitForProbes(fixture);
   CheckGetsNothing(fixture, server);
 }
 
@@ -99,6 +104,7 @@
   CheckGetsNothing(fixture, server);
   CHECK(fixture.OutcomeOf(running) == SubqueryOutcome::kRows);
   // Health goes on lying, and is not believed any more.
+  WaitForProbes(fixture);
   CHECK(fixture.OutcomeOf(fixture.Ask("b")) == SubqueryOutcome::kRows);
 }
 
--- a/test/integration/gateway/owner_fixture.cc
+++ b/test/integration/gateway/owner_fixture.cc
@@ -3,7 +3,6 @@
 #include <doctest/doctest.h>
 #include <flatbuffers/flatbuffers.h>
 
-#include <asio/steady_timer.hpp>
 #include <utility>
 
 #include "common/gateway/query_codec.h"
@@ -133,6 +132,15 @@
   return attempt;
 }
 
+std::vector<OwnerFixture::AttemptId> OwnerFixture::AskTimes(
+    const std::string& backend, int count, Duration remaining) {
+  std::vector<AttemptId> attempts(static_cast<std::size_t>(count));
+  for (AttemptId& attempt : attempts) {
+    attempt = Ask(backend, remaining);
+  }
+  return attempts;
+}
+
 void OwnerFixture::Cancel(AttemptId attempt) {
   front_->Send(gateway::EncodeCancel(attempt, {attempt}));
 }
@@ -144,12 +152,8 @@
 
 std::map<routing::SubqueryOutcome, int> OwnerFixture::Flood(
     const std::string& backend, int count, Duration remaining) {
-  std::vector<AttemptId> attempts;
-  for (int i = 0; i < count; ++i) {
-    attempts.push_back(Ask(backend, remaining));
-  }
   std::map<routing::SubqueryOutcome, int> outcomes;
-  for (const AttemptId attempt : attempts) {
+  for (const AttemptId attempt : AskTimes(backend, count, remaining)) {
     ++outcomes[OutcomeOf(attempt)];
   }
   return outcomes;
@@ -159,13 +163,6 @@
   return test::RunUntil(context, condition);
 }
 
-void OwnerFixture::RunFor(Duration time) {
-  asio::steady_timer timer(context, time);
-  bool over = false;
-  timer.async_wait([&over](const asio::error_code&) { over = true; });
-  REQUIRE(RunUntil([&over] { return over; }));
-}
-
 double OwnerFixture::Metric(const std::string& name) {
   double sum = 0;
   for (const prometheus::MetricFamily& family : registry->Collect()) {
--- a/test/integration/gateway/owner_fixture.h
+++ b/test/integration/gateway/owner_fixture.h
@@ -52,6 +52,8 @@
 
   // Sends one subquery.
   AttemptId Ask(const std::string& backend, Duration remaining = seconds(60));
+  std::vector<AttemptId> AskTimes(const std::string& backend, int count,
+                                  Duration remaining = seconds(60));
   void Cancel(AttemptId attempt);
 
   bool Has(AttemptId attempt) const { return replies.contains(attempt); }
@@ -65,9 +67,6 @@
       const std::string& backend, int count, Duration remaining = seconds(60));
 
   bool RunUntil(const std::function<bool()>& condition);
-  // Runs the loop for `time`: a span for faults to show in, never one that a
-  // verdict depends on.
-  void RunFor(Duration time);
   // Sum over all label values; 0 if there is no such metric.
   double Metric(const std::string& name);
   bool Probed(const std::string& backend) const {
--- a/test/integration/gateway/owner_limits_test.cc
+++ b/test/integration/gateway/owner_limits_test.cc
@@ -20,10 +20,8 @@
   OwnerFixture fixture;
   lab::BackendServer& server = fixture.Add(StandIn("b", 4, milliseconds(3)));
   fixture.Start(milliseconds(4));
-  std::vector<OwnerFixture::AttemptId> attempts;
-  for (int i = 0; i < 400; ++i) {
-    attempts.push_back(fixture.Ask("b"));
-  }
+  const std::vector<OwnerFixture::AttemptId> attempts =
+      fixture.AskTimes("b", 400);
   // Cancels and probes compete for the connections with the searches.
   for (std::size_t i = 0; i < attempts.size(); i += 2) {
     REQUIRE(fixture.RunUntil([&] {
--- a/test/integration/gateway/owner_outcome_test.cc
+++ b/test/integration/gateway/owner_outcome_test.cc
@@ -25,10 +25,10 @@
   const auto outcomes = fixture.Flood("b", 200, milliseconds(100));
   // Each was either shed by the back end or never sent: none may have run.
   CHECK(outcomes.at(SubqueryOutcome::kShed) > 0);
-  for (const auto& [outcome, count] : outcomes) {
-    CAPTURE(static_cast<int>(outcome));
-    CHECK((outcome == SubqueryOutcome::kShed ||
-           outcome == SubqueryOutcome::kExpiredUnstarted));
+  for (const auto& entry : outcomes) {
+    CAPTURE(static_cast<int>(entry.first));
+    CHECK((entry.first == SubqueryOutcome::kShed ||
+           entry.first == SubqueryOutcome::kExpiredUnstarted));
   }
   CHECK(server.model().counters().arrived <= 20);
   CHECK(server.model().counters().begun == 0);
@@ -68,6 +68,8 @@
   REQUIRE(fixture.RunUntil([&] { return server.model().running() == 0; }));
   CHECK(counters.cancelled == 1);
   CHECK(counters.begun == 1);
+  // By the cancel call, not because its connection was closed.
+  CHECK(fixture.Metric("juniperway_owner_closed_connections_total") == 0);
   // The slot is free for the next one.
   fixture.Ask("b", seconds(2000));
   CHECK(fixture.RunUntil([&] { return server.model().running() == 1; }));
@@ -80,6 +82,7 @@
   double most = 0;
   for (int i = 0; i < failures; ++i) {
     std::vector<OwnerFixture::AttemptId> attempts;
+    attempts.reserve(names.size());
     for (const std::string& name : names) {
       attempts.push_back(fixture.Ask(name));
     }
