Compare orders of waiting subqueries in a seeded simulation

Cause: a back end serves all request classes of its service; today's order, shortest remaining time first, lets one class take what another needs.

--- a/source/lab/bench/command.cc
+++ b/source/lab/bench/command.cc
@@ -3,6 +3,7 @@
 #include <map>
 #include <string>
 
+#include "lab/bench/fairness.h"
 #include "lab/bench/raft.h"
 #include "lab/bench/state.h"
 #include "lab/commands.h"
@@ -13,6 +14,10 @@
 // Takes the arguments from the benchmark's name on; returns the exit status.
 using Benchmark = int (*)(int argc, const char** argv);
 
+int RunFairness(int /*argc*/, const char** /*argv*/) {
+  return RunFairnessBench(std::cout);
+}
+
 int RunState(int /*argc*/, const char** /*argv*/) {
   return RunStateBench(std::cout);
 }
@@ -20,6 +25,7 @@
 const std::map<std::string, Benchmark>& Benchmarks() {
   static const std::map<std::string, Benchmark> benchmarks = {
       {"raft", RunRaftBench},
+      {"fairness", RunFairness},
       {"state", RunState},
   };
   return benchmarks;
