Let go of back ends that were lost before they were in use

Cause: a back end that an owner gained, and lost again while it still waited for its predecessor, never counted as let go of. Found by starting whole fleets: gateways of a zone join one after another. Change: a back end that is not owned and idle is noted as let go of.

--- a/source/common/gateway/owner_server.cc
+++ b/source/common/gateway/owner_server.cc
@@ -108,6 +108,9 @@
     for (const auto& [name, backend] : backends) {
       backend->SetAccess(tracker.AccessTo(name), now);
       if (!tracker.Owns(name) && backend->gate().idle()) {
+        // One that was still waiting for its predecessor had nothing to let go
+        // of, and says nothing now.
+        tracker.OnLetGo(name);
         DiscardLater(name);
       }
     }
