--- a/source/common/control/control_node_setup.cc
+++ b/source/common/control/control_node_setup.cc
@@ -123,7 +123,7 @@
 void ControlNode::MakePeers() {
   peers_ = std::make_shared<PeerNetwork>(
       context_, options_.cluster, options_.node_id, seed_,
-      [this](raft::NodeId from, protocol::ControlFrameT frame) {
+      [this](raft::NodeId from, const protocol::ControlFrameT& frame) {
         OnPeerFrame(from, frame);
       });
 }
