--- /dev/null
+++ b/test/property/control/control_world.h
@@ -0,0 +1,135 @@
+// A simulated control group with daemons: real LeaderRole, ControlState and
+// SessionState under loss, delay, drifting clocks, daemons that crash or are
+// cut off, and leaders that are cut off or frozen and come back. Consensus is a
+// stand-in that keeps its promises: one log, and a leader lease that ends
+// before the next leader is elected. After each step the world checks what the
+// watermarks promise.
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <queue>
+#include <random>
+#include <string>
+#include <vector>
+
+#include "common/control/control_state.h"
+#include "common/control/leader_role.h"
+#include "common/session/session_state.h"
+
+namespace juniperway::control::testing {
+
+// A mechanism taken away, which the checks must notice.
+enum class Defect {
+  kNone,
+  // A leader trusts its lease for longer than consensus grants it.
+  kLeaderLeaseTooLong,
+  // A new leader takes no member to hold a lease.
+  kForgetsLeases,
+  // The daemon counts its lease from the answer, not from its heartbeat.
+  kLeaseFromAnswer,
+  // The daemon confirms a revision before it uses it.
+  kConfirmsEarly,
+  // The daemon says that it let go of back ends before it did.
+  kReleasesEarly,
+  // Clocks drift by more than the stated bound.
+  kClocksDrift,
+};
+
+struct WorldOptions {
+  std::uint64_t seed = 1;
+  Defect defect = Defect::kNone;
+  std::size_t daemons = 6;
+  Duration duration = seconds(90);
+};
+
+struct WorldReport {
+  // The first broken promise; empty: none.
+  std::string violation;
+  // What the run met.
+  std::uint64_t leaders = 0;
+  std::uint64_t grants = 0;
+  std::uint64_t lost_leases = 0;
+  std::uint64_t removals = 0;
+  resources::Revision revision = 0;
+  resources::Revision in_force = 0;
+};
+
+class ControlWorld {
+ public:
+  explicit ControlWorld(const WorldOptions& options);
+  ~ControlWorld();
+
+  WorldReport Run();
+
+ private:
+  struct Node;
+  struct Daemon;
+  struct Event {
+    MonotonicTime time;
+    std::uint64_t order = 0;
+    std::function<void()> run;
+    bool operator>(const Event& other) const {
+      return std::tie(time, order) > std::tie(other.time, other.order);
+    }
+  };
+
+  // --- Time and network
+  void At(MonotonicTime time, std::function<void()> run);
+  // Runs `deliver` later, or never; not while the node is frozen.
+  void ToNode(std::size_t node, std::function<void()> deliver);
+  void Later(std::function<void()> run);
+  bool Chance(double probability);
+  Duration Between(Duration low, Duration high);
+
+  // --- Consensus stand-in
+  void Elect();
+  void LoseLeader();
+  void Return(std::size_t node);
+  Result<raft::Fsm::Proposal> Propose(std::size_t node, std::string command);
+  void ApplyUpTo(std::size_t node, std::size_t count);
+  raft::Status StatusOf(std::size_t node) const;
+  bool HasLeaderLease(std::size_t node) const;
+
+  // --- Control machines
+  void MakeNode(std::size_t number);
+  void TickNode(std::size_t node);
+  void Forward(std::size_t daemon, std::uint64_t session,
+               session::HeartbeatContent content);
+  void AnswerHeartbeat(std::size_t daemon, std::uint64_t session,
+                       const protocol::HeartbeatReplyT& reply);
+
+  // --- Daemons
+  void StartDaemon(std::size_t daemon);
+  void TickDaemon(std::size_t daemon, std::uint64_t start);
+  void OnView(std::size_t daemon, std::uint64_t session,
+              resources::Revision revision);
+  void Join(std::size_t daemon);
+  MonotonicTime DaemonTime(const Daemon& daemon) const;
+
+  void ChangeSomething();
+  void CutOffSomeDaemon();
+  void Check();
+
+  WorldOptions options_;
+  WorldReport report_;
+  std::mt19937_64 random_;
+  MonotonicTime now_{seconds(1)};
+  std::uint64_t last_order_ = 0;
+  std::priority_queue<Event, std::vector<Event>, std::greater<>> events_;
+
+  std::vector<raft::Entry> log_;
+  raft::Term term_ = 0;
+  std::optional<std::size_t> leader_;
+  std::uint64_t changes_ = 0;
+  std::vector<std::unique_ptr<Node>> nodes_;
+  std::vector<std::unique_ptr<Daemon>> daemons_;
+  // Highest watermarks that any leader announced.
+  resources::Revision announced_in_force_ = 0;
+  std::map<std::string, resources::Revision> announced_zones_;
+};
+
+}  // namespace juniperway::control::testing
