Test control machines that are killed, frozen or alone

Cause: the loss of a leader was tested in simulation only. Change: leader_loss_test with real processes: killed twice with a change under way, frozen with reads waiting in its sockets, and left without a quorum. Conclusion: reads stay linearizable through a freeze.

--- /dev/null
+++ b/test/integration/control/leader_loss_test.cc
@@ -0,0 +1,218 @@
+// Real control processes whose leader is killed, frozen or left alone: nothing
+// that was accepted is lost, a resend gets its first outcome, and a machine
+// without the quorum, or back from the cold, serves and grants nothing.
+#include <doctest/doctest.h>
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <map>
+#include <nlohmann/json.hpp>
+#include <string>
+#include <vector>
+
+#include "common/net/http_client.h"
+#include "integration/daemon/fleet_fixture.h"
+#include "lab/wait.h"
+#include "support/event_loop.h"
+
+namespace juniperway::test {
+namespace {
+
+constexpr Duration kLimit = seconds(60);
+constexpr int kOk = 200;
+const std::string kGateway = "a-gateway-1";
+
+resources::Resource MakeService(const std::string& name,
+                                resources::Revision version) {
+  resources::Resource resource;
+  resource.id = {resources::Kind::kService, name};
+  resource.version = version;
+  resource.specification = resources::Service{};
+  return resource;
+}
+
+// "control-2" has the API at position 1.
+std::size_t PositionOf(const std::string& machine) {
+  return std::stoul(machine.substr(machine.find('-') + 1)) - 1;
+}
+
+std::string PathOf(const std::string& service) {
+  return "/v1/resources/Service/" + service;
+}
+
+// Whether a read of an accepted resource may get this status. Unavailable is
+// right; 404, "there is no such service", would be an old state.
+bool IsHonest(int status) {
+  return status == kOk || status == 503 || status == 504;
+}
+
+// Reads that are the first thing a machine sees when it is back: they are sent
+// over connections from before it was frozen, before anything else is.
+class WaitingReads {
+ public:
+  explicit WaitingReads(std::string address)
+      : address_(std::move(address)), client_(context_, 0) {
+    Send("/v1/status");
+    REQUIRE(Finish().size() == kReads);
+  }
+
+  void Send(const std::string& path) {
+    statuses_.clear();
+    for (std::size_t read = 0; read < kReads; ++read) {
+      net::HttpClientRequest request;
+      request.url = "http://" + address_ + path;
+      request.timeout = kLimit;
+      client_.Start(std::move(request),
+                    [this](const net::HttpClientResponse& response) {
+                      statuses_.push_back(response.status);
+                    });
+    }
+    // Until they have left; nothing shows when.
+    RunUntil(
+        context_, [] { return false; }, milliseconds(100));
+  }
+
+  std::vector<int> Finish() {
+    REQUIRE(RunUntil(
+        context_, [this] { return statuses_.size() == kReads; }, kLimit));
+    return statuses_;
+  }
+
+ private:
+  static constexpr std::size_t kReads = 20;
+  std::string address_;
+  asio::io_context context_{1};
+  net::HttpClient client_;
+  std::vector<int> statuses_;
+};
+
+struct ControlFleet : TestFleet {
+  ControlFleet() : TestFleet({.control_machines = 3, .gateways = 1}) {}
+
+  std::string WaitForLeader() {
+    std::optional<std::string> leader;
+    REQUIRE(lab::WaitFor(kLimit, [&] {
+      leader = fleet->LeaderName();
+      return leader.has_value();
+    }));
+    return *leader;
+  }
+
+  // Applies a new service and remembers what was accepted.
+  void Accept(const std::string& name) {
+    const auto change =
+        fleet->control().Apply({MakeService(name, 0)}, "id-" + name, kLimit);
+    REQUIRE(change.has_value());
+    accepted[name] = change->revision;
+  }
+
+  void CheckNothingLost() {
+    for (const auto& [name, revision] : accepted) {
+      CAPTURE(name);
+      const auto read = fleet->control().GetAnywhere(PathOf(name));
+      REQUIRE(read.status == kOk);
+      CHECK(read.body["version"] == revision);
+      const auto resent =
+          fleet->control().Apply({MakeService(name, 0)}, "id-" + name, kLimit);
+      REQUIRE(resent.has_value());
+      CHECK(resent->revision == revision);
+    }
+  }
+
+  std::map<std::string, resources::Revision> accepted;
+};
+
+TEST_CASE("A killed leader takes no accepted change with it") {
+  ControlFleet test;
+  for (int round = 0; round < 2; ++round) {
+    const std::string leader = test.WaitForLeader();
+    test.Accept(fmt::format("before-{}", round));
+    // One change is under way when the leader dies; its caller sends it again.
+    const std::string torn = fmt::format("torn-{}", round);
+    const auto first = test.fleet->control().ApplyOnce(
+        PositionOf(leader), {MakeService(torn, 0)}, "id-" + torn,
+        microseconds(1500));
+    test.fleet->Kill(leader);
+    test.Accept(torn);
+    if (first.status == kOk) {
+      CHECK(first.body["revision"] == test.accepted[torn]);
+    }
+    test.Accept(fmt::format("after-{}", round));
+    test.CheckNothingLost();
+    REQUIRE(test.fleet->Restart(leader).has_value());
+    // It catches up from its store and the others.
+    REQUIRE(lab::WaitFor(kLimit, [&] {
+      const auto read = test.fleet->control().Get(PositionOf(leader),
+                                                  PathOf(torn) + "?local=true");
+      return read.status == kOk;
+    }));
+  }
+  const auto repaired = [&test] {
+    const auto status = test.fleet->control().GetAnywhere("/v1/status");
+    return status.status == kOk && status.body["repaired"] == true;
+  };
+  CHECK(lab::WaitFor(kLimit, repaired));
+}
+
+TEST_CASE("A leader that was frozen serves nothing old when it is back") {
+  ControlFleet test;
+  const std::string old_leader = test.WaitForLeader();
+  const std::size_t position = PositionOf(old_leader);
+  test.Accept("search-2");
+  WaitingReads reads(test.fleet->ControlAddresses()[position]);
+  test.fleet->Freeze(old_leader);
+  reads.Send(PathOf("while-frozen-4"));
+  for (int change = 0; change < 5; ++change) {
+    test.Accept(fmt::format("while-frozen-{}", change));
+  }
+  test.fleet->Thaw(old_leader);
+  for (const int status : reads.Finish()) {
+    CHECK(IsHonest(status));
+  }
+  int answers = 0;
+  for (int call = 0; call < 200; ++call) {
+    const auto read =
+        test.fleet->control().Get(position, PathOf("while-frozen-4"));
+    CHECK(IsHonest(read.status));
+    answers += read.status == kOk ? 1 : 0;
+  }
+  CHECK(answers > 0);
+  test.CheckNothingLost();
+}
+
+TEST_CASE("A machine without the quorum grants and accepts nothing") {
+  ControlFleet test;
+  const std::string leader = test.WaitForLeader();
+  REQUIRE(test.Query(kGateway).status == kOk);
+  std::vector<std::string> others;
+  for (const char* machine : {"control-1", "control-2", "control-3"}) {
+    if (machine != leader) {
+      others.emplace_back(machine);
+      test.fleet->Freeze(machine);
+    }
+  }
+  // The gateway's lease runs out; until then it may answer.
+  REQUIRE(
+      lab::WaitFor(kLimit, [&] { return test.Query(kGateway).status != kOk; }));
+  const auto refused = test.Query(kGateway);
+  CHECK(refused.status == 503);
+  CHECK(nlohmann::json::parse(refused.body)["execution"] == "not-run");
+  const auto status =
+      test.fleet->control().Get(PositionOf(leader), "/v1/status");
+  REQUIRE(status.status == kOk);
+  CHECK(status.body["leader_reachable"] == false);
+  CHECK(status.body["repaired"] == false);
+  const auto apply = test.fleet->control().ApplyOnce(
+      PositionOf(leader), {MakeService("lonely", 0)}, "id-lonely", seconds(10));
+  CHECK(apply.status >= 503);
+  for (const std::string& machine : others) {
+    test.fleet->Thaw(machine);
+  }
+  test.Accept("lonely");
+  CHECK(
+      lab::WaitFor(kLimit, [&] { return test.Query(kGateway).status == kOk; }));
+  test.CheckNothingLost();
+}
+
+}  // namespace
+}  // namespace juniperway::test
