--- a/source/common/gateway/front_server.cc
+++ b/source/common/gateway/front_server.cc
@@ -146,8 +146,14 @@
     return response;
   }
 
+  // A lease alone says nothing before the first view: control may be behind
+  // what this daemon has had, and then sends it none.
+  bool HasConfirmedView(MonotonicTime now) const {
+    return session.HasLease(now) && session.View()->revision > 0;
+  }
+
   net::HttpResponse Ready() const {
-    const bool lease = session.HasLease(ReadMonotonicClock());
+    const bool lease = HasConfirmedView(ReadMonotonicClock());
     const bool ready = lease && !stopping;
     net::HttpResponse response;
     response.status = ready ? 200 : 503;
@@ -220,7 +226,7 @@
     }
     const auto& services = session.View()->services;
     const auto service = services.find(service_name);
-    const bool lease = session.HasLease(now);
+    const bool lease = HasConfirmedView(now);
     if (service == services.end() && lease) {
       return Refusal{{ErrorCode::kNotFound, "service", "is not declared"},
                      ExecutionState::kNotRun,
--- a/source/common/session/control_session_client.cc
+++ b/source/common/session/control_session_client.cc
@@ -136,7 +136,7 @@
     claim.attempt = ++last_attempt_;
     Enqueue(MakeOperation(std::move(claim)), timeout,
             [callback = std::move(callback)](
-                Result<protocol::OperationResultT> result) {
+                const Result<protocol::OperationResultT>& result) {
               callback(DecodeClaim(result));
             });
   }
@@ -351,7 +351,7 @@
     heartbeat.holds_lease = content.holds_lease;
     heartbeat.in_force_revision = content.in_force;
     heartbeat.zone_released_revision = content.zone_released;
-    SendMessage(*connection_, std::move(heartbeat));
+    SendMessage(*connection_, heartbeat);
   }
 
   // --- Frames ----------------------------------------------------------------
--- a/test/unit/logging/event_catalogue_test.cc
+++ b/test/unit/logging/event_catalogue_test.cc
@@ -77,14 +77,41 @@
   const Catalogue code = EventsOfCode();
   const Catalogue page = EventsOfPage();
   CHECK(code.size() > 50);
-  for (const auto& [number, entry] : code) {
-    CAPTURE(entry);
-    REQUIRE(page.contains(number));
-    CHECK(page.at(number) == entry);
+  for (const auto& event : code) {
+    CAPTURE(event.second);
+    REQUIRE(page.contains(event.first));
+    CHECK(page.at(event.first) == event.second);
   }
-  for (const auto& [number, entry] : page) {
-    CAPTURE(entry);
-    CHECK(code.contains(number));
+  for (const auto& row : page) {
+    CAPTURE(row.second);
+    CHECK(code.contains(row.first));
+  }
+}
+
+TEST_CASE("Every event that is declared is logged somewhere") {
+  std::set<std::string> declared;
+  const std::regex declaration(R"re(\bEventType\s+(k\w+)\{)re");
+  VisitSources(".h", [&](const std::string& text) {
+    const auto end = std::sregex_iterator();
+    for (auto match =
+             std::sregex_iterator(text.begin(), text.end(), declaration);
+         match != end; ++match) {
+      declared.insert((*match)[1]);
+    }
+  });
+  // The example in event_log.h's comment has the name of a real one.
+  CHECK(declared.size() > 50);
+  std::set<std::string> unused = declared;
+  const std::regex word(R"re(\bk\w+\b)re");
+  VisitSources(".cc", [&](const std::string& text) {
+    const auto end = std::sregex_iterator();
+    for (auto match = std::sregex_iterator(text.begin(), text.end(), word);
+         match != end; ++match) {
+      unused.erase((*match)[0]);
+    }
+  });
+  for (const std::string& name : unused) {
+    FAIL_CHECK(name << " is never logged");
   }
 }
 
