Add the benchmark of the query path

Change: juniperway-lab bench query: cost against a bare libcurl loop, memory and processor time against fan-out, stragglers, overload. Stand-ins run in processes of their own; the gateway has a thread whose processor time is read. The replica policy is an option of the front so that random choice can be compared.

--- a/source/common/gateway/front_server.h
+++ b/source/common/gateway/front_server.h
@@ -12,6 +12,7 @@
 #include <string>
 
 #include "common/base/time.h"
+#include "common/routing/replica_selector.h"
 #include "common/session/control_session.h"
 
 namespace prometheus {
@@ -34,6 +35,8 @@
   Duration peer_connect_timeout = milliseconds(1000);
   // Of replica choice, jitter and made-up request ids.
   std::uint64_t random_seed = 1;
+  routing::ReplicaPolicy replica_policy =
+      routing::ReplicaPolicy::kLeastLoadedOfTwo;
 };
 
 // One thread: every method and callback runs on the io_context's thread. The
--- a/source/common/gateway/query_executor.cc
+++ b/source/common/gateway/query_executor.cc
@@ -56,7 +56,8 @@
     : context_(context),
       session_(session),
       metrics_(metrics),
-      state_({options.zone, options.region}, options.random_seed),
+      state_({options.zone, options.region}, options.random_seed,
+             options.replica_policy),
       peers_(context, options.peer_connect_timeout, options.random_seed + 1,
              {[this](routing::OwnerId owner, net::FrameBytes frame) {
                 OnFrame(owner, frame);
--- a/source/common/routing/front_state.h
+++ b/source/common/routing/front_state.h
@@ -48,8 +48,9 @@
 
 class FrontState {
  public:
-  FrontState(Place place, std::uint64_t random_seed)
-      : random(random_seed), place_(std::move(place)) {
+  FrontState(Place place, std::uint64_t random_seed,
+             ReplicaPolicy policy = ReplicaPolicy::kLeastLoadedOfTwo)
+      : random(random_seed), place_(std::move(place)), selector_(policy) {
     SetView(std::make_shared<const session::FleetView>());
   }
 
--- a/source/common/routing/replica_selector.cc
+++ b/source/common/routing/replica_selector.cc
@@ -28,6 +28,9 @@
   if (candidates_.empty()) {
     return std::nullopt;
   }
+  if (policy_ == ReplicaPolicy::kRandom) {
+    return ReplicaChoice{*candidates_[RandomBelow(candidates_.size(), random)]};
+  }
   if (request.may_probe) {
     for (const ReplicaRoute* replica : candidates_) {
       if (states.AdmissionOf(replica->backend, now) ==
--- a/source/common/routing/replica_selector.h
+++ b/source/common/routing/replica_selector.h
@@ -15,6 +15,13 @@
 
 namespace juniperway::routing {
 
+enum class ReplicaPolicy {
+  // The cheaper of two random near ones.
+  kLeastLoadedOfTwo,
+  // Any one: the baseline of benchmarks.
+  kRandom,
+};
+
 struct ReplicaRequest {
   const PartitionRoute& partition;
   // Service::maximum_ejected_share: of the partition's replicas, rounded down.
@@ -36,6 +43,8 @@
 
 class ReplicaSelector {
  public:
+  explicit ReplicaSelector(ReplicaPolicy policy) : policy_(policy) {}
+
   // @return nothing when no replica is left.
   std::optional<ReplicaChoice> Choose(const ReplicaRequest& request,
                                       const BackendStates& states,
@@ -59,6 +68,7 @@
                                    std::mt19937_64& random,
                                    MonotonicTime now) const;
 
+  ReplicaPolicy policy_;
   // Scratch space, kept to save allocations.
   std::vector<BackendId> ejected_;
   std::vector<const ReplicaRoute*> candidates_;
--- /dev/null
+++ b/source/lab/bench/bench_gateway.cc
@@ -0,0 +1,99 @@
+#include "lab/bench/bench_gateway.h"
+
+#include <pthread.h>
+#include <time.h>
+
+#include <utility>
+
+#include "common/net/address.h"
+
+namespace juniperway::lab {
+namespace {
+
+const asio::ip::tcp::endpoint kLoopback(asio::ip::address_v4::loopback(), 0);
+
+std::string ZoneName(std::uint32_t zone) {
+  return "zone-" + std::to_string(zone);
+}
+
+}  // namespace
+
+BenchGateway::BenchGateway(const StandInFleet& stand_ins,
+                           const GatewayShape& shape)
+    : guard_(asio::make_work_guard(context_)) {
+  session::FleetView view = stand_ins.MakeView();
+  if (shape.service) {
+    shape.service(view.services[kBenchService]);
+  }
+  for (std::uint32_t zone = 0; zone < stand_ins.shape().replicas; ++zone) {
+    AddOwner(zone, view);
+  }
+  session_.SetView(std::make_shared<const session::FleetView>(std::move(view)));
+  for (const auto& owner : owners_) {
+    owner->OnView(session_.View());
+    owner->OnProgress();
+  }
+  gateway::FrontOptions options;
+  options.daemon_id = "front";
+  options.zone = ZoneName(0);
+  options.region = "region";
+  options.http_listen = kLoopback;
+  options.random_seed = stand_ins.shape().seed;
+  options.replica_policy = shape.replica_policy;
+  registries_.push_back(std::make_unique<prometheus::Registry>());
+  front_ = std::make_unique<gateway::FrontServer>(context_, options, session_,
+                                                  *registries_.back());
+  query_url_ = "http://" + net::FormatEndpoint(front_->local_endpoint()) +
+               "/v1/services/" + kBenchService + "/query";
+  thread_ = std::thread([this] { context_.run(); });
+}
+
+BenchGateway::~BenchGateway() {
+  context_.stop();
+  thread_.join();
+}
+
+void BenchGateway::AddOwner(std::uint32_t zone, session::FleetView& view) {
+  gateway::OwnerOptions options;
+  options.daemon_id = "owner-" + std::to_string(zone);
+  options.incarnation = 1;
+  options.zone = ZoneName(zone);
+  options.listen = kLoopback;
+  registries_.push_back(std::make_unique<prometheus::Registry>());
+  owners_.push_back(std::make_unique<gateway::OwnerServer>(
+      context_, options, session_, *registries_.back()));
+  session::Member member;
+  member.daemon_id = options.daemon_id;
+  member.incarnation = 1;
+  member.zone = options.zone;
+  member.region = "region";
+  member.gateway = true;
+  member.peer_address = net::FormatEndpoint(owners_.back()->local_endpoint());
+  view.members[member.daemon_id] = member;
+}
+
+Duration BenchGateway::CpuTime() {
+  clockid_t clock{};
+  timespec time{};
+  pthread_getcpuclockid(thread_.native_handle(), &clock);
+  clock_gettime(clock, &time);
+  return std::chrono::duration_cast<Duration>(
+      seconds(time.tv_sec) + std::chrono::nanoseconds(time.tv_nsec));
+}
+
+double BenchGateway::Counter(const std::string& name, const std::string& kind) {
+  double total = 0;
+  for (const auto& family : registries_.back()->Collect()) {
+    if (family.name != name) {
+      continue;
+    }
+    for (const auto& metric : family.metric) {
+      const bool wanted = kind.empty() || (!metric.label.empty() &&
+                                           metric.label.front().value == kind);
+      total += wanted ? metric.counter.value : 0;
+    }
+  }
+  return total;
+}
+
+}  // namespace juniperway::lab
--- /dev/null
+++ b/source/lab/bench/bench_gateway.h
@@ -0,0 +1,58 @@
+// A gateway (front and owners) on a thread of its own, whose processor time and
+// memory can be read: the product under measurement.
+#pragma once
+
+#include <prometheus/registry.h>
+
+#include <asio/executor_work_guard.hpp>
+#include <asio/io_context.hpp>
+#include <functional>
+#include <memory>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include "common/gateway/front_server.h"
+#include "common/gateway/owner_server.h"
+#include "lab/bench/fixed_session.h"
+#include "lab/bench/stand_in_fleet.h"
+
+namespace juniperway::lab {
+
+struct GatewayShape {
+  routing::ReplicaPolicy replica_policy =
+      routing::ReplicaPolicy::kLeastLoadedOfTwo;
+  // Changes the service before the start; may be empty.
+  std::function<void(resources::Service&)> service;
+};
+
+class BenchGateway {
+ public:
+  // One owner a zone of the stand-ins, all on the gateway's thread.
+  BenchGateway(const StandInFleet& stand_ins, const GatewayShape& shape);
+  ~BenchGateway();
+  BenchGateway(const BenchGateway&) = delete;
+  BenchGateway& operator=(const BenchGateway&) = delete;
+
+  // "http://ip:port/v1/services/search/query".
+  const std::string& query_url() const { return query_url_; }
+  // Processor time of the gateway's thread since its start.
+  Duration CpuTime();
+  // A counter of the front, all labels together, e.g.
+  // "juniperway_front_subqueries_total"; `kind` picks one label value.
+  double Counter(const std::string& name, const std::string& kind = "");
+
+ private:
+  void AddOwner(std::uint32_t zone, session::FleetView& view);
+
+  asio::io_context context_{1};
+  FixedSession session_;
+  std::vector<std::unique_ptr<prometheus::Registry>> registries_;
+  std::vector<std::unique_ptr<gateway::OwnerServer>> owners_;
+  std::unique_ptr<gateway::FrontServer> front_;
+  std::string query_url_;
+  asio::executor_work_guard<asio::io_context::executor_type> guard_;
+  std::thread thread_;
+};
+
+}  // namespace juniperway::lab
--- a/source/lab/bench/command.cc
+++ b/source/lab/bench/command.cc
@@ -3,6 +3,7 @@
 #include <map>
 #include <string>
 
+#include "lab/bench/query.h"
 #include "lab/bench/state.h"
 #include "lab/commands.h"
 
@@ -18,6 +19,7 @@
 
 const std::map<std::string, Benchmark>& Benchmarks() {
   static const std::map<std::string, Benchmark> benchmarks = {
+      {"query", RunQueryBench},
       {"state", RunState},
   };
   return benchmarks;
--- /dev/null
+++ b/source/lab/bench/query.cc
@@ -0,0 +1,326 @@
+#include "lab/bench/query.h"
+
+#include <glog/logging.h>
+#include <malloc.h>
+
+#include <algorithm>
+#include <iostream>
+#include <nlohmann/json.hpp>
+#include <vector>
+
+#include "lab/bench/bench_gateway.h"
+#include "lab/bench/query_load.h"
+#include "lab/bench/scatter.h"
+#include "lab/bench/stand_in_fleet.h"
+#include "lab/command_line.h"
+#include "lab/commands.h"
+#include "lab/server_process.h"
+
+namespace juniperway::lab {
+namespace {
+
+using nlohmann::json;
+
+constexpr int kPartialStatus = 206;
+
+struct Flags {
+  std::string part = "all";
+  std::int64_t seed = 1;
+  std::int64_t rounds = 3;
+  std::int64_t queries = 1000;
+};
+
+double Median(std::vector<double> values) {
+  std::ranges::sort(values);
+  return values[values.size() / 2];
+}
+
+double ToMs(Duration duration) {
+  return std::chrono::duration<double, std::milli>(duration).count();
+}
+
+void Print(const Flags& flags, json line) {
+  line["bench"] = "query";
+  line["seed"] = flags.seed;
+  std::cout << line.dump() << std::endl;
+}
+
+std::size_t AllocatedBytes() {
+  const struct mallinfo2 info = mallinfo2();
+  return info.uordblks + info.hblkhd;
+}
+
+LoadShape ClosedLoop(const BenchGateway& gateway, const Flags& flags,
+                     std::uint32_t concurrency) {
+  LoadShape load;
+  load.url = gateway.query_url();
+  load.count = static_cast<std::uint32_t>(flags.queries);
+  load.concurrency = concurrency;
+  load.seed = flags.seed;
+  return load;
+}
+
+// Makes connections and fills caches.
+void WarmUp(const LoadShape& load) {
+  LoadShape warm_up = load;
+  warm_up.count = std::max<std::uint32_t>(load.count / 10, 50);
+  RunLoad(warm_up);
+}
+
+// --- Cost against a bare scatter loop ---
+
+void RunCost(const Flags& flags) {
+  constexpr std::uint32_t kConcurrency = 4;
+  StandInShape shape;
+  shape.seed = flags.seed;
+  const StandInFleet stand_ins(shape);
+  std::vector<double> ours;
+  std::vector<double> bare;
+  std::vector<double> ratios;
+  for (int round = 0; round < flags.rounds; ++round) {
+    BenchGateway gateway(stand_ins,
+                         {.service = [](resources::Service& service) {
+                           service.hedging = false;
+                         }});
+    const LoadShape load = ClosedLoop(gateway, flags, kConcurrency);
+    WarmUp(load);
+    const Duration before = gateway.CpuTime();
+    const LoadResult result = RunLoad(load);
+    const Duration cpu = gateway.CpuTime() - before;
+    const ScatterResult scatter =
+        RunScatter(stand_ins, load.count, kConcurrency);
+    const double subqueries =
+        static_cast<double>(load.count) * shape.partitions;
+    ours.push_back(static_cast<double>(cpu.count()) / subqueries);
+    bare.push_back(static_cast<double>(scatter.cpu.count()) /
+                   static_cast<double>(scatter.subqueries));
+    ratios.push_back(ours.back() / bare.back());
+    Print(flags, {{"part", "cost"},
+                  {"round", round},
+                  {"whole", result.Whole()},
+                  {"queries", load.count},
+                  {"bare_failed", scatter.failed},
+                  {"gateway_us_per_subquery", ours.back()},
+                  {"bare_us_per_subquery", bare.back()},
+                  {"ratio", ratios.back()}});
+  }
+  Print(flags, {{"part", "cost"},
+                {"median_of", flags.rounds},
+                {"fan_out", shape.partitions},
+                {"gateway_us_per_subquery", Median(ours)},
+                {"bare_us_per_subquery", Median(bare)},
+                {"ratio", Median(ratios)}});
+}
+
+// --- Memory and processor time against fan-out ---
+
+void RunFanOut(const Flags& flags) {
+  constexpr std::uint32_t kConcurrency = 4;
+  constexpr std::int64_t kSubqueries = 64'000;
+  for (const std::uint32_t fan_out : {16U, 64U, 256U, 520U}) {
+    StandInShape shape;
+    shape.partitions = fan_out;
+    shape.seed = flags.seed;
+    const StandInFleet stand_ins(shape);
+    std::vector<double> cpu_per_query;
+    std::vector<double> idle_bytes;
+    std::vector<double> busy_bytes;
+    std::vector<double> latencies;
+    for (int round = 0; round < flags.rounds; ++round) {
+      const std::size_t before = AllocatedBytes();
+      BenchGateway gateway(stand_ins, {});
+      LoadShape load = ClosedLoop(gateway, flags, kConcurrency);
+      load.count = static_cast<std::uint32_t>(
+          std::min(flags.queries, kSubqueries / fan_out));
+      WarmUp(load);
+      idle_bytes.push_back(static_cast<double>(AllocatedBytes() - before));
+      const Duration start = gateway.CpuTime();
+      const LoadResult result = RunLoad(load);
+      cpu_per_query.push_back(
+          static_cast<double>((gateway.CpuTime() - start).count()) /
+          load.count);
+      latencies.push_back(ToMs(result.Quantile(0.5)));
+    }
+    Print(flags, {{"part", "fan-out"},
+                  {"median_of", flags.rounds},
+                  {"fan_out", fan_out},
+                  {"gateway_us_per_query", Median(cpu_per_query)},
+                  {"gateway_us_per_subquery", Median(cpu_per_query) / fan_out},
+                  {"gateway_bytes_idle", Median(idle_bytes)},
+                  {"p50_ms", Median(latencies)}});
+  }
+}
+
+// --- Stragglers: 1 back end in 20, 20 times slower ---
+
+struct StragglerCase {
+  std::string name;
+  bool straggler = false;
+  bool hedging = true;
+  routing::ReplicaPolicy policy = routing::ReplicaPolicy::kLeastLoadedOfTwo;
+};
+
+struct StragglerFigures {
+  std::vector<double> p50;
+  std::vector<double> p99;
+  std::vector<double> extra;
+  std::vector<double> whole;
+};
+
+void MeasureStraggler(const Flags& flags, StandInFleet& stand_ins,
+                      const StragglerCase& one, StragglerFigures& figures) {
+  constexpr double kSlowFactor = 20;
+  constexpr double kRate = 150;
+  const std::uint32_t partitions = stand_ins.shape().partitions;
+  const std::uint32_t backends = partitions * stand_ins.shape().replicas;
+  for (std::uint32_t slow = 0; slow < backends / 20; ++slow) {
+    stand_ins.SetSlowFactor(StandInFleet::BackendName(slow * 7 % partitions, 0),
+                            one.straggler ? kSlowFactor : 1);
+  }
+  BenchGateway gateway(stand_ins, {.replica_policy = one.policy,
+                                   .service = [&](resources::Service& service) {
+                                     service.hedging = one.hedging;
+                                   }});
+  LoadShape load = ClosedLoop(gateway, flags, 0);
+  load.rate = kRate;
+  WarmUp(load);
+  const std::uint64_t before = stand_ins.TotalBegun();
+  const LoadResult result = RunLoad(load);
+  const auto begun = static_cast<double>(stand_ins.TotalBegun() - before);
+  const double needed = static_cast<double>(load.count) * partitions;
+  figures.p50.push_back(ToMs(result.Quantile(0.5)));
+  figures.p99.push_back(ToMs(result.Quantile(0.99)));
+  figures.extra.push_back(begun / needed - 1);
+  figures.whole.push_back(static_cast<double>(result.Whole()) / load.count);
+}
+
+void RunStraggler(const Flags& flags) {
+  StandInShape shape;
+  shape.partitions = 20;
+  shape.replicas = 2;
+  shape.service_time = milliseconds(4);
+  shape.sigma = 0.2;
+  shape.seed = flags.seed;
+  StandInFleet stand_ins(shape);
+  using routing::ReplicaPolicy;
+  const std::vector<StragglerCase> cases = {
+      {"steady", false, true, ReplicaPolicy::kLeastLoadedOfTwo},
+      {"steady, random replica", false, true, ReplicaPolicy::kRandom},
+      {"straggler", true, true, ReplicaPolicy::kLeastLoadedOfTwo},
+      {"straggler, no hedging", true, false, ReplicaPolicy::kLeastLoadedOfTwo},
+      {"straggler, random replica", true, true, ReplicaPolicy::kRandom},
+      {"straggler, random replica, no hedging", true, false,
+       ReplicaPolicy::kRandom},
+  };
+  std::vector<StragglerFigures> figures(cases.size());
+  for (int round = 0; round < flags.rounds; ++round) {
+    for (std::size_t i = 0; i < cases.size(); ++i) {
+      MeasureStraggler(flags, stand_ins, cases[i], figures[i]);
+    }
+  }
+  const double steady_p99 = Median(figures.front().p99);
+  for (std::size_t i = 0; i < cases.size(); ++i) {
+    Print(flags, {{"part", "straggler"},
+                  {"case", cases[i].name},
+                  {"median_of", flags.rounds},
+                  {"p50_ms", Median(figures[i].p50)},
+                  {"p99_ms", Median(figures[i].p99)},
+                  {"p99_to_steady", Median(figures[i].p99) / steady_p99},
+                  {"extra_load", Median(figures[i].extra)},
+                  {"whole", Median(figures[i].whole)}});
+  }
+}
+
+// --- Overload ---
+
+json OverloadLine(const LoadResult& result, double capacity) {
+  std::vector<Duration> refusals;
+  std::uint64_t not_run = 0;
+  std::uint64_t partial = 0;
+  double searched = 0;
+  for (const QuerySample& sample : result.samples) {
+    searched += sample.share;
+    if (sample.status == kPartialStatus) {
+      ++partial;
+    } else if (sample.status != 200) {
+      refusals.push_back(sample.latency);
+      not_run += sample.execution == "not-run" ? 1 : 0;
+    }
+  }
+  const double elapsed = std::chrono::duration<double>(result.elapsed).count();
+  return {{"goodput_share",
+           static_cast<double>(result.Whole()) / elapsed / capacity},
+          {"searched_share", searched / elapsed / capacity},
+          {"whole", result.Whole()},
+          {"partial", partial},
+          {"refused", refusals.size()},
+          {"refused_not_run", not_run},
+          {"refusal_p50_ms", ToMs(QuantileOf(refusals, 0.5))},
+          {"refusal_p99_ms", ToMs(QuantileOf(refusals, 0.99))},
+          {"whole_p50_ms", ToMs(result.Quantile(0.5))},
+          {"whole_p99_ms", ToMs(result.Quantile(0.99))}};
+}
+
+void RunOverload(const Flags& flags) {
+  constexpr double kOverload = 2;
+  StandInShape shape;
+  shape.partitions = 8;
+  shape.slots = 5;
+  shape.service_time = milliseconds(10);
+  shape.seed = flags.seed;
+  const StandInFleet stand_ins(shape);
+  // What the slots allow; what is reached in a closed loop is printed next to.
+  const double capacity =
+      shape.slots / std::chrono::duration<double>(shape.service_time).count();
+  for (int round = 0; round < flags.rounds; ++round) {
+    BenchGateway gateway(stand_ins, {});
+    LoadShape load = ClosedLoop(gateway, flags, 2 * shape.slots);
+    load.deadline = milliseconds(200);
+    WarmUp(load);
+    const LoadResult closed = RunLoad(load);
+    load.concurrency = 0;
+    load.rate = kOverload * capacity;
+    load.count = static_cast<std::uint32_t>(kOverload * load.count);
+    json line = OverloadLine(RunLoad(load), capacity);
+    line["part"] = "overload";
+    line["round"] = round;
+    line["offered_to_capacity"] = kOverload;
+    line["closed_loop_share"] =
+        static_cast<double>(closed.Whole()) /
+        std::chrono::duration<double>(closed.elapsed).count() / capacity;
+    Print(flags, line);
+  }
+}
+
+}  // namespace
+
+int RunQueryBench(int argc, const char** argv) {
+  FLAGS_minloglevel = google::GLOG_ERROR;
+  Flags flags;
+  CommandLine line("juniperway-lab bench query");
+  line.Add("part", flags.part, "cost, fan-out, straggler, overload or all")
+      .Add("seed", flags.seed, "seed of arrivals and service times")
+      .Add("rounds", flags.rounds, "rounds; medians are printed")
+      .Add("queries", flags.queries, "queries a round");
+  if (const auto rest = line.Parse(argc, argv); !rest) {
+    return ReportUsage(rest.error());
+  }
+  const auto wanted = [&flags](const char* part) {
+    return flags.part == "all" || flags.part == part;
+  };
+  if (wanted("cost")) {
+    RunCost(flags);
+  }
+  if (wanted("fan-out")) {
+    RunFanOut(flags);
+  }
+  if (wanted("straggler")) {
+    RunStraggler(flags);
+  }
+  if (wanted("overload")) {
+    RunOverload(flags);
+  }
+  return kExitDone;
+}
+
+}  // namespace juniperway::lab
