--- a/source/lab/bench/bench_gateway.h
+++ b/source/lab/bench/bench_gateway.h
@@ -38,9 +38,9 @@
   const std::string& query_url() const { return query_url_; }
   // Processor time of the gateway's thread since its start.
   Duration CpuTime();
-  // A counter of the front, all labels together, e.g.
-  // "juniperway_front_subqueries_total"; `kind` picks one label value.
-  double Counter(const std::string& name, const std::string& kind = "");
+  // A counter of the front, all labels together; `label` picks lines that hold
+  // it, e.g. "kind=\"hedge\"".
+  double Counter(const std::string& name, const std::string& label = "");
 
  private:
   void AddOwner(std::uint32_t zone, session::FleetView& view);
@@ -51,6 +51,8 @@
   std::vector<std::unique_ptr<gateway::OwnerServer>> owners_;
   std::unique_ptr<gateway::FrontServer> front_;
   std::string query_url_;
+  std::string metrics_url_;
+  BlockingHttp http_;
   asio::executor_work_guard<asio::io_context::executor_type> guard_;
   std::thread thread_;
 };
