Limit the queries of a service that run at a time

Change: the front keeps a limit a service, which falls when a query ends short as busy back ends shed its parts and grows while queries end whole; beyond it queries are refused unrun before anything is sent. Sheds of idle back ends (an open breaker) do not count: fewer queries would not mend them.

--- a/source/common/gateway/front_metrics.cc
+++ b/source/common/gateway/front_metrics.cc
@@ -95,6 +95,9 @@
   budget_refusals_.counter =
       PlainCounter(registry, "juniperway_front_budget_refusals_total",
                    "Hedges and retries not sent for want of budget");
+  admission_refusals_.counter = PlainCounter(
+      registry, "juniperway_front_admission_refusals_total",
+      "Queries refused as the service's back ends were overloaded");
   out_of_range_rows_.counter =
       PlainCounter(registry, "juniperway_front_out_of_range_rows_total",
                    "Rows outside their subquery's range, dropped");
@@ -139,6 +142,7 @@
   restarted_subqueries_.Set(counters.restarted_subqueries);
   restarts_.Set(counters.restarts);
   budget_refusals_.Set(counters.budget_refusals);
+  admission_refusals_.Set(counters.admission_refusals);
   late_results_.Set(counters.late_results);
   duplicate_results_.Set(counters.duplicate_results);
   foreign_results_.Set(counters.foreign_results);
--- a/source/common/gateway/front_metrics.h
+++ b/source/common/gateway/front_metrics.h
@@ -57,6 +57,7 @@
   MirroredTotal restarted_subqueries_;
   MirroredTotal restarts_;
   MirroredTotal budget_refusals_;
+  MirroredTotal admission_refusals_;
   MirroredTotal late_results_;
   MirroredTotal duplicate_results_;
   MirroredTotal foreign_results_;
--- a/source/common/gateway/front_server.cc
+++ b/source/common/gateway/front_server.cc
@@ -223,6 +223,13 @@
                      ExecutionState::kNotRun,
                      Jittered(kNoLeaseRetryAfter)};
     }
+    if (!executor.HasRoom(service_name)) {
+      executor.CountAdmissionRefusal();
+      return Refusal{{ErrorCode::kUnavailable, "",
+                      "the service's back ends are overloaded"},
+                     ExecutionState::kNotRun,
+                     Jittered(kOverloadRetryAfter)};
+    }
     return std::nullopt;
   }
 
--- a/source/common/gateway/query_executor.cc
+++ b/source/common/gateway/query_executor.cc
@@ -82,6 +82,11 @@
                   peers_.sent_bytes(), peers_.received_bytes());
 }
 
+bool QueryExecutor::HasRoom(const std::string& service) const {
+  const auto state = state_.services.find(service);
+  return state == state_.services.end() || state->second.admission.HasRoom();
+}
+
 void QueryExecutor::OnView(const session::FleetViewPointer& view) {
   if (view == state_.routes->view_pointer()) {
     return;
@@ -110,6 +115,7 @@
       context_, std::move(submission), std::move(responder));
   query->id = next_query_id_++;
   queries_.emplace(query->id, query);
+  state_.services[query->submission.service].admission.OnBegin();
   const std::weak_ptr<ActiveQuery> weak = query;
   query->responder->OnCallerGone([this, weak] {
     if (const QueryPointer gone = weak.lock()) {
@@ -266,6 +272,11 @@
   query->timer.cancel();
   queries_.erase(query->id);
   const Submission& submission = query->submission;
+  const MonotonicTime now = ReadMonotonicClock();
+  state_.services[submission.service].admission.OnEnd(
+      query->run == nullptr ? routing::AdmissionLimit::End::kOther
+                            : query->run->LoadSignal(outcome),
+      submission.received, now);
   if (query->claim_granted) {
     session_.RecordOutcome(query->claim_key(), ExecutionOf(outcome));
   }
@@ -276,8 +287,7 @@
   } else if (const auto* refusal = std::get_if<routing::Refusal>(&outcome)) {
     query->responder->Send(RefusalResponse(submission.request_id, *refusal));
   }
-  metrics_.OnOutcome(submission.service, outcome,
-                     ReadMonotonicClock() - submission.received);
+  metrics_.OnOutcome(submission.service, outcome, now - submission.received);
   if (queries_.empty() && idle_listener_) {
     idle_listener_();
   }
--- a/source/common/gateway/query_executor.h
+++ b/source/common/gateway/query_executor.h
@@ -47,9 +47,13 @@
   void Execute(Submission submission,
                std::shared_ptr<net::HttpResponder> responder);
 
+  // Whether the service's back ends can take another query now.
+  bool HasRoom(const std::string& service) const;
+
   void OnView(const session::FleetViewPointer& view);
 
   std::size_t running() const { return queries_.size(); }
+  void CountAdmissionRefusal() { ++state_.counters.admission_refusals; }
   // Runs each time that the last query in flight has been answered.
   void SetIdleListener(std::function<void()> listener);
   // Brings the metrics up to date, before a scrape.
--- a/source/common/routing/front_state.h
+++ b/source/common/routing/front_state.h
@@ -10,6 +10,7 @@
 #include <string>
 #include <utility>
 
+#include "common/routing/admission_limit.h"
 #include "common/routing/backend_states.h"
 #include "common/routing/latency_tracker.h"
 #include "common/routing/name_table.h"
@@ -24,6 +25,7 @@
 struct ServiceState {
   LatencyTracker latency;
   RetryBudget budget;
+  AdmissionLimit admission;
 };
 
 // Totals since the start, for metrics and tests.
@@ -38,6 +40,8 @@
   std::uint64_t restarts = 0;
   // Hedges and retries not sent for want of budget.
   std::uint64_t budget_refusals = 0;
+  // Queries refused as their service's admission limit was reached.
+  std::uint64_t admission_refusals = 0;
   // Results that were dropped.
   std::uint64_t late_results = 0;
   std::uint64_t duplicate_results = 0;
--- a/source/common/routing/query_run.h
+++ b/source/common/routing/query_run.h
@@ -56,6 +56,8 @@
   // When OnTimer wants to be called; may be early, never late.
   MonotonicTime next_timer() const { return next_timer_; }
   bool finished() const { return finished_; }
+  // What the end of the query, with `outcome`, says of the service's load.
+  AdmissionLimit::End LoadSignal(const QueryOutcome& outcome) const;
   const QueryRequest& request() const { return request_; }
   // Of the view that the query was admitted or restarted with.
   resources::Revision revision() const { return pinned_view_->revision; }
@@ -78,6 +80,8 @@
     std::uint8_t hedges = 0;
     std::uint8_t retries = 0;
     std::uint8_t reroutes = 0;
+    // A back end whose slots were all taken refused or expired it.
+    bool shed_by_load = false;
     std::optional<MonotonicTime> hedge_at;
     // Waits to be sent again, as a retry or a re-route.
     std::optional<MonotonicTime> resend_at;
--- a/source/common/routing/query_run_outcome.cc
+++ b/source/common/routing/query_run_outcome.cc
@@ -125,6 +125,28 @@
   }
 }
 
+AdmissionLimit::End QueryRun::LoadSignal(const QueryOutcome& outcome) const {
+  if (std::holds_alternative<Abandoned>(outcome)) {
+    return AdmissionLimit::End::kOther;
+  }
+  const bool some_shed =
+      std::ranges::any_of(partitions_, [](const PartitionState& partition) {
+        return partition.status == PartitionStatus::kMissing &&
+               partition.shed_by_load;
+      });
+  const auto* answer = std::get_if<Answer>(&outcome);
+  const double wanted =
+      service_->answer_policy == resources::AnswerPolicy::kLatency
+          ? service_->minimum_coverage
+          : 1;
+  const bool enough = answer != nullptr && answer->coverage.share >= wanted;
+  if (enough) {
+    return AdmissionLimit::End::kServed;
+  }
+  return some_shed ? AdmissionLimit::End::kOverloaded
+                   : AdmissionLimit::End::kOther;
+}
+
 Answer QueryRun::MakeAnswer() {
   Answer answer;
   answer.index_version = pinned_->index_version;
--- a/source/common/routing/query_run_replies.cc
+++ b/source/common/routing/query_run_replies.cc
@@ -93,6 +93,10 @@
   if (IsProvablyNotRun(reply.outcome)) {
     attempts_.MarkProvablyNotRun(reply.attempt_id);
   }
+  const bool turned_away = reply.outcome == SubqueryOutcome::kShed ||
+                           reply.outcome == SubqueryOutcome::kExpiredUnstarted;
+  partition.shed_by_load |=
+      turned_away && reply.slots > 0 && reply.load >= reply.slots;
   OnFailure(partition, reply.outcome, now, actions);
 }
 
--- /dev/null
+++ b/test/unit/routing/admission_limit_test.cc
@@ -0,0 +1,71 @@
+// The limit of running queries: when it falls, how far, and how it grows again.
+#include "common/routing/admission_limit.h"
+
+#include <doctest/doctest.h>
+
+namespace juniperway::routing {
+namespace {
+
+using End = AdmissionLimit::End;
+
+MonotonicTime At(int ms) { return MonotonicTime(milliseconds(ms)); }
+
+void Begin(AdmissionLimit& limit, int count) {
+  for (int i = 0; i < count; ++i) {
+    limit.OnBegin();
+  }
+}
+
+void EndAll(AdmissionLimit& limit, int count, End end, MonotonicTime began,
+            MonotonicTime now) {
+  for (int i = 0; i < count; ++i) {
+    limit.OnEnd(end, began, now);
+  }
+}
+
+}  // namespace
+
+TEST_CASE("one overload is one fall, to a share of what ran") {
+  AdmissionLimit limit;
+  Begin(limit, 100);
+  CHECK(limit.HasRoom());
+  EndAll(limit, 50, End::kOverloaded, At(0), At(10));
+  CHECK(limit.limit() == 80);
+  // Begun after the fall: it was not far enough.
+  Begin(limit, 30);
+  CHECK(!limit.HasRoom());
+  limit.OnEnd(End::kOverloaded, At(10), At(20));
+  CHECK(limit.limit() == 64);
+}
+
+TEST_CASE("it never keeps everything out, and grows while it is used") {
+  AdmissionLimit limit;
+  for (int ms = 0; ms < 100; ++ms) {
+    Begin(limit, 1);
+    limit.OnEnd(End::kOverloaded, At(ms), At(ms));
+  }
+  CHECK(limit.limit() == AdmissionLimit::kLowest);
+  CHECK(limit.HasRoom());
+  // Hardly used: no need to grow.
+  Begin(limit, 1);
+  limit.OnEnd(End::kServed, At(200), At(201));
+  CHECK(limit.limit() == AdmissionLimit::kLowest);
+  Begin(limit, 4);
+  CHECK(!limit.HasRoom());
+  for (int i = 0; i < 1000; ++i) {
+    limit.OnEnd(End::kServed, At(300), At(301));
+    Begin(limit, 1);
+  }
+  CHECK(limit.limit() > 2 * AdmissionLimit::kLowest - 1);
+  CHECK(limit.running() == 4);
+}
+
+TEST_CASE("what says nothing of load changes nothing") {
+  AdmissionLimit limit;
+  Begin(limit, 10);
+  EndAll(limit, 10, End::kOther, At(0), At(1));
+  CHECK(limit.limit() == AdmissionLimit::kHighest);
+  CHECK(limit.running() == 0);
+}
+
+}  // namespace juniperway::routing
--- a/test/unit/routing/query_run_extra_test.cc
+++ b/test/unit/routing/query_run_extra_test.cc
@@ -233,4 +233,34 @@
   }
 }
 
+// One of two partitions is shed by its only back end; the other one answers.
+QueryOutcome EndWithOneShed(QueryFixture& fixture, std::uint32_t load) {
+  const std::vector<Sent> sent = SentIn(fixture.Start());
+  SubqueryReply shed = Outcome(sent[0], SubqueryOutcome::kShed);
+  shed.load = load;
+  shed.slots = 4;
+  fixture.SpendBudget();
+  fixture.Reply(sent[0], std::move(shed), At(1));
+  return fixture.Reply(sent[1], test::Rows(sent[1]), At(2)).outcome.value();
+}
+
+TEST_CASE(
+    "overload is what busy back ends shed, where the rest is too little") {
+  QueryFixture fixture({.partitions = 2, .replicas = 1});
+  SUBCASE("busy") {
+    const QueryOutcome outcome = EndWithOneShed(fixture, 4);
+    CHECK(fixture.run->LoadSignal(outcome) == AdmissionLimit::End::kOverloaded);
+  }
+  SUBCASE("idle: a breaker or a fault, which fewer queries would not mend") {
+    const QueryOutcome outcome = EndWithOneShed(fixture, 0);
+    CHECK(fixture.run->LoadSignal(outcome) == AdmissionLimit::End::kOther);
+  }
+  SUBCASE("the service is content with what was searched") {
+    fixture.service().answer_policy = resources::AnswerPolicy::kLatency;
+    fixture.service().minimum_coverage = 0.5;
+    const QueryOutcome outcome = EndWithOneShed(fixture, 4);
+    CHECK(fixture.run->LoadSignal(outcome) == AdmissionLimit::End::kServed);
+  }
+}
+
 }  // namespace juniperway::routing
