Close an owner's connection when it sends a damaged message

Change: the connection is closed, and its subqueries are retried elsewhere or on a new connection. Measured: the new case was red before ('its connection is closed' never held), green after.

--- a/source/common/gateway/peer_pool.cc
+++ b/source/common/gateway/peer_pool.cc
@@ -155,8 +155,12 @@
   const std::weak_ptr<int> alive = alive_;
   peer->connection->Start(
       [this, alive, peer](net::FrameBytes frame) {
-        if (!alive.expired() && !peer->dropped) {
-          handlers_.on_frame(peer->owner, frame);
+        if (alive.expired() || peer->dropped) {
+          return;
+        }
+        const bool well_formed = handlers_.on_frame(peer->owner, frame);
+        if (!well_formed && peer->connection != nullptr) {
+          peer->connection->Close();
         }
       },
       [this, alive, peer] {
--- a/source/common/gateway/peer_pool.h
+++ b/source/common/gateway/peer_pool.h
@@ -25,7 +25,9 @@
 class PeerPool {
  public:
   struct Handlers {
-    std::function<void(routing::OwnerId, net::FrameBytes)> on_frame;
+    // @return false when the frame is damaged: the connection is closed, as
+    //   nothing on it can be trusted any more.
+    std::function<bool(routing::OwnerId, net::FrameBytes)> on_frame;
     // Everything handed over for the owner and not answered is lost. Runs at
     // the very moment, so that nothing handed over later is meant; never inside
     // Send, but inside SetPeer and RetainPeers.
--- a/source/common/gateway/query_executor.cc
+++ b/source/common/gateway/query_executor.cc
@@ -60,7 +60,7 @@
              options.replica_policy),
       peers_(context, options.peer_connect_timeout, options.random_seed + 1,
              {[this](routing::OwnerId owner, net::FrameBytes frame) {
-                OnFrame(owner, frame);
+                return OnFrame(owner, frame);
               },
               [this](routing::OwnerId owner, routing::OwnerLoss loss) {
                 OnOwnerLost(owner, loss);
@@ -304,13 +304,13 @@
   Apply(query, query->run->OnCallerGone(ReadMonotonicClock()));
 }
 
-void QueryExecutor::OnFrame(routing::OwnerId owner, net::FrameBytes frame) {
+bool QueryExecutor::OnFrame(routing::OwnerId owner, net::FrameBytes frame) {
   std::optional<BatchReply> reply = DecodeBatchResult(frame);
   if (!reply.has_value()) {
     logging::LogEvent(
         kPeerMalformedFrame,
         {{"peer", state_.owner_names.NameOf(owner)}, {"bytes", frame.size()}});
-    return;
+    return false;
   }
   const auto found = queries_.find(reply->query_id);
   if (found == queries_.end() || found->second->run == nullptr) {
@@ -318,11 +318,12 @@
     const bool known = reply->query_id < next_query_id_;
     (known ? counters.late_results : counters.foreign_results) +=
         reply->replies.size();
-    return;
+    return true;
   }
   const QueryPointer query = found->second;
   Apply(query, query->run->OnReplies(owner, std::move(reply->replies),
                                      ReadMonotonicClock()));
+  return true;
 }
 
 void QueryExecutor::OnOwnerLost(routing::OwnerId owner,
--- a/source/common/gateway/query_executor.h
+++ b/source/common/gateway/query_executor.h
@@ -79,7 +79,7 @@
   void OnCallerGone(const QueryPointer& query);
 
   // --- Owners ---
-  void OnFrame(routing::OwnerId owner, net::FrameBytes frame);
+  bool OnFrame(routing::OwnerId owner, net::FrameBytes frame);
   void OnOwnerLost(routing::OwnerId owner, routing::OwnerLoss loss);
   void UpdatePeers();
 
--- a/test/unit/gateway/dropped_results_test.cc
+++ b/test/unit/gateway/dropped_results_test.cc
@@ -52,13 +52,21 @@
     connection_->Send(builder);
   }
 
+  // A frame that holds no message.
+  void SendDamaged() {
+    flatbuffers::FlatBufferBuilder builder;
+    builder.FinishSizePrefixed(builder.CreateString("damaged"));
+    connection_->Send(builder);
+  }
+
   std::vector<Asked> asked;
+  int lost_connections = 0;
 
  private:
   void OnAccept(std::shared_ptr<net::FrameConnection> connection) {
     connection_ = std::move(connection);
     connection_->Start([this](net::FrameBytes frame) { OnFrame(frame); },
-                       [] {});
+                       [this] { ++lost_connections; });
   }
 
   void OnFrame(net::FrameBytes frame) {
@@ -113,6 +121,22 @@
   CHECK(fleet.Metric("juniperway_front_out_of_range_rows_total") == 1);
 }
 
+TEST_CASE("a damaged message: its connection is closed, its queries go on") {
+  InProcessFleet fleet({.partitions = 1, .zones = 1});
+  ScriptedOwner owner(fleet.context);
+  fleet.SetOwnerAddress(0, owner.address());
+  fleet.Publish();
+  const auto exchange = fleet.Start({});
+  REQUIRE(fleet.Run([&] { return owner.asked.size() == 1; }));
+  owner.SendDamaged();
+  REQUIRE(fleet.Run([&] { return owner.lost_connections == 1; }));
+  // Retried on a new connection.
+  REQUIRE(fleet.Run([&] { return owner.asked.size() == 2; }));
+  owner.SendRow(owner.asked[1].query_id, owner.asked[1].attempt_id, 1, "own");
+  REQUIRE(fleet.Run([&] { return exchange->done(); }));
+  CHECK(exchange->status() == 200);
+}
+
 TEST_CASE("two queries at once: each gets its own rows") {
   InProcessFleet fleet({.partitions = 1, .zones = 1});
   ScriptedOwner owner(fleet.context);
