Share a back end's slots between request classes

Cause: waiting subqueries were ordered by remaining time alone, so that a class that floods, or that has short deadlines, took the slots from the others. Change: RequestClass.weight (resource, 1 to 1000, default 1); the batch names its class (query.fbs); the gate's queue is FairQueue in place of DeadlineQueue: VirtualClock between classes, shortest remaining time within one. The estimate of what cannot finish in time counts a class's own backlog and share; a full queue sheds from the class with most waiting for its weight. With one class all is as before.

--- a/source/common/gateway/backend_client.h
+++ b/source/common/gateway/backend_client.h
@@ -12,7 +12,7 @@
 #include "common/base/key_range.h"
 #include "common/base/time.h"
 #include "common/net/http_client.h"
-#include "common/owner/deadline_queue.h"
+#include "common/owner/fair_queue.h"
 #include "common/resources/resource.h"
 
 namespace juniperway::gateway {
@@ -21,6 +21,7 @@
 struct QueryContext {
   std::string request_id;
   std::string service;
+  std::string request_class;
   resources::IndexVersion index_version = 0;
   std::string text;
   std::uint32_t row_limit = 0;
--- a/source/common/gateway/front_link.cc
+++ b/source/common/gateway/front_link.cc
@@ -35,6 +35,7 @@
   auto query = std::make_shared<QueryContext>();
   query->request_id = ToString(batch.request_id());
   query->service = ToString(batch.service());
+  query->request_class = ToString(batch.request_class());
   query->index_version = batch.index_version();
   query->text = ToString(batch.query_text());
   query->row_limit = batch.row_limit();
--- a/source/common/gateway/owner_backend.cc
+++ b/source/common/gateway/owner_backend.cc
@@ -72,8 +72,7 @@
                     LeavesByPlatform(options_.name, view), now);
 }
 
-owner::GateSettings OwnerBackend::SettingsFrom(
-    const session::FleetView& view) const {
+owner::GateSettings OwnerBackend::SettingsFrom(const session::FleetView& view) {
   owner::GateSettings settings;
   settings.slots = resource_.slots;
   settings.maximum_connections = resource_.maximum_connections;
@@ -81,6 +80,12 @@
   const auto service = view.services.find(resource_.service);
   if (service != view.services.end()) {
     settings.queue_limit = service->second.queue_limit;
+    settings.class_weights.clear();
+    request_classes_.clear();
+    for (const auto& request_class : service->second.request_classes) {
+      settings.class_weights.push_back(request_class.weight);
+      request_classes_.push_back(request_class.name);
+    }
   }
   return settings;
 }
@@ -139,11 +144,20 @@
 
 void OwnerBackend::Submit(SubqueryId id, SubqueryOrder order,
                           MonotonicTime deadline, MonotonicTime now) {
+  const owner::ClassIndex class_index = ClassOf(*order.query);
   open_.emplace(id, Open{std::move(order), deadline, std::nullopt});
-  Perform(gate_.Submit(id, deadline, now), now);
+  Perform(gate_.Submit(id, deadline, class_index, now), now);
   AfterChange(now);
 }
 
+// A class that this view does not know counts as the first.
+owner::ClassIndex OwnerBackend::ClassOf(const QueryContext& query) const {
+  const auto found = std::ranges::find(request_classes_, query.request_class);
+  return found == request_classes_.end()
+             ? 0
+             : static_cast<owner::ClassIndex>(found - request_classes_.begin());
+}
+
 void OwnerBackend::Cancel(SubqueryId id, MonotonicTime now) {
   Perform(gate_.Cancel(id, now), now);
   AfterChange(now);
--- a/source/common/gateway/owner_backend.h
+++ b/source/common/gateway/owner_backend.h
@@ -10,6 +10,7 @@
 #include <optional>
 #include <string>
 #include <unordered_map>
+#include <vector>
 
 #include "common/gateway/backend_client.h"
 #include "common/gateway/front_link.h"
@@ -83,9 +84,10 @@
     std::optional<MonotonicTime> started;
   };
 
-  owner::GateSettings SettingsFrom(const session::FleetView& view) const;
+  owner::GateSettings SettingsFrom(const session::FleetView& view);
   void ReplaceClient();
   std::string AttemptId(owner::SubqueryId id) const;
+  owner::ClassIndex ClassOf(const QueryContext& query) const;
   void Perform(const owner::GateActions& actions, MonotonicTime now);
   void PerformOne(const owner::GateAction& action, MonotonicTime now);
   void StartSearch(owner::SubqueryId id, MonotonicTime now);
@@ -109,6 +111,8 @@
   Listener& listener_;
   BackendGauges gauges_;
   resources::Backend resource_;
+  // Of the back end's service, in its order.
+  std::vector<std::string> request_classes_;
   owner::RequiredShards required_shards_;
   owner::BackendGate gate_;
   owner::HeldVersions held_;
--- a/source/common/gateway/query_codec.cc
+++ b/source/common/gateway/query_codec.cc
@@ -78,12 +78,13 @@
   const auto request_id = builder.CreateString(request.request_id);
   const auto service = builder.CreateString(request.service);
   const auto text = builder.CreateString(request.text);
+  const auto request_class = builder.CreateString(request.request_class);
   const auto list = builder.CreateVector(subqueries);
   const auto remaining = static_cast<std::uint64_t>(
       std::max<Duration::rep>(batch.remaining.count(), 0));
   const auto message = protocol::CreateBatchRequest(
       builder, query_id, request_id, service, batch.index_version, text,
-      batch.row_limit, remaining, request.repeatable, list);
+      batch.row_limit, remaining, request.repeatable, list, request_class);
   FinishFrame(builder, protocol::QueryMessage::BatchRequest, message.Union());
   return builder;
 }
--- a/source/common/gateway/query_executor.cc
+++ b/source/common/gateway/query_executor.cc
@@ -209,6 +209,7 @@
   request.text = submission.query.text;
   request.range = submission.query.range;
   request.row_limit = submission.query.row_limit;
+  request.request_class = submission.query.request_class;
   request.repeatable = submission.query.repeatable;
   request.received = submission.received;
   request.deadline = query->deadline();
--- a/source/common/gateway/query_request.cc
+++ b/source/common/gateway/query_request.cc
@@ -224,6 +224,7 @@
     return limit.error();
   }
   query.text = *query_text;
+  query.request_class = request_class->name;
   query.repeatable = request_class->repeatable;
   query.range = *range;
   query.row_limit = *limit;
--- a/source/common/gateway/query_request.h
+++ b/source/common/gateway/query_request.h
@@ -18,6 +18,7 @@
   // Empty: the caller gave none (repeatable classes only).
   std::string request_id;
   std::string text;
+  std::string request_class;
   bool repeatable = true;
   std::optional<KeyRange> range;
   std::uint32_t row_limit = 0;
--- a/source/common/owner/backend_gate.cc
+++ b/source/common/owner/backend_gate.cc
@@ -1,6 +1,7 @@
 #include "common/owner/backend_gate.h"
 
 #include <algorithm>
+#include <iterator>
 #include <utility>
 
 namespace juniperway::owner {
@@ -22,6 +23,7 @@
     : settings_(settings),
       probe_interval_(probe_interval),
       random_(seed),
+      queue_(settings.class_weights),
       limit_(settings.slots),
       breaker_(seed) {}
 
@@ -29,6 +31,7 @@
                                    MonotonicTime now) {
   settings_ = settings;
   limit_.SetSlots(settings.slots);
+  queue_.SetWeights(settings.class_weights);
   Dispatch(now);
   return TakeActions();
 }
@@ -63,15 +66,15 @@
 }
 
 GateActions BackendGate::Submit(SubqueryId id, MonotonicTime deadline,
-                                MonotonicTime now) {
+                                ClassIndex class_index, MonotonicTime now) {
   if (const auto refusal = Barred(id, now)) {
     actions_.push_back(*refusal);
     return TakeActions();
   }
-  queue_.Insert(id, deadline);
+  queue_.Insert(id, deadline, class_index);
   Dispatch(now);
   if (queue_.size() > settings_.queue_limit) {
-    const SubqueryId longest = queue_.Last().id;
+    const SubqueryId longest = queue_.LastOfLongest().id;
     queue_.Remove(longest);
     Finish(longest, SubqueryOutcome::kShed, RetryAfter(now));
   }
@@ -157,7 +160,7 @@
     consider(search.abandoned ? search.close_at : search.deadline);
   }
   if (!queue_.empty()) {
-    consider(queue_.First().deadline);
+    consider(queue_.Earliest().deadline);
     if (now < paused_until_) {
       consider(paused_until_);
     }
@@ -238,7 +241,7 @@
   return breaker_.State(now) == BreakerState::kClosed || running_.empty();
 }
 
-void BackendGate::Start(DeadlineQueue::Entry entry, MonotonicTime now) {
+void BackendGate::Start(FairQueue::Entry entry, MonotonicTime now) {
   Running& search = running_[entry.id];
   search.started = now;
   search.deadline = entry.deadline;
@@ -253,14 +256,15 @@
     return;
   }
   while (!queue_.empty() && CanStart(now)) {
-    const DeadlineQueue::Entry entry = queue_.First();
-    queue_.Remove(entry.id);
+    const FairQueue::Entry entry = queue_.TakeNext(now);
     const bool too_late = now + service_time_.mean() > entry.deadline;
     if (too_late && !queue_.empty()) {
       // The slot does more good for the next one. With nobody waiting it is
       // tried all the same, as the mean is only a guess.
+      queue_.Forget(entry.id);
       Finish(entry.id, SubqueryOutcome::kShed, RetryAfter(now));
     } else {
+      queue_.Charge(entry.id, service_time_.mean() / UsableSlots(now), now);
       Start(entry, now);
     }
   }
@@ -268,36 +272,47 @@
 }
 
 void BackendGate::RefuseExpired(MonotonicTime now) {
-  while (!queue_.empty() && queue_.First().deadline <= now) {
-    const SubqueryId id = queue_.First().id;
+  while (!queue_.empty() && queue_.Earliest().deadline <= now) {
+    const SubqueryId id = queue_.Earliest().id;
     queue_.Remove(id);
     Finish(id, SubqueryOutcome::kExpiredUnstarted);
   }
 }
 
 void BackendGate::RefuseInfeasible(MonotonicTime now) {
+  std::vector<SubqueryId> infeasible;
+  for (const FairQueue::Backlog& backlog : queue_.Backlogs()) {
+    std::ranges::copy(InfeasibleOf(backlog, now),
+                      std::back_inserter(infeasible));
+  }
+  for (const SubqueryId id : infeasible) {
+    queue_.Remove(id);
+    Finish(id, SubqueryOutcome::kShed, RetryAfter(now));
+  }
+}
+
+std::vector<SubqueryId> BackendGate::InfeasibleOf(
+    const FairQueue::Backlog& backlog, MonotonicTime now) const {
   const Duration mean = service_time_.mean();
   const MonotonicTime first_start = std::max(now, paused_until_);
-  const auto usable = UsableSlots(now);
+  const double slots = UsableSlots(now) * backlog.share;
   std::vector<SubqueryId> infeasible;
   std::int64_t ahead = 0;
-  for (const DeadlineQueue::Entry& entry : queue_.entries()) {
-    const Duration wait = mean * (ahead + 1) / usable;
+  for (const FairQueue::Entry& entry : *backlog.entries) {
+    const Duration wait(static_cast<Duration::rep>(
+        static_cast<double>(mean.count() * (ahead + 1)) / slots));
     if (first_start + wait + mean > entry.deadline) {
       infeasible.push_back(entry.id);
     } else {
       ++ahead;
     }
   }
-  for (const SubqueryId id : infeasible) {
-    queue_.Remove(id);
-    Finish(id, SubqueryOutcome::kShed, RetryAfter(now));
-  }
+  return infeasible;
 }
 
 void BackendGate::RefuseAll(MonotonicTime now) {
   while (!queue_.empty()) {
-    const SubqueryId id = queue_.First().id;
+    const SubqueryId id = queue_.Earliest().id;
     queue_.Remove(id);
     actions_.push_back(*Barred(id, now));
   }
--- a/source/common/owner/backend_gate.h
+++ b/source/common/owner/backend_gate.h
@@ -20,8 +20,8 @@
 #include "common/owner/backend_reply.h"
 #include "common/owner/circuit_breaker.h"
 #include "common/owner/concurrency_limit.h"
-#include "common/owner/deadline_queue.h"
 #include "common/owner/drain_state.h"
+#include "common/owner/fair_queue.h"
 #include "common/owner/service_time.h"
 #include "common/protocol/query_generated.h"
 
@@ -32,6 +32,8 @@
   std::uint32_t maximum_connections = 1;
   std::uint32_t queue_limit = 64;
   Duration slow_start{0};
+  // Of the service's request classes, in their order.
+  std::vector<std::uint32_t> class_weights = {1};
   bool operator==(const GateSettings&) const = default;
 };
 
@@ -80,7 +82,12 @@
   GateActions SetReportedDraining(bool draining, MonotonicTime now);
 
   // @param deadline when an answer from the back end is of no more use.
-  GateActions Submit(SubqueryId id, MonotonicTime deadline, MonotonicTime now);
+  // @param class_index of its request class; beyond the last: the first.
+  GateActions Submit(SubqueryId id, MonotonicTime deadline,
+                     ClassIndex class_index, MonotonicTime now);
+  GateActions Submit(SubqueryId id, MonotonicTime deadline, MonotonicTime now) {
+    return Submit(id, deadline, 0, now);
+  }
 
   // Nobody waits for `id` any more. Unknown ids are ignored.
   GateActions Cancel(SubqueryId id, MonotonicTime now);
@@ -142,11 +149,14 @@
   // Why nothing may be submitted at all, if so.
   std::optional<GateAction> Barred(SubqueryId id, MonotonicTime now) const;
   bool CanStart(MonotonicTime now) const;
-  void Start(DeadlineQueue::Entry entry, MonotonicTime now);
+  void Start(FairQueue::Entry entry, MonotonicTime now);
   // Starts what may start, refuses what cannot finish, probes when due.
   void Dispatch(MonotonicTime now);
   void RefuseExpired(MonotonicTime now);
   void RefuseInfeasible(MonotonicTime now);
+  // Those of `backlog` that would not be done in time.
+  std::vector<SubqueryId> InfeasibleOf(const FairQueue::Backlog& backlog,
+                                       MonotonicTime now) const;
   void RefuseAll(MonotonicTime now);
   void ExpireRunning(MonotonicTime now);
   void Close(SubqueryId id);
@@ -166,7 +176,7 @@
   std::mt19937_64 random_;
   GateAccess access_ = GateAccess::kClosed;
   bool stopped_ = false;
-  DeadlineQueue queue_;
+  FairQueue queue_;
   std::map<SubqueryId, Running> running_;
   std::uint32_t cancels_ = 0;
   std::optional<MonotonicTime> probe_sent_;
--- a/source/common/owner/fair_queue.cc
+++ b/source/common/owner/fair_queue.cc
@@ -85,11 +85,11 @@
   return *longest->entries.rbegin();
 }
 
-MonotonicTime FairQueue::EarliestDeadline() const {
-  MonotonicTime earliest = MonotonicTime::max();
+FairQueue::Entry FairQueue::Earliest() const {
+  Entry earliest{MonotonicTime::max(), 0};
   for (const Class& candidate : classes_) {
     if (!candidate.entries.empty()) {
-      earliest = std::min(earliest, candidate.entries.begin()->deadline);
+      earliest = std::min(earliest, *candidate.entries.begin());
     }
   }
   return earliest;
--- a/source/common/owner/fair_queue.h
+++ b/source/common/owner/fair_queue.h
@@ -65,8 +65,8 @@
   // What gives way when the queue is full: the longest remaining time of the
   // class with most waiting for its weight. Not on an empty queue.
   Entry LastOfLongest() const;
-  // Not on an empty queue.
-  MonotonicTime EarliestDeadline() const;
+  // The one with the shortest remaining time of all. Not on an empty queue.
+  Entry Earliest() const;
 
   // Waiting entries of one class and its share of the slots among the classes
   // that have work waiting.
--- a/source/common/protocol/query_generated.h
+++ b/source/common/protocol/query_generated.h
@@ -436,6 +436,7 @@
   uint64_t remaining_us = 0;
   bool repeatable = false;
   std::vector<std::unique_ptr<juniperway::protocol::SubqueryT>> subqueries{};
+  std::string request_class{};
   BatchRequestT() = default;
   BatchRequestT(const BatchRequestT &o);
   BatchRequestT(BatchRequestT&&) FLATBUFFERS_NOEXCEPT = default;
@@ -455,7 +456,8 @@
     VT_ROW_LIMIT = 14,
     VT_REMAINING_US = 16,
     VT_REPEATABLE = 18,
-    VT_SUBQUERIES = 20
+    VT_SUBQUERIES = 20,
+    VT_REQUEST_CLASS = 22
   };
   uint64_t query_id() const {
     return GetField<uint64_t>(VT_QUERY_ID, 0);
@@ -484,6 +486,9 @@
   const flatbuffers::Vector<flatbuffers::Offset<juniperway::protocol::Subquery>> *subqueries() const {
     return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<juniperway::protocol::Subquery>> *>(VT_SUBQUERIES);
   }
+  const flatbuffers::String *request_class() const {
+    return GetPointer<const flatbuffers::String *>(VT_REQUEST_CLASS);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_QUERY_ID, 8) &&
@@ -500,6 +505,8 @@
            VerifyOffset(verifier, VT_SUBQUERIES) &&
            verifier.VerifyVector(subqueries()) &&
            verifier.VerifyVectorOfTables(subqueries()) &&
+           VerifyOffset(verifier, VT_REQUEST_CLASS) &&
+           verifier.VerifyString(request_class()) &&
            verifier.EndTable();
   }
   BatchRequestT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -538,6 +545,9 @@
   void add_subqueries(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<juniperway::protocol::Subquery>>> subqueries) {
     fbb_.AddOffset(BatchRequest::VT_SUBQUERIES, subqueries);
   }
+  void add_request_class(flatbuffers::Offset<flatbuffers::String> request_class) {
+    fbb_.AddOffset(BatchRequest::VT_REQUEST_CLASS, request_class);
+  }
   explicit BatchRequestBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -559,11 +569,13 @@
     uint32_t row_limit = 0,
     uint64_t remaining_us = 0,
     bool repeatable = false,
-    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<juniperway::protocol::Subquery>>> subqueries = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<juniperway::protocol::Subquery>>> subqueries = 0,
+    flatbuffers::Offset<flatbuffers::String> request_class = 0) {
   BatchRequestBuilder builder_(_fbb);
   builder_.add_remaining_us(remaining_us);
   builder_.add_index_version(index_version);
   builder_.add_query_id(query_id);
+  builder_.add_request_class(request_class);
   builder_.add_subqueries(subqueries);
   builder_.add_row_limit(row_limit);
   builder_.add_query_text(query_text);
@@ -588,11 +600,13 @@
     uint32_t row_limit = 0,
     uint64_t remaining_us = 0,
     bool repeatable = false,
-    const std::vector<flatbuffers::Offset<juniperway::protocol::Subquery>> *subqueries = nullptr) {
+    const std::vector<flatbuffers::Offset<juniperway::protocol::Subquery>> *subqueries = nullptr,
+    const char *request_class = nullptr) {
   auto request_id__ = request_id ? _fbb.CreateString(request_id) : 0;
   auto service__ = service ? _fbb.CreateString(service) : 0;
   auto query_text__ = query_text ? _fbb.CreateString(query_text) : 0;
   auto subqueries__ = subqueries ? _fbb.CreateVector<flatbuffers::Offset<juniperway::protocol::Subquery>>(*subqueries) : 0;
+  auto request_class__ = request_class ? _fbb.CreateString(request_class) : 0;
   return juniperway::protocol::CreateBatchRequest(
       _fbb,
       query_id,
@@ -603,7 +617,8 @@
       row_limit,
       remaining_us,
       repeatable,
-      subqueries__);
+      subqueries__,
+      request_class__);
 }
 
 flatbuffers::Offset<BatchRequest> CreateBatchRequest(flatbuffers::FlatBufferBuilder &_fbb, const BatchRequestT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -1105,7 +1120,8 @@
         query_text(o.query_text),
         row_limit(o.row_limit),
         remaining_us(o.remaining_us),
-        repeatable(o.repeatable) {
+        repeatable(o.repeatable),
+        request_class(o.request_class) {
   subqueries.reserve(o.subqueries.size());
   for (const auto &subqueries_ : o.subqueries) { subqueries.emplace_back((subqueries_) ? new juniperway::protocol::SubqueryT(*subqueries_) : nullptr); }
 }
@@ -1120,6 +1136,7 @@
   std::swap(remaining_us, o.remaining_us);
   std::swap(repeatable, o.repeatable);
   std::swap(subqueries, o.subqueries);
+  std::swap(request_class, o.request_class);
   return *this;
 }
 
@@ -1141,6 +1158,7 @@
   { auto _e = remaining_us(); _o->remaining_us = _e; }
   { auto _e = repeatable(); _o->repeatable = _e; }
   { auto _e = subqueries(); if (_e) { _o->subqueries.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->subqueries[_i] = std::unique_ptr<juniperway::protocol::SubqueryT>(_e->Get(_i)->UnPack(_resolver)); } } }
+  { auto _e = request_class(); if (_e) _o->request_class = _e->str(); }
 }
 
 inline flatbuffers::Offset<BatchRequest> BatchRequest::Pack(flatbuffers::FlatBufferBuilder &_fbb, const BatchRequestT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -1160,6 +1178,7 @@
   auto _remaining_us = _o->remaining_us;
   auto _repeatable = _o->repeatable;
   auto _subqueries = _o->subqueries.size() ? _fbb.CreateVector<flatbuffers::Offset<juniperway::protocol::Subquery>> (_o->subqueries.size(), [](size_t i, _VectorArgs *__va) { return CreateSubquery(*__va->__fbb, __va->__o->subqueries[i].get(), __va->__rehasher); }, &_va ) : 0;
+  auto _request_class = _o->request_class.empty() ? 0 : _fbb.CreateString(_o->request_class);
   return juniperway::protocol::CreateBatchRequest(
       _fbb,
       _query_id,
@@ -1170,7 +1189,8 @@
       _row_limit,
       _remaining_us,
       _repeatable,
-      _subqueries);
+      _subqueries,
+      _request_class);
 }
 
 inline SubqueryResultT::SubqueryResultT(const SubqueryResultT &o)
--- a/source/common/protocol/resource_generated.h
+++ b/source/common/protocol/resource_generated.h
@@ -234,6 +234,7 @@
   typedef RequestClassRecord TableType;
   std::string name{};
   bool repeatable = false;
+  uint32_t weight = 1;
 };
 
 struct RequestClassRecord FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -242,7 +243,8 @@
   struct Traits;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
     VT_NAME = 4,
-    VT_REPEATABLE = 6
+    VT_REPEATABLE = 6,
+    VT_WEIGHT = 8
   };
   const flatbuffers::String *name() const {
     return GetPointer<const flatbuffers::String *>(VT_NAME);
@@ -250,11 +252,15 @@
   bool repeatable() const {
     return GetField<uint8_t>(VT_REPEATABLE, 0) != 0;
   }
+  uint32_t weight() const {
+    return GetField<uint32_t>(VT_WEIGHT, 1);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_NAME) &&
            verifier.VerifyString(name()) &&
            VerifyField<uint8_t>(verifier, VT_REPEATABLE, 1) &&
+           VerifyField<uint32_t>(verifier, VT_WEIGHT, 4) &&
            verifier.EndTable();
   }
   RequestClassRecordT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -272,6 +278,9 @@
   void add_repeatable(bool repeatable) {
     fbb_.AddElement<uint8_t>(RequestClassRecord::VT_REPEATABLE, static_cast<uint8_t>(repeatable), 0);
   }
+  void add_weight(uint32_t weight) {
+    fbb_.AddElement<uint32_t>(RequestClassRecord::VT_WEIGHT, weight, 1);
+  }
   explicit RequestClassRecordBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -286,8 +295,10 @@
 inline flatbuffers::Offset<RequestClassRecord> CreateRequestClassRecord(
     flatbuffers::FlatBufferBuilder &_fbb,
     flatbuffers::Offset<flatbuffers::String> name = 0,
-    bool repeatable = false) {
+    bool repeatable = false,
+    uint32_t weight = 1) {
   RequestClassRecordBuilder builder_(_fbb);
+  builder_.add_weight(weight);
   builder_.add_name(name);
   builder_.add_repeatable(repeatable);
   return builder_.Finish();
@@ -301,12 +312,14 @@
 inline flatbuffers::Offset<RequestClassRecord> CreateRequestClassRecordDirect(
     flatbuffers::FlatBufferBuilder &_fbb,
     const char *name = nullptr,
-    bool repeatable = false) {
+    bool repeatable = false,
+    uint32_t weight = 1) {
   auto name__ = name ? _fbb.CreateString(name) : 0;
   return juniperway::protocol::CreateRequestClassRecord(
       _fbb,
       name__,
-      repeatable);
+      repeatable,
+      weight);
 }
 
 flatbuffers::Offset<RequestClassRecord> CreateRequestClassRecord(flatbuffers::FlatBufferBuilder &_fbb, const RequestClassRecordT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -1279,6 +1292,7 @@
   (void)_resolver;
   { auto _e = name(); if (_e) _o->name = _e->str(); }
   { auto _e = repeatable(); _o->repeatable = _e; }
+  { auto _e = weight(); _o->weight = _e; }
 }
 
 inline flatbuffers::Offset<RequestClassRecord> RequestClassRecord::Pack(flatbuffers::FlatBufferBuilder &_fbb, const RequestClassRecordT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -1291,10 +1305,12 @@
   struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const RequestClassRecordT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
   auto _name = _o->name.empty() ? 0 : _fbb.CreateString(_o->name);
   auto _repeatable = _o->repeatable;
+  auto _weight = _o->weight;
   return juniperway::protocol::CreateRequestClassRecord(
       _fbb,
       _name,
-      _repeatable);
+      _repeatable,
+      _weight);
 }
 
 inline ServiceSpecificationT::ServiceSpecificationT(const ServiceSpecificationT &o)
--- a/source/common/resources/resource.h
+++ b/source/common/resources/resource.h
@@ -34,6 +34,9 @@
   std::string name;
   // False: a request of this class runs at most once (needs id and expiry).
   bool repeatable = true;
+  // Its share of a back end's slots while several classes have work waiting is
+  // its weight by the sum of theirs.
+  std::uint32_t weight = 1;
 };
 
 struct Service {
--- a/source/common/resources/resource_json.cc
+++ b/source/common/resources/resource_json.cc
@@ -18,6 +18,7 @@
 constexpr UnsignedLimits kSlowStartMs{0, 3'600'000};
 constexpr UnsignedLimits kExpiryMs{1'000, 86'400'000};
 constexpr UnsignedLimits kSlots{1, 1'024};
+constexpr UnsignedLimits kWeight{1, 1'000};
 constexpr UnsignedLimits kConnections{1, 65'535};
 constexpr UnsignedLimits kHolders{1, 64};
 constexpr UnsignedLimits kQueueLimit{0, 100'000};
@@ -209,6 +210,8 @@
       [](auto& element_visitor, auto& request_class) {
         element_visitor.Name("name", request_class.name, Presence::kRequired);
         element_visitor.Boolean("repeatable", request_class.repeatable);
+        element_visitor.Unsigned("weight", request_class.weight, kWeight,
+                                 Presence::kOptional);
       });
   visitor.Policy("answer_policy", service.answer_policy);
   visitor.Fraction("minimum_coverage", service.minimum_coverage, kShare);
--- a/source/common/routing/query_types.h
+++ b/source/common/routing/query_types.h
@@ -28,6 +28,7 @@
 struct QueryRequest {
   std::string request_id;
   std::string service;
+  std::string request_class;
   std::string text;
   // Nothing: every key of the snapshot. Clipped to the snapshot's extent.
   std::optional<KeyRange> range;
--- a/source/common/session/fleet_codec.cc
+++ b/source/common/session/fleet_codec.cc
@@ -22,6 +22,7 @@
         std::make_unique<protocol::RequestClassRecordT>());
     item->name = request_class.name;
     item->repeatable = request_class.repeatable;
+    item->weight = request_class.weight;
   }
   record.answer_policy = static_cast<std::uint8_t>(service.answer_policy);
   record.soft_deadline_us = service.soft_deadline.count();
@@ -87,7 +88,8 @@
   service.default_deadline = Duration(record.default_deadline_us);
   service.request_classes.clear();
   for (const auto& item : record.request_classes) {
-    service.request_classes.push_back({item->name, item->repeatable});
+    service.request_classes.push_back(
+        {item->name, item->repeatable, item->weight});
   }
   service.answer_policy =
       static_cast<resources::AnswerPolicy>(record.answer_policy);
--- a/test/integration/gateway/owner_fixture.cc
+++ b/test/integration/gateway/owner_fixture.cc
@@ -114,7 +114,8 @@
 }
 
 OwnerFixture::AttemptId OwnerFixture::Ask(const std::string& backend,
-                                          Duration remaining) {
+                                          Duration remaining,
+                                          const std::string& request_class) {
   const AttemptId attempt = next_attempt_++;
   flatbuffers::FlatBufferBuilder builder;
   const std::vector subqueries = {protocol::CreateSubqueryDirect(
@@ -123,7 +124,7 @@
   const auto batch = protocol::CreateBatchRequestDirect(
       builder, attempt, request.c_str(), kLogs.c_str(), kOwnerVersion,
       std::string(lab::kMatchAll).c_str(), kRowLimit, remaining.count(), true,
-      &subqueries);
+      &subqueries, request_class.c_str());
   protocol::FinishSizePrefixedQueryFrameBuffer(
       builder,
       protocol::CreateQueryFrame(builder, protocol::QueryMessage::BatchRequest,
--- a/test/integration/gateway/owner_fixture.h
+++ b/test/integration/gateway/owner_fixture.h
@@ -51,7 +51,8 @@
   void Publish();
 
   // Sends one subquery.
-  AttemptId Ask(const std::string& backend, Duration remaining = seconds(60));
+  AttemptId Ask(const std::string& backend, Duration remaining = seconds(60),
+                const std::string& request_class = "");
   std::vector<AttemptId> AskTimes(const std::string& backend, int count,
                                   Duration remaining = seconds(60));
   void Cancel(AttemptId attempt);
--- a/test/integration/gateway/owner_limits_test.cc
+++ b/test/integration/gateway/owner_limits_test.cc
@@ -59,6 +59,23 @@
         settings.maximum_connections);
 }
 
+TEST_CASE("A request class that floods does not hold up another one") {
+  OwnerFixture fixture;
+  fixture.Add(StandIn("b", 1, milliseconds(4)));
+  fixture.view.services["logs"].request_classes = {{"quiet", true},
+                                                   {"noisy", true}};
+  fixture.Start();
+  std::vector<OwnerFixture::AttemptId> noisy(100);
+  for (auto& attempt : noisy) {
+    attempt = fixture.Ask("b", seconds(50), "noisy");
+  }
+  REQUIRE(fixture.RunUntil([&] { return fixture.Has(noisy[4]); }));
+  // It has more time left than all of the others.
+  const auto quiet = fixture.Ask("b", seconds(60), "quiet");
+  CHECK(fixture.OutcomeOf(quiet) == SubqueryOutcome::kRows);
+  CHECK_FALSE(fixture.Has(noisy[50]));
+}
+
 TEST_CASE("A cold back end gets its slots one after the other") {
   lab::BackendSettings settings = StandIn("b", 4, milliseconds(2));
   settings.cold_start = seconds(1000);
--- a/test/unit/owner/backend_gate_test.cc
+++ b/test/unit/owner/backend_gate_test.cc
@@ -9,10 +9,10 @@
 
 using protocol::SubqueryOutcome;
 
-constexpr GateSettings kTwoSlots{.slots = 2,
-                                 .maximum_connections = 10,
-                                 .queue_limit = 4,
-                                 .slow_start = Duration::zero()};
+const GateSettings kTwoSlots{.slots = 2,
+                             .maximum_connections = 10,
+                             .queue_limit = 4,
+                             .slow_start = Duration::zero()};
 
 // Teaches the gate that a subquery takes `service_time`.
 void Teach(BackendGate& gate, Duration service_time, MonotonicTime now) {
