Send a leader's appends before its own sync

Cause: a leader wrote and synced first and sent then, so each commit of a group paid two syncs in a row. Change: Ready has the leader's appends apart; driver and simulation send them before the write, unless the same turn changes the term or vote. The leader counts its own copy only after its sync, as before. The planted vote defect's schedule relied on the later append: it now cuts the new leader's path before it wins, and finds the same violation.

--- a/source/common/control/raft_driver.cc
+++ b/source/common/control/raft_driver.cc
@@ -100,6 +100,7 @@
 }
 
 bool RaftDriver::CarryOut(raft::Ready ready) {
+  callbacks_.send(std::move(ready.appends));
   const bool durable =
       ready.hard_state || ready.snapshot || !ready.entries.empty();
   if (durable) {
--- a/source/common/raft/fsm.cc
+++ b/source/common/raft/fsm.cc
@@ -3,6 +3,7 @@
 #include <glog/logging.h>
 
 #include <algorithm>
+#include <iterator>
 #include <utility>
 
 #include "common/raft/fsm_implementation.h"
@@ -181,18 +182,23 @@
 
 Ready Fsm::Implementation::TakeReady() {
   CHECK(!awaits_persisted_) << "Persisted() of the previous Ready is missing";
+  Ready ready;
+  ready.messages = std::exchange(messages_, {});
   if (role_ == Role::kLeader) {
     SendToPeers();
   }
-  Ready ready;
+  ready.appends = std::exchange(messages_, {});
   if (hard_state_ != taken_hard_state_) {
     ready.hard_state = hard_state_;
     taken_hard_state_ = hard_state_;
+    // Nothing may show a term that this node could forget.
+    std::move(ready.appends.begin(), ready.appends.end(),
+              std::back_inserter(ready.messages));
+    ready.appends.clear();
   }
   ready.snapshot = std::exchange(pending_snapshot_, std::nullopt);
   ready.entries = log_.Slice(taken_last_ + 1, log_.last_index());
   taken_last_ = log_.last_index();
-  ready.messages = std::exchange(messages_, {});
   ready.committed = log_.Slice(taken_commit_ + 1, commit_);
   taken_commit_ = commit_;
   awaits_persisted_ = ready.snapshot || !ready.entries.empty();
--- a/source/common/raft/fsm.h
+++ b/source/common/raft/fsm.h
@@ -1,9 +1,9 @@
 // The consensus state machine: pre-vote, check-quorum, leader lease, batched
 // append, learners, one-at-a-time membership change, snapshot transfer. No I/O.
 //
-// Use: call one input (Step, Tick, Propose…), then TakeReady(); write and sync
-// `hard_state`, `snapshot` and `entries`, then send `messages`, then apply
-// `committed`, and call Persisted() for what was synced.
+// Use: call one input (Step, Tick, Propose…), then TakeReady(); send `appends`;
+// write and sync `hard_state`, `snapshot` and `entries`, then send `messages`,
+// then apply `committed`, and call Persisted() for what was synced.
 #pragma once
 
 #include <cstdint>
@@ -52,11 +52,14 @@
   std::optional<HardState> hard_state;  // sync before sending
   std::optional<Snapshot> snapshot;     // replaces log and state machine
   std::vector<Entry> entries;           // append (truncates conflicts), sync
-  std::vector<Message> messages;        // send after the sync
-  std::vector<Entry> committed;         // apply in order
+  // A leader's, which may leave before the sync: followers write while it
+  // writes, and it counts its own copy only after Persisted().
+  std::vector<Message> appends;
+  std::vector<Message> messages;  // send after the sync
+  std::vector<Entry> committed;   // apply in order
   bool empty() const {
-    return !hard_state && !snapshot && entries.empty() && messages.empty() &&
-           committed.empty();
+    return !hard_state && !snapshot && entries.empty() && appends.empty() &&
+           messages.empty() && committed.empty();
   }
 };
 
--- a/source/sim/raft_cluster.cc
+++ b/source/sim/raft_cluster.cc
@@ -264,6 +264,7 @@
       return;
     }
     ObserveTaken(id, ready);
+    SendAll(std::exchange(ready.appends, {}));
     if (Has(RaftDefect::kSendsBeforeSync)) {
       SendAll(std::exchange(ready.messages, {}));
     }
--- a/test/property/raft/planted_defect_test.cc
+++ b/test/property/raft/planted_defect_test.cc
@@ -96,10 +96,14 @@
   const raft::Term term = cluster.GetStatus(voter).term;
   cluster.Cut(first, second);
   OrderTakeover(cluster, voter, first, term);
-  while (cluster.GetStatus(first).role != raft::Role::kLeader) {
+  // The voter has the request; the new leader's first append must not reach it.
+  while (cluster.GetStatus(voter).term == term) {
     cluster.Run(microseconds(100));
   }
   cluster.Cut(first, voter);
+  while (cluster.GetStatus(first).role != raft::Role::kLeader) {
+    cluster.Run(microseconds(100));
+  }
   cluster.Crash(voter);
   cluster.Restart(voter);
   OrderTakeover(cluster, voter, second, term);
