--- a/source/common/control/store_restore.cc
+++ b/source/common/control/store_restore.cc
@@ -4,7 +4,6 @@
 #include <system_error>
 #include <utility>
 
-#include "common/control/control_state.h"
 #include "common/storage/backup_file.h"
 #include "common/storage/file_sync.h"
 #include "common/storage/log_store.h"
@@ -14,26 +13,6 @@
 
 namespace fs = std::filesystem;
 
-// The state after everything in the backup.
-Result<ControlState> StateOf(const raft::InitialState& stored) {
-  ControlState state;
-  if (!stored.snapshot.data.empty()) {
-    auto decoded = ControlState::DecodeSnapshot(stored.snapshot.data);
-    if (!decoded) {
-      return decoded;
-    }
-    state = std::move(*decoded);
-  }
-  for (const raft::Entry& entry : stored.entries) {
-    const bool applies = entry.index > stored.snapshot.index &&
-                         entry.kind == raft::EntryKind::kCommand;
-    if (applies) {
-      state.Apply(entry.data);
-    }
-  }
-  return state;
-}
-
 bool Holds(const raft::Configuration& configuration, raft::NodeId id) {
   const auto is_it = [id](const raft::Member& member) {
     return member.id == id;
@@ -149,6 +128,25 @@
 
 }  // namespace
 
+Result<ControlState> StateOfBackup(const raft::InitialState& stored) {
+  ControlState state;
+  if (!stored.snapshot.data.empty()) {
+    auto decoded = ControlState::DecodeSnapshot(stored.snapshot.data);
+    if (!decoded) {
+      return decoded;
+    }
+    state = std::move(*decoded);
+  }
+  for (const raft::Entry& entry : stored.entries) {
+    const bool applies = entry.index > stored.snapshot.index &&
+                         entry.kind == raft::EntryKind::kCommand;
+    if (applies) {
+      state.Apply(entry.data);
+    }
+  }
+  return state;
+}
+
 Result<RestoredStore> RestoreStore(const RestoreOptions& options) {
   if (auto usable = CheckFolder(options.data_folder); !usable) {
     return tl::unexpected(usable.error());
@@ -160,7 +158,7 @@
   if (auto fresh = CheckNewId(*backup, options.member.id); !fresh) {
     return tl::unexpected(fresh.error());
   }
-  auto state = StateOf(backup->state);
+  auto state = StateOfBackup(backup->state);
   if (!state) {
     return tl::unexpected(state.error());
   }
--- a/source/common/control/store_restore.h
+++ b/source/common/control/store_restore.h
@@ -8,7 +8,8 @@
 
 #include "common/base/error.h"
 #include "common/base/time.h"
-#include "common/raft/types.h"
+#include "common/control/control_state.h"
+#include "common/raft/fsm.h"
 #include "common/resources/resource.h"
 
 namespace juniperway::control {
@@ -18,6 +19,10 @@
 // with another meaning. At 3,400 changes a day these last for months.
 inline constexpr resources::Revision kSkippedRevisions = 1'000'000;
 
+// The state after everything in a backup; also what was not committed yet,
+// whose outcome was still open.
+Result<ControlState> StateOfBackup(const raft::InitialState& stored);
+
 struct RestoreOptions {
   std::filesystem::path backup;
   // Must not exist, or be an empty folder.
@@ -42,8 +47,7 @@
   WallTime claims_from{};
 };
 
-// Entries of the backup that were not committed yet count as committed: their
-// outcome was still open.
+// Makes the store; see StateOfBackup for what it holds.
 // @return kInvalidArgument with the option's name, kNotFound or kCorrupt for
 //   the backup, kConflict or kIo for the folder.
 Result<RestoredStore> RestoreStore(const RestoreOptions& options);
--- a/source/ctl/api_client.cc
+++ b/source/ctl/api_client.cc
@@ -113,6 +113,10 @@
   deadline_ = ReadMonotonicClock() + settings_.timeout;
 }
 
+void ApiClient::UseNextServer() {
+  server_ = (server_ + 1) % settings_.servers.size();
+}
+
 Outcome<std::string> ApiClient::CallRaw(const ApiRequest& request) {
   const bool repeatable = request.method == "GET" || !request.change_id.empty();
   bool may_have_run = false;
@@ -137,7 +141,7 @@
     if (step == NextStep::kOutcomeUnknown) {
       return tl::unexpected(GaveUp(request, may_have_run, last_error));
     }
-    server_ = (server_ + 1) % settings_.servers.size();
+    UseNextServer();
   }
 }
 
--- a/source/ctl/api_client.h
+++ b/source/ctl/api_client.h
@@ -45,6 +45,9 @@
   Outcome<nlohmann::json> Call(const ApiRequest& request);
   Outcome<nlohmann::json> Get(const std::string& path);
 
+  // The next call asks the machine after the one that answered last.
+  void UseNextServer();
+
   // Runs `context` for that long.
   void Pause(Duration duration);
 
--- a/source/ctl/command_table.cc
+++ b/source/ctl/command_table.cc
@@ -88,7 +88,7 @@
        "juniperwayctl status",
        0,
        0,
-       {"local"},
+       {},
        false,
        RunStatus},
       {"changes",
--- a/source/ctl/commands/apply.cc
+++ b/source/ctl/commands/apply.cc
@@ -52,8 +52,9 @@
   }
   for (const auto& [name, value] : parsed->items()) {
     if (name != "items" && name != "revision") {
-      return Fail(ExitCode::kRefused,
-                  file + ": " + name + ": is not known next to \"items\"");
+      return Fail(
+          ExitCode::kRefused,
+          fmt::format("{}: {}: is not known next to \"items\"", file, name));
     }
   }
   const json& items = (*parsed)["items"];
--- a/source/ctl/commands/change.cc
+++ b/source/ctl/commands/change.cc
@@ -2,6 +2,7 @@
 
 #include <fmt/format.h>
 
+#include <cstdint>
 #include <utility>
 
 #include "ctl/change_id.h"
@@ -76,10 +77,12 @@
 }
 
 Outcome<void> FinishChange(CommandContext& context, const json& answer) {
-  const std::string change_id = answer.value("change_id", "");
+  // Throws when the answer is none of a control machine.
+  const std::string change_id = answer.at("change_id").get<std::string>();
+  const auto revision = answer.at("revision").get<std::uint64_t>();
   if (!context.json()) {
     context.out << "change " << change_id << " accepted at revision "
-                << FormatCell(answer.value("revision", json()))
+                << revision
                 << (answer.value("resent", false) ? " (it was sent before)"
                                                   : "")
                 << '\n';
--- a/source/ctl/commands/drain.cc
+++ b/source/ctl/commands/drain.cc
@@ -15,7 +15,6 @@
 
 using nlohmann::json;
 using resources::Kind;
-using resources::ResourceId;
 
 constexpr int kMaximumTries = 5;
 
--- a/source/ctl/commands/get.cc
+++ b/source/ctl/commands/get.cc
@@ -7,7 +7,7 @@
 
 using nlohmann::json;
 
-std::string WithLocal(std::string path, const Options& options) {
+std::string WithLocal(const std::string& path, const Options& options) {
   return options.local ? path + "?local=true" : path;
 }
 
--- a/source/ctl/commands/members.cc
+++ b/source/ctl/commands/members.cc
@@ -31,6 +31,10 @@
   if (!status) {
     return tl::unexpected(status.error());
   }
+  if (!status->contains("members")) {
+    return Fail(ExitCode::kUnavailable,
+                "unavailable: no leader; see juniperwayctl status");
+  }
   if (context.json()) {
     PrintJson(status->value("members", json::array()), context.out);
   } else {
--- a/source/ctl/commands/status.cc
+++ b/source/ctl/commands/status.cc
@@ -19,8 +19,7 @@
 }
 
 Outcome<void> RunStatus(CommandContext& context) {
-  const auto status = context.api->Get(
-      context.options.local ? "/v1/status?local=true" : "/v1/status");
+  const auto status = context.api->Get("/v1/status");
   if (!status) {
     return tl::unexpected(status.error());
   }
--- a/source/ctl/resource_output.cc
+++ b/source/ctl/resource_output.cc
@@ -1,5 +1,7 @@
 #include "ctl/resource_output.h"
 
+#include <fmt/format.h>
+
 #include <algorithm>
 #include <cctype>
 #include <utility>
@@ -135,7 +137,8 @@
                  std::ostream& out) {
   if (value.is_object() && !value.empty()) {
     for (const auto& [name, field] : value.items()) {
-      PrintFields(field, path.empty() ? name : path + "." + name, out);
+      PrintFields(field, path.empty() ? name : fmt::format("{}.{}", path, name),
+                  out);
     }
     return;
   }
--- a/source/ctl/run.cc
+++ b/source/ctl/run.cc
@@ -1,5 +1,6 @@
 #include "ctl/run.h"
 
+#include <nlohmann/json.hpp>
 #include <optional>
 #include <utility>
 
@@ -51,7 +52,13 @@
   }
   CommandContext command_context{options, client ? &*client : nullptr,
                                  streams.in, streams.out, streams.error};
-  return command.run(command_context);
+  try {
+    return command.run(command_context);
+  } catch (const nlohmann::json::exception&) {
+    // A field of another type than a control machine would send.
+    return Fail(ExitCode::kUnavailable,
+                "the answer is not understood: is this a control machine?");
+  }
 }
 
 }  // namespace
--- a/source/ctl/settings.cc
+++ b/source/ctl/settings.cc
@@ -1,5 +1,7 @@
 #include "ctl/settings.h"
 
+#include <fmt/format.h>
+
 #include <algorithm>
 #include <utility>
 
@@ -41,7 +43,8 @@
       return Fail(ExitCode::kUsage, FormatError(endpoint.error()));
     }
     if (endpoint->port() == 0) {
-      return Fail(ExitCode::kUsage, source + ": " + part + " has no port");
+      return Fail(ExitCode::kUsage,
+                  fmt::format("{}: {} has no port", source, part));
     }
     servers.push_back(*endpoint);
   }
