--- a/source/lab/fleet/settings_file.cc
+++ b/source/lab/fleet/settings_file.cc
@@ -32,8 +32,8 @@
   table.insert("peer_advertise", settings.control_peer_advertise);
   if (!settings.initial_members.empty()) {
     table.insert("initial_members", ToArray(settings.initial_members));
-    table.insert("bootstrap", true);
   }
+  table.insert("bootstrap", true);
   if (!settings.platform_url.empty()) {
     table.insert("platform_url", settings.platform_url);
   }
@@ -50,7 +50,7 @@
   table.insert("region", settings.region);
   table.insert("data_folder", settings.data_folder);
   table.insert("source_address", settings.address);
-  table.insert("control", ToArray(settings.control));
+  table.insert("control_peers", ToArray(settings.control));
   toml::array roles;
   if (settings.gateway) {
     roles.push_back("gateway");
