Refuse frames that lack a part, and name the field in every refusal

Cause: fuzz tests found inputs that stopped a control machine: an operation without its key or value (null dereference), an operation or specification of an unknown type (it was written to the log, where nobody could read it again, and every control machine aborted), and a daemon's name that is not UTF-8 (reading the status threw). A batch result could carry an outcome out of range and a negative time to come back. Refusals of a whole body, of an unknown call and of a new member named no field. The frames of the owner's side (BatchRequest) are not fuzzed yet.

--- a/source/common/control/resource_api.cc
+++ b/source/common/control/resource_api.cc
@@ -9,6 +9,7 @@
 #include <optional>
 #include <utility>
 
+#include "common/base/json_reader.h"
 #include "common/control/events.h"
 #include "common/net/address.h"
 #include "common/resources/resource_json.h"
@@ -20,7 +21,6 @@
 
 using nlohmann::json;
 using resources::Resource;
-using resources::ResourceId;
 
 constexpr int kStatusOk = 200;
 constexpr int kStatusAccepted = 202;
@@ -36,6 +36,19 @@
   return whole ? std::optional(number) : std::nullopt;
 }
 
+net::HttpResponse NoSuchCall() {
+  return FailureResponse(
+      {ErrorCode::kNotFound, "path", "there is no such call"});
+}
+
+// A fault of the whole body has no path in it.
+Error NameBody(Error error) {
+  if (error.field.empty()) {
+    error.field = "body";
+  }
+  return error;
+}
+
 // Tells a resend from another call that uses the same change id.
 std::uint64_t DigestOf(const ApiCall& call) {
   std::string content = call.method + " " + call.path + "\n";
@@ -79,7 +92,9 @@
 net::HttpResponse JsonResponse(int status, const json& body) {
   net::HttpResponse response;
   response.status = status;
-  response.body = body.dump() + "\n";
+  // Daemons name themselves, and their names need not be UTF-8.
+  response.body =
+      body.dump(-1, ' ', false, json::error_handler_t::replace) + "\n";
   return response;
 }
 
@@ -109,8 +124,7 @@
              parts[1] == "members") {
     answer(RemoveMember(parts[2]));
   } else {
-    answer(
-        FailureResponse({ErrorCode::kNotFound, "", "there is no such call"}));
+    answer(NoSuchCall());
   }
 }
 
@@ -134,7 +148,7 @@
   if (parts.size() == 3 && parts[1] == "changes") {
     return GetChange(parts[2]);
   }
-  return FailureResponse({ErrorCode::kNotFound, "", "there is no such call"});
+  return NoSuchCall();
 }
 
 net::HttpResponse ResourceApi::List(const std::string& kind) const {
@@ -266,7 +280,7 @@
 void ResourceApi::Apply(const ApiCall& call, const ApiCallback& answer) const {
   auto set = resources::ParseResources(call.body);
   if (!set) {
-    answer(FailureResponse(set.error()));
+    answer(FailureResponse(NameBody(set.error())));
     return;
   }
   protocol::ApplyResourcesT operation;
@@ -330,7 +344,7 @@
     json body = json::parse(response.body);
     body["current"] = items.empty() ? json(nullptr) : items.front();
     body["change_id"] = change_id;
-    response.body = body.dump() + "\n";
+    return JsonResponse(response.status, body);
   }
   return response;
 }
@@ -361,27 +375,40 @@
 
 // --- Control machines --------------------------------------------------------
 
-net::HttpResponse ResourceApi::AddMember(const ApiCall& call) const {
-  const json body = json::parse(call.body, nullptr, false);
-  const bool shaped = body.is_object() && body.size() == 2 &&
-                      body.contains("node_id") && body.contains("address") &&
-                      body["node_id"].is_number_unsigned() &&
-                      body["address"].is_string();
-  if (!shaped) {
-    return FailureResponse({ErrorCode::kInvalidArgument, "",
-                            "the body must hold node_id and address"});
+namespace {
+
+Result<raft::Member> ParseMember(const std::string& text) {
+  const Result<json> body = ParseJson(text);
+  if (!body) {
+    return tl::unexpected(NameBody(body.error()));
   }
   raft::Member member;
-  member.id = body["node_id"].get<raft::NodeId>();
-  member.address = body["address"].get<std::string>();
-  if (member.id == raft::kNoNode) {
-    return FailureResponse(
-        {ErrorCode::kInvalidArgument, "node_id", "must be above 0"});
+  JsonReader reader(*body, "");
+  reader.Unsigned("node_id", &member.id, {raft::kNoNode + 1},
+                  Presence::kRequired);
+  reader.Text("address", &member.address, Presence::kRequired);
+  if (const auto error = reader.Finish()) {
+    return tl::unexpected(NameBody(*error));
   }
-  if (auto endpoint = net::ParseEndpoint(member.address, "address");
-      !endpoint) {
-    return FailureResponse(endpoint.error());
+  const auto endpoint = net::ParseEndpoint(member.address, "address");
+  if (!endpoint) {
+    return tl::unexpected(endpoint.error());
+  }
+  if (endpoint->port() == 0) {
+    return MakeError(ErrorCode::kInvalidArgument, "address",
+                     "must have a port");
+  }
+  return member;
+}
+
+}  // namespace
+
+net::HttpResponse ResourceApi::AddMember(const ApiCall& call) const {
+  const auto parsed = ParseMember(call.body);
+  if (!parsed) {
+    return FailureResponse(parsed.error());
   }
+  const raft::Member& member = *parsed;
   if (auto added = ports_.add_member(member); !added) {
     return FailureResponse(added.error());
   }
@@ -392,9 +419,9 @@
 
 net::HttpResponse ResourceApi::RemoveMember(const std::string& id) const {
   const auto node = ParseNumber(id);
-  if (!node) {
+  if (!node || *node == raft::kNoNode) {
     return FailureResponse(
-        {ErrorCode::kInvalidArgument, "id", "must be a node id"});
+        {ErrorCode::kInvalidArgument, "id", "must be a node id above 0"});
   }
   if (auto removed = ports_.remove_member(*node); !removed) {
     return FailureResponse(removed.error());
--- a/source/common/gateway/front_server.cc
+++ b/source/common/gateway/front_server.cc
@@ -131,7 +131,10 @@
     }
     if (request.path == "/v1/view") {
       net::HttpResponse response;
-      response.body = ViewToJson(*session.View()).dump();
+      // Names of other daemons need not be UTF-8.
+      response.body =
+          ViewToJson(*session.View())
+              .dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
       return response;
     }
     return Metrics();
--- a/source/common/gateway/query_codec.cc
+++ b/source/common/gateway/query_codec.cc
@@ -40,6 +40,13 @@
   return copy;
 }
 
+// Numbers that the rest of the gateway can hold.
+bool IsSound(const protocol::SubqueryResult& result) {
+  return result.outcome() <= protocol::SubqueryOutcome::MAX &&
+         result.retry_after_us() <=
+             static_cast<std::uint64_t>(Duration::max().count());
+}
+
 routing::SubqueryReply DecodeResult(const protocol::SubqueryResult& result,
                                     const SharedFrame& frame) {
   routing::SubqueryReply reply;
@@ -116,6 +123,9 @@
   if (result->results() != nullptr) {
     reply.replies.reserve(result->results()->size());
     for (const protocol::SubqueryResult* one : *result->results()) {
+      if (!IsSound(*one)) {
+        return std::nullopt;
+      }
       reply.replies.push_back(DecodeResult(*one, copy));
     }
   }
--- a/source/common/protocol/command_generated.h
+++ b/source/common/protocol/command_generated.h
@@ -500,7 +500,7 @@
            VerifyOffset(verifier, VT_CHANGE_ID) &&
            verifier.VerifyString(change_id()) &&
            VerifyField<uint64_t>(verifier, VT_DIGEST, 8) &&
-           VerifyOffset(verifier, VT_KEY) &&
+           VerifyOffsetRequired(verifier, VT_KEY) &&
            verifier.VerifyTable(key()) &&
            VerifyField<uint64_t>(verifier, VT_VERSION, 8) &&
            verifier.EndTable();
@@ -533,6 +533,7 @@
   flatbuffers::Offset<DeleteResource> Finish() {
     const auto end = fbb_.EndTable(start_);
     auto o = flatbuffers::Offset<DeleteResource>(end);
+    fbb_.Required(o, DeleteResource::VT_KEY);
     return o;
   }
 };
@@ -594,7 +595,7 @@
   }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
-           VerifyOffset(verifier, VT_MEMBER) &&
+           VerifyOffsetRequired(verifier, VT_MEMBER) &&
            verifier.VerifyTable(member()) &&
            verifier.EndTable();
   }
@@ -617,6 +618,7 @@
   flatbuffers::Offset<JoinMember> Finish() {
     const auto end = fbb_.EndTable(start_);
     auto o = flatbuffers::Offset<JoinMember>(end);
+    fbb_.Required(o, JoinMember::VT_MEMBER);
     return o;
   }
 };
@@ -1225,7 +1227,7 @@
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint8_t>(verifier, VT_OPERATION_TYPE, 1) &&
-           VerifyOffset(verifier, VT_OPERATION) &&
+           VerifyOffsetRequired(verifier, VT_OPERATION) &&
            VerifyOperation(verifier, operation(), operation_type()) &&
            verifier.EndTable();
   }
@@ -1287,6 +1289,7 @@
   flatbuffers::Offset<OperationItem> Finish() {
     const auto end = fbb_.EndTable(start_);
     auto o = flatbuffers::Offset<OperationItem>(end);
+    fbb_.Required(o, OperationItem::VT_OPERATION);
     return o;
   }
 };
--- a/source/common/protocol/control_generated.h
+++ b/source/common/protocol/control_generated.h
@@ -1907,7 +1907,7 @@
            VerifyOffset(verifier, VT_DAEMON_ID) &&
            verifier.VerifyString(daemon_id()) &&
            VerifyField<uint64_t>(verifier, VT_INCARNATION, 8) &&
-           VerifyOffset(verifier, VT_HEARTBEAT) &&
+           VerifyOffsetRequired(verifier, VT_HEARTBEAT) &&
            verifier.VerifyTable(heartbeat()) &&
            verifier.EndTable();
   }
@@ -1936,6 +1936,7 @@
   flatbuffers::Offset<MemberHeartbeat> Finish() {
     const auto end = fbb_.EndTable(start_);
     auto o = flatbuffers::Offset<MemberHeartbeat>(end);
+    fbb_.Required(o, MemberHeartbeat::VT_HEARTBEAT);
     return o;
   }
 };
@@ -2176,7 +2177,7 @@
            VerifyOffset(verifier, VT_DAEMON_ID) &&
            verifier.VerifyString(daemon_id()) &&
            VerifyField<uint64_t>(verifier, VT_INCARNATION, 8) &&
-           VerifyOffset(verifier, VT_REPLY) &&
+           VerifyOffsetRequired(verifier, VT_REPLY) &&
            verifier.VerifyTable(reply()) &&
            verifier.EndTable();
   }
@@ -2205,6 +2206,7 @@
   flatbuffers::Offset<MemberHeartbeatReply> Finish() {
     const auto end = fbb_.EndTable(start_);
     auto o = flatbuffers::Offset<MemberHeartbeatReply>(end);
+    fbb_.Required(o, MemberHeartbeatReply::VT_REPLY);
     return o;
   }
 };
@@ -3288,7 +3290,7 @@
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint8_t>(verifier, VT_MESSAGE_TYPE, 1) &&
-           VerifyOffset(verifier, VT_MESSAGE) &&
+           VerifyOffsetRequired(verifier, VT_MESSAGE) &&
            VerifyControlMessage(verifier, message(), message_type()) &&
            verifier.EndTable();
   }
@@ -3386,6 +3388,7 @@
   flatbuffers::Offset<ControlFrame> Finish() {
     const auto end = fbb_.EndTable(start_);
     auto o = flatbuffers::Offset<ControlFrame>(end);
+    fbb_.Required(o, ControlFrame::VT_MESSAGE);
     return o;
   }
 };
--- a/source/common/protocol/query_generated.h
+++ b/source/common/protocol/query_generated.h
@@ -971,7 +971,7 @@
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint8_t>(verifier, VT_MESSAGE_TYPE, 1) &&
-           VerifyOffset(verifier, VT_MESSAGE) &&
+           VerifyOffsetRequired(verifier, VT_MESSAGE) &&
            VerifyQueryMessage(verifier, message(), message_type()) &&
            verifier.EndTable();
   }
@@ -1009,6 +1009,7 @@
   flatbuffers::Offset<QueryFrame> Finish() {
     const auto end = fbb_.EndTable(start_);
     auto o = flatbuffers::Offset<QueryFrame>(end);
+    fbb_.Required(o, QueryFrame::VT_MESSAGE);
     return o;
   }
 };
--- a/source/common/protocol/resource_generated.h
+++ b/source/common/protocol/resource_generated.h
@@ -1099,7 +1099,7 @@
            verifier.VerifyString(name()) &&
            VerifyField<uint64_t>(verifier, VT_VERSION, 8) &&
            VerifyField<uint8_t>(verifier, VT_SPECIFICATION_TYPE, 1) &&
-           VerifyOffset(verifier, VT_SPECIFICATION) &&
+           VerifyOffsetRequired(verifier, VT_SPECIFICATION) &&
            VerifyResourceSpecification(verifier, specification(), specification_type()) &&
            verifier.EndTable();
   }
@@ -1147,6 +1147,7 @@
   flatbuffers::Offset<ResourceRecord> Finish() {
     const auto end = fbb_.EndTable(start_);
     auto o = flatbuffers::Offset<ResourceRecord>(end);
+    fbb_.Required(o, ResourceRecord::VT_SPECIFICATION);
     return o;
   }
 };
--- a/test/property/resources/json_mutation.cc
+++ b/test/property/resources/json_mutation.cc
@@ -1,5 +1,7 @@
 #include "property/resources/json_mutation.h"
 
+#include <fmt/format.h>
+
 #include <cstdint>
 #include <limits>
 #include <set>
@@ -34,7 +36,7 @@
   }
   if (value.is_object()) {
     for (const auto& [name, field] : value.items()) {
-      CollectPlaces(field, place + "/" + name, places);
+      CollectPlaces(field, fmt::format("{}/{}", place, name), places);
     }
   } else if (value.is_array()) {
     for (std::size_t i = 0; i < value.size(); ++i) {
