Restore into the daemon's data folder; list the leader among the members

Cause: a run against real control machines showed that restore wrote beside the folder the daemon reads (data_folder/control), and that members list lacked the leader. Change: the folder's name is shared; the status adds the leader's own row.

--- a/source/common/control/control_server.h
+++ b/source/common/control/control_server.h
@@ -19,6 +19,9 @@
 
 namespace juniperway::control {
 
+// Where a daemon keeps the consensus store, in its data folder.
+inline constexpr const char* kControlFolderName = "control";
+
 struct ControlServerOptions {
   // Identity of the fleet; peers and daemons of another one are refused.
   std::string cluster;
--- a/source/common/control/resource_api.cc
+++ b/source/common/control/resource_api.cc
@@ -254,6 +254,16 @@
   const LeaseTable& leases = ports_.leases();
   json members = json::array();
   bool lost_data = false;
+  // The leader tracks the others' progress; its own row is added.
+  for (const raft::Member& member : status.configuration.voters) {
+    if (member.id == status.id) {
+      members.push_back(MemberToJson({.member = member,
+                                      .voter = true,
+                                      .match = status.last,
+                                      .active = true,
+                                      .caught_up = true}));
+    }
+  }
   for (const raft::Progress& progress : status.progress) {
     members.push_back(MemberToJson(progress));
     lost_data = lost_data || progress.regressed;
--- a/source/common/control/store_restore.cc
+++ b/source/common/control/store_restore.cc
@@ -4,6 +4,7 @@
 #include <system_error>
 #include <utility>
 
+#include "common/control/control_server.h"
 #include "common/storage/backup_file.h"
 #include "common/storage/file_sync.h"
 #include "common/storage/log_store.h"
@@ -59,6 +60,10 @@
   return std::max(now, state.wall_time()) + longest + kClaimClockAllowance;
 }
 
+fs::path StoreFolder(const RestoreOptions& options) {
+  return fs::absolute(options.data_folder) / kControlFolderName;
+}
+
 Result<void> CheckFolder(const fs::path& folder) {
   std::error_code reason;
   if (!fs::exists(folder, reason)) {
@@ -86,7 +91,7 @@
 Result<void> PublishStore(const RestoreOptions& options,
                           const std::string& cluster,
                           const raft::Ready& ready) {
-  const fs::path folder = fs::absolute(options.data_folder);
+  const fs::path folder = StoreFolder(options);
   const fs::path partial = folder.string() + ".partial";
   std::error_code reason;
   if (fs::exists(partial, reason)) {
@@ -148,7 +153,7 @@
 }
 
 Result<RestoredStore> RestoreStore(const RestoreOptions& options) {
-  if (auto usable = CheckFolder(options.data_folder); !usable) {
+  if (auto usable = CheckFolder(StoreFolder(options)); !usable) {
     return tl::unexpected(usable.error());
   }
   auto backup = storage::ReadBackupFile(options.backup);
--- a/source/common/control/store_restore.h
+++ b/source/common/control/store_restore.h
@@ -25,7 +25,7 @@
 
 struct RestoreOptions {
   std::filesystem::path backup;
-  // Must not exist, or be an empty folder.
+  // The daemon's; it must not hold a consensus store yet.
   std::filesystem::path data_folder;
   // Empty: the backup's.
   std::string cluster;
--- a/source/ctl/options.cc
+++ b/source/ctl/options.cc
@@ -127,7 +127,7 @@
        "zone of a machine that has no Machine resource yet",
        SetText(&Options::zone)},
       {"data-folder", '\0', "FOLDER",
-       "data folder to write; must not exist or be empty",
+       "the new daemon's data_folder; must not hold a store yet",
        SetText(&Options::data_folder)},
       {"cluster", '\0', "NAME", "name of the fleet (default: the backup's)",
        SetText(&Options::cluster)},
--- a/source/daemon/control_role.cc
+++ b/source/daemon/control_role.cc
@@ -13,7 +13,6 @@
 namespace juniperway::daemon {
 namespace {
 
-constexpr const char* kFolderName = "control";
 constexpr const char* kBlanks = " \t\r\n";
 
 // The file's content without blanks at its ends.
@@ -41,16 +40,16 @@
   options.initial_members = settings.control->initial_members;
   options.bearer_token = ReadToken(settings.control->token_file);
   options.platform_url = settings.control->platform_url;
-  options.data_folder = settings.data_folder / kFolderName;
+  options.data_folder = settings.data_folder / control::kControlFolderName;
   return options;
 }
 
 std::unique_ptr<storage::LogStore> OpenStore(const Settings& settings) {
-  auto store =
-      storage::OpenSqliteLogStore({.folder = settings.data_folder / kFolderName,
-                                   .cluster = settings.cluster,
-                                   .node = settings.control->node_id,
-                                   .create = settings.control->bootstrap});
+  auto store = storage::OpenSqliteLogStore(
+      {.folder = settings.data_folder / control::kControlFolderName,
+       .cluster = settings.cluster,
+       .node = settings.control->node_id,
+       .create = settings.control->bootstrap});
   if (!store) {
     const bool missing = store.error().code == ErrorCode::kNotFound;
     throw std::runtime_error(
