--- a/source/ctl/commands/resource_path.cc
+++ b/source/ctl/commands/resource_path.cc
@@ -11,7 +11,7 @@
   }
   return Fail(
       ExitCode::kUsage,
-      "KIND: " + word + ": must be service, backend, indexsnapshot or machine");
+      "KIND: " + word + ": must be service, backend, snapshot or machine");
 }
 
 Outcome<std::string> NameArgument(const std::string& word) {
--- a/source/ctl/resource_output.cc
+++ b/source/ctl/resource_output.cc
@@ -43,6 +43,9 @@
       return kind;
     }
   }
+  if (lower == "snapshot" || lower == "snapshots") {
+    return Kind::kIndexSnapshot;
+  }
   return std::nullopt;
 }
 
--- a/source/ctl/resource_output.h
+++ b/source/ctl/resource_output.h
@@ -13,7 +13,7 @@
 
 namespace juniperway::ctl {
 
-// "Backend", "backend", "backends" in any case.
+// "Backend", "backend", "backends" in any case; "snapshot" for IndexSnapshot.
 std::optional<resources::Kind> ParseKindWord(const std::string& word);
 
 // One value in a cell: "yes", "-", "a,b,+3".
--- a/source/lab/fleet/control_client.h
+++ b/source/lab/fleet/control_client.h
@@ -54,6 +54,7 @@
   Result<resources::Resource> Read(const resources::ResourceId& id);
 
   std::size_t machines() const { return addresses_.size(); }
+  const std::vector<std::string>& addresses() const { return addresses_; }
 
  private:
   // Calls each machine in turn until one answers with success.
--- a/test/unit/ctl/table_test.cc
+++ b/test/unit/ctl/table_test.cc
@@ -37,6 +37,7 @@
   CHECK(ParseKindWord("Backend") == Kind::kBackend);
   CHECK(ParseKindWord("backends") == Kind::kBackend);
   CHECK(ParseKindWord("INDEXSNAPSHOTS") == Kind::kIndexSnapshot);
+  CHECK(ParseKindWord("snapshot") == Kind::kIndexSnapshot);
   CHECK_FALSE(ParseKindWord("backendss").has_value());
   CHECK_FALSE(ParseKindWord("").has_value());
 }
