--- a/source/common/control/store_restore.cc
+++ b/source/common/control/store_restore.cc
@@ -4,7 +4,7 @@
 #include <system_error>
 #include <utility>
 
-#include "common/control/control_state.h"
+#include "common/control/control_server.h"
 #include "common/storage/backup_file.h"
 #include "common/storage/file_sync.h"
 #include "common/storage/log_store.h"
@@ -14,26 +14,6 @@
 
 namespace fs = std::filesystem;
 
-// The state after everything in the backup.
-Result<ControlState> StateOf(const raft::InitialState& stored) {
-  ControlState state;
-  if (!stored.snapshot.data.empty()) {
-    auto decoded = ControlState::DecodeSnapshot(stored.snapshot.data);
-    if (!decoded) {
-      return decoded;
-    }
-    state = std::move(*decoded);
-  }
-  for (const raft::Entry& entry : stored.entries) {
-    const bool applies = entry.index > stored.snapshot.index &&
-                         entry.kind == raft::EntryKind::kCommand;
-    if (applies) {
-      state.Apply(entry.data);
-    }
-  }
-  return state;
-}
-
 bool Holds(const raft::Configuration& configuration, raft::NodeId id) {
   const auto is_it = [id](const raft::Member& member) {
     return member.id == id;
@@ -80,6 +60,10 @@
   return std::max(now, state.wall_time()) + longest + kClaimClockAllowance;
 }
 
+fs::path StoreFolder(const RestoreOptions& options) {
+  return fs::absolute(options.data_folder) / kControlFolderName;
+}
+
 Result<void> CheckFolder(const fs::path& folder) {
   std::error_code reason;
   if (!fs::exists(folder, reason)) {
@@ -107,7 +91,7 @@
 Result<void> PublishStore(const RestoreOptions& options,
                           const std::string& cluster,
                           const raft::Ready& ready) {
-  const fs::path folder = fs::absolute(options.data_folder);
+  const fs::path folder = StoreFolder(options);
   const fs::path partial = folder.string() + ".partial";
   std::error_code reason;
   if (fs::exists(partial, reason)) {
@@ -149,8 +133,27 @@
 
 }  // namespace
 
+Result<ControlState> StateOfBackup(const raft::InitialState& stored) {
+  ControlState state;
+  if (!stored.snapshot.data.empty()) {
+    auto decoded = ControlState::DecodeSnapshot(stored.snapshot.data);
+    if (!decoded) {
+      return decoded;
+    }
+    state = std::move(*decoded);
+  }
+  for (const raft::Entry& entry : stored.entries) {
+    const bool applies = entry.index > stored.snapshot.index &&
+                         entry.kind == raft::EntryKind::kCommand;
+    if (applies) {
+      state.Apply(entry.data);
+    }
+  }
+  return state;
+}
+
 Result<RestoredStore> RestoreStore(const RestoreOptions& options) {
-  if (auto usable = CheckFolder(options.data_folder); !usable) {
+  if (auto usable = CheckFolder(StoreFolder(options)); !usable) {
     return tl::unexpected(usable.error());
   }
   auto backup = storage::ReadBackupFile(options.backup);
@@ -160,7 +163,7 @@
   if (auto fresh = CheckNewId(*backup, options.member.id); !fresh) {
     return tl::unexpected(fresh.error());
   }
-  auto state = StateOf(backup->state);
+  auto state = StateOfBackup(backup->state);
   if (!state) {
     return tl::unexpected(state.error());
   }
