Keep a voter that lost its disk out of every election

Cause: a control machine whose disk was lost started as the same voter with an empty log. Its vote elected a machine that lacked an accepted change; the leader then filled it up and counted it again. Change: a candidate with an empty log needs every voter's vote; a node that has seen no term helps only such candidates. An append to a voter that has seen no term shows that its disk was lost: it refuses, reports data_lost and stops; it is replaced under a new id. Appends tell whether the receiver votes, so that a machine that was added later finds it out too. The first start of a group now needs all founders once. The store logs its creation, opening, refusal and failed writes. The malformed-append test's node gets a term first, since an append to a founder without one now says lost data.

--- a/source/common/control/consensus_codec.cc
+++ b/source/common/control/consensus_codec.cc
@@ -85,6 +85,7 @@
   record->commit = message.commit;
   record->reject = message.reject;
   record->leadership_transfer = message.leadership_transfer;
+  record->receiver_votes = message.receiver_votes;
   record->round = message.round;
   if (message.snapshot) {
     record->snapshot = EncodeSnapshot(*message.snapshot);
@@ -116,6 +117,7 @@
   message.commit = record.commit;
   message.reject = record.reject;
   message.leadership_transfer = record.leadership_transfer;
+  message.receiver_votes = record.receiver_votes;
   message.round = record.round;
   if (record.snapshot) {
     message.snapshot = DecodeSnapshot(*record.snapshot);
--- a/source/common/control/raft_driver.cc
+++ b/source/common/control/raft_driver.cc
@@ -5,6 +5,7 @@
 #include <utility>
 
 #include "common/control/events.h"
+#include "common/storage/events.h"
 
 namespace juniperway::control {
 namespace {
@@ -91,6 +92,13 @@
       return;
     }
   }
+  if (fsm_.HasLostData()) {
+    logging::LogEvent(storage::kDataLost, {{"node", id_}});
+    Fail({ErrorCode::kCorrupt, "data_folder",
+          "holds no state, but the group counts on this node: its disk was "
+          "lost; replace it under a new node_id"});
+    return;
+  }
   CompactIfLarge();
   if (stopped_) {
     return;
--- a/source/common/protocol/control_generated.h
+++ b/source/common/protocol/control_generated.h
@@ -1068,6 +1068,7 @@
   uint64_t round = 0;
   std::unique_ptr<juniperway::protocol::SnapshotRecordT> snapshot{};
   bool leadership_transfer = false;
+  bool receiver_votes = false;
   ConsensusMessageT() = default;
   ConsensusMessageT(const ConsensusMessageT &o);
   ConsensusMessageT(ConsensusMessageT&&) FLATBUFFERS_NOEXCEPT = default;
@@ -1090,7 +1091,8 @@
     VT_REJECT = 20,
     VT_ROUND = 22,
     VT_SNAPSHOT = 24,
-    VT_LEADERSHIP_TRANSFER = 26
+    VT_LEADERSHIP_TRANSFER = 26,
+    VT_RECEIVER_VOTES = 28
   };
   uint8_t kind() const {
     return GetField<uint8_t>(VT_KIND, 0);
@@ -1128,6 +1130,9 @@
   bool leadership_transfer() const {
     return GetField<uint8_t>(VT_LEADERSHIP_TRANSFER, 0) != 0;
   }
+  bool receiver_votes() const {
+    return GetField<uint8_t>(VT_RECEIVER_VOTES, 0) != 0;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint8_t>(verifier, VT_KIND, 1) &&
@@ -1145,6 +1150,7 @@
            VerifyOffset(verifier, VT_SNAPSHOT) &&
            verifier.VerifyTable(snapshot()) &&
            VerifyField<uint8_t>(verifier, VT_LEADERSHIP_TRANSFER, 1) &&
+           VerifyField<uint8_t>(verifier, VT_RECEIVER_VOTES, 1) &&
            verifier.EndTable();
   }
   ConsensusMessageT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -1192,6 +1198,9 @@
   void add_leadership_transfer(bool leadership_transfer) {
     fbb_.AddElement<uint8_t>(ConsensusMessage::VT_LEADERSHIP_TRANSFER, static_cast<uint8_t>(leadership_transfer), 0);
   }
+  void add_receiver_votes(bool receiver_votes) {
+    fbb_.AddElement<uint8_t>(ConsensusMessage::VT_RECEIVER_VOTES, static_cast<uint8_t>(receiver_votes), 0);
+  }
   explicit ConsensusMessageBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -1216,7 +1225,8 @@
     bool reject = false,
     uint64_t round = 0,
     flatbuffers::Offset<juniperway::protocol::SnapshotRecord> snapshot = 0,
-    bool leadership_transfer = false) {
+    bool leadership_transfer = false,
+    bool receiver_votes = false) {
   ConsensusMessageBuilder builder_(_fbb);
   builder_.add_round(round);
   builder_.add_commit(commit);
@@ -1227,6 +1237,7 @@
   builder_.add_from(from);
   builder_.add_snapshot(snapshot);
   builder_.add_entries(entries);
+  builder_.add_receiver_votes(receiver_votes);
   builder_.add_leadership_transfer(leadership_transfer);
   builder_.add_reject(reject);
   builder_.add_kind(kind);
@@ -1251,7 +1262,8 @@
     bool reject = false,
     uint64_t round = 0,
     flatbuffers::Offset<juniperway::protocol::SnapshotRecord> snapshot = 0,
-    bool leadership_transfer = false) {
+    bool leadership_transfer = false,
+    bool receiver_votes = false) {
   auto entries__ = entries ? _fbb.CreateVector<flatbuffers::Offset<juniperway::protocol::EntryRecord>>(*entries) : 0;
   return juniperway::protocol::CreateConsensusMessage(
       _fbb,
@@ -1266,7 +1278,8 @@
       reject,
       round,
       snapshot,
-      leadership_transfer);
+      leadership_transfer,
+      receiver_votes);
 }
 
 flatbuffers::Offset<ConsensusMessage> CreateConsensusMessage(flatbuffers::FlatBufferBuilder &_fbb, const ConsensusMessageT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -3606,7 +3619,8 @@
         reject(o.reject),
         round(o.round),
         snapshot((o.snapshot) ? new juniperway::protocol::SnapshotRecordT(*o.snapshot) : nullptr),
-        leadership_transfer(o.leadership_transfer) {
+        leadership_transfer(o.leadership_transfer),
+        receiver_votes(o.receiver_votes) {
   entries.reserve(o.entries.size());
   for (const auto &entries_ : o.entries) { entries.emplace_back((entries_) ? new juniperway::protocol::EntryRecordT(*entries_) : nullptr); }
 }
@@ -3624,6 +3638,7 @@
   std::swap(round, o.round);
   std::swap(snapshot, o.snapshot);
   std::swap(leadership_transfer, o.leadership_transfer);
+  std::swap(receiver_votes, o.receiver_votes);
   return *this;
 }
 
@@ -3648,6 +3663,7 @@
   { auto _e = round(); _o->round = _e; }
   { auto _e = snapshot(); if (_e) _o->snapshot = std::unique_ptr<juniperway::protocol::SnapshotRecordT>(_e->UnPack(_resolver)); }
   { auto _e = leadership_transfer(); _o->leadership_transfer = _e; }
+  { auto _e = receiver_votes(); _o->receiver_votes = _e; }
 }
 
 inline flatbuffers::Offset<ConsensusMessage> ConsensusMessage::Pack(flatbuffers::FlatBufferBuilder &_fbb, const ConsensusMessageT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -3670,6 +3686,7 @@
   auto _round = _o->round;
   auto _snapshot = _o->snapshot ? CreateSnapshotRecord(_fbb, _o->snapshot.get(), _rehasher) : 0;
   auto _leadership_transfer = _o->leadership_transfer;
+  auto _receiver_votes = _o->receiver_votes;
   return juniperway::protocol::CreateConsensusMessage(
       _fbb,
       _kind,
@@ -3683,7 +3700,8 @@
       _reject,
       _round,
       _snapshot,
-      _leadership_transfer);
+      _leadership_transfer,
+      _receiver_votes);
 }
 
 inline ConsensusMessagesT::ConsensusMessagesT(const ConsensusMessagesT &o) {
--- a/source/common/raft/fsm.cc
+++ b/source/common/raft/fsm.cc
@@ -62,7 +62,7 @@
 void Fsm::Implementation::Tick(MonotonicTime now) {
   now_ = now;
   if (role_ != Role::kLeader) {
-    if (now >= election_deadline_ && IsActiveVoter()) {
+    if (now >= election_deadline_ && IsActiveVoter() && !lost_data_) {
       StartPreVote(now);
     }
     return;
@@ -86,6 +86,9 @@
       IgnoresVoteRequest(message, now)) {
     return;
   }
+  if (lost_data_ || (IsFirstStart() && !TakesAtFirstStart(message))) {
+    return;
+  }
   if (message.kind == MessageKind::kPreVote) {
     HandlePreVote(message);
     return;
@@ -246,7 +249,8 @@
   if (role_ == Role::kLeader) {
     return next_heartbeat_;
   }
-  return IsActiveVoter() ? election_deadline_ : MonotonicTime::max();
+  return IsActiveVoter() && !lost_data_ ? election_deadline_
+                                        : MonotonicTime::max();
 }
 
 Status Fsm::Implementation::GetStatus() const {
@@ -322,6 +326,7 @@
 bool Fsm::HasLeaderLease(MonotonicTime now) const {
   return implementation_->HasLeaderLease(now);
 }
+bool Fsm::HasLostData() const { return implementation_->HasLostData(); }
 MonotonicTime Fsm::NextDeadline() const {
   return implementation_->NextDeadline();
 }
--- a/source/common/raft/fsm.h
+++ b/source/common/raft/fsm.h
@@ -143,6 +143,10 @@
   // heartbeat sent less than (election timeout less drift) ago: reads of the
   // applied state are then linearizable, and leases may be granted.
   bool HasLeaderLease(MonotonicTime now) const;
+  // This node has an empty log, but the group already counted on it: its disk
+  // was lost. It takes part in nothing any more and must be replaced under a
+  // new id; the driver stops.
+  bool HasLostData() const;
   // When Tick should next be called.
   MonotonicTime NextDeadline() const;
   Status GetStatus() const;
--- a/source/common/raft/fsm_election.cc
+++ b/source/common/raft/fsm_election.cc
@@ -11,7 +11,13 @@
                                              MonotonicTime now) const {
   const bool asks_for_vote = message.kind == MessageKind::kPreVote ||
                              message.kind == MessageKind::kVote;
-  if (!asks_for_vote || message.leadership_transfer) {
+  if (!asks_for_vote) {
+    return false;
+  }
+  if (configuration().voters.empty()) {
+    return true;  // Not a member yet, whatever the candidate's log says.
+  }
+  if (message.leadership_transfer) {
     return false;
   }
   return role_ == Role::kLeader || now < votes_blocked_until_;
@@ -66,7 +72,7 @@
   ResetElectionDeadline(now);
   granted_ = {options_.id};
   refused_.clear();
-  if (HasQuorumOf(granted_)) {
+  if (WinsElection()) {
     StartElection(/*transfer=*/false, now);
     return;
   }
@@ -80,7 +86,7 @@
   ResetElectionDeadline(now);
   granted_ = {options_.id};
   refused_.clear();
-  if (HasQuorumOf(granted_)) {
+  if (WinsElection()) {
     BecomeLeader(now);
     return;
   }
@@ -154,7 +160,7 @@
     return;
   }
   CountVote(message);
-  if (HasQuorumOf(granted_)) {
+  if (WinsElection()) {
     StartElection(/*transfer=*/false, now);
   } else if (HasQuorumOf(refused_)) {
     BecomeFollower(term(), kNoNode, now);
@@ -167,7 +173,7 @@
     return;
   }
   CountVote(message);
-  if (HasQuorumOf(granted_)) {
+  if (WinsElection()) {
     BecomeLeader(now);
   } else if (HasQuorumOf(refused_)) {
     BecomeFollower(term(), kNoNode, now);
--- a/source/common/raft/fsm_implementation.h
+++ b/source/common/raft/fsm_implementation.h
@@ -30,6 +30,7 @@
   void Applied(Index index);
   Result<Snapshot> MakeSnapshot(Index index, std::string data) const;
   void Compacted(Snapshot snapshot);
+  bool HasLostData() const { return lost_data_; }
   MonotonicTime NextDeadline() const;
   Status GetStatus() const;
 
@@ -79,6 +80,12 @@
   bool HasQuorumOf(const std::set<NodeId>& nodes) const;
   void ResetElectionDeadline(MonotonicTime now);
 
+  // fsm_first_start.cc: empty logs, at the first start and after a lost disk.
+  bool IsFirstStart() const;
+  // @return false if a node that starts for the first time must not take it.
+  bool TakesAtFirstStart(const Message& message);
+  bool WinsElection() const;
+
   // fsm_follower.cc: what a leader sends.
   void HandleAppend(const Message& message, MonotonicTime now);
   void HandleInstallSnapshot(const Message& message, MonotonicTime now);
@@ -125,6 +132,8 @@
   Index persisted_ = 0;  // synced here
   Index applied_ = 0;
 
+  bool lost_data_ = false;
+
   // What TakeReady() handed out already, and what waits for it.
   HardState taken_hard_state_;
   Index taken_last_ = 0;
--- a/source/common/raft/fsm_replication.cc
+++ b/source/common/raft/fsm_replication.cc
@@ -161,6 +161,7 @@
     append.log_term = log_.TermAt(append.index).value_or(0);
   }
   append.commit = commit_;
+  append.receiver_votes = IsVoter(configuration(), id);
   append.round = rounds_.back().number;
   append.entries = std::move(entries);
   peer.sent_commit = commit_;
@@ -187,6 +188,7 @@
   install.kind = MessageKind::kInstallSnapshot;
   install.to = id;
   install.term = term();
+  install.receiver_votes = IsVoter(configuration(), id);
   install.round = rounds_.back().number;
   install.snapshot = snapshot_;
   Send(std::move(install));
--- a/source/common/raft/types.h
+++ b/source/common/raft/types.h
@@ -86,6 +86,8 @@
   // kVote: the leader asked this candidate to take over (kTimeoutNow), so
   // voters need not wait until they stop hearing that leader.
   bool leadership_transfer = false;
+  // kAppend, kInstallSnapshot: the leader counts the receiver as a voter.
+  bool receiver_votes = false;
   // Round of the leader's heartbeat that a reply answers: lease and reads.
   std::uint64_t round = 0;
   std::optional<Snapshot> snapshot;
--- a/source/common/storage/log_store.cc
+++ b/source/common/storage/log_store.cc
@@ -8,6 +8,7 @@
 #include <utility>
 
 #include "common/storage/backup_file.h"
+#include "common/storage/events.h"
 #include "common/storage/file_sync.h"
 #include "common/storage/schema.h"
 #include "common/storage/sqlite.h"
@@ -172,6 +173,44 @@
       .and_then([&] { return CheckIntegrity(database); });
 }
 
+// Opens the store, creating it first where that is asked for.
+Result<std::unique_ptr<LogStore>> OpenStore(const fs::path& file,
+                                            const OpenOptions& options) {
+  const auto found = FindStore(file);
+  if (!found) {
+    return tl::unexpected(found.error());
+  }
+  if (!*found && !options.create) {
+    return MakeError(ErrorCode::kNotFound, file.string(), "does not exist");
+  }
+  if (!*found) {
+    if (auto created = CreateStore(file, options); !created) {
+      return tl::unexpected(created.error());
+    }
+    logging::LogEvent(kStoreCreated, {{"file", file.string()},
+                                      {"cluster", options.cluster},
+                                      {"node", options.node}});
+  }
+  auto database = Database::Open(file, /*create=*/false);
+  if (!database) {
+    return tl::unexpected(database.error());
+  }
+  const Result<void> usable =
+      KeepLocks(*database)
+          .and_then([&] { return CheckKind(*database); })
+          .and_then([&] { return PrepareForWriting(*database); })
+          .and_then([&] { return CheckIntegrity(*database); })
+          .and_then([&] { return CheckIdentity(*database, options); });
+  if (!usable) {
+    return tl::unexpected(usable.error());
+  }
+  auto store = SqliteLogStore::Make(std::move(*database));
+  if (!store) {
+    return tl::unexpected(store.error());
+  }
+  return std::move(*store);
+}
+
 }  // namespace
 
 Result<BackupContent> ReadBackupFile(const fs::path& file) {
@@ -209,36 +248,17 @@
 Result<std::unique_ptr<LogStore>> OpenSqliteLogStore(
     const OpenOptions& options) {
   const fs::path file = options.folder / kStoreFileName;
-  const auto found = FindStore(file);
-  if (!found) {
-    return tl::unexpected(found.error());
-  }
-  if (!*found && !options.create) {
-    return MakeError(ErrorCode::kNotFound, file.string(), "does not exist");
-  }
-  if (!*found) {
-    if (auto created = CreateStore(file, options); !created) {
-      return tl::unexpected(created.error());
-    }
-  }
-  auto database = Database::Open(file, /*create=*/false);
-  if (!database) {
-    return tl::unexpected(database.error());
-  }
-  const Result<void> usable =
-      KeepLocks(*database)
-          .and_then([&] { return CheckKind(*database); })
-          .and_then([&] { return PrepareForWriting(*database); })
-          .and_then([&] { return CheckIntegrity(*database); })
-          .and_then([&] { return CheckIdentity(*database, options); });
-  if (!usable) {
-    return tl::unexpected(usable.error());
-  }
-  auto store = SqliteLogStore::Make(std::move(*database));
+  auto store = OpenStore(file, options);
   if (!store) {
-    return tl::unexpected(store.error());
-  }
-  return std::move(*store);
+    logging::LogEvent(kStoreRefused, {{"file", file.string()},
+                                      {"error", FormatError(store.error())}});
+    return store;
+  }
+  std::error_code ignored;
+  logging::LogEvent(kStoreOpened, {{"file", file.string()},
+                                   {"node", options.node},
+                                   {"bytes", fs::file_size(file, ignored)}});
+  return store;
 }
 
 }  // namespace juniperway::storage
--- a/source/common/storage/sqlite_log_store.cc
+++ b/source/common/storage/sqlite_log_store.cc
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "common/storage/checksum.h"
+#include "common/storage/events.h"
 #include "common/storage/file_sync.h"
 
 namespace juniperway::storage {
@@ -186,6 +187,9 @@
   }
   if (!outcome) {
     failure_ = outcome.error();
+    logging::LogEvent(kStoreWriteFailed,
+                      {{"file", database_.file().string()},
+                       {"error", FormatError(outcome.error())}});
     static_cast<void>(database_.Execute("ROLLBACK"));
   }
   return outcome;
--- a/source/sim/raft_cluster.h
+++ b/source/sim/raft_cluster.h
@@ -68,6 +68,9 @@
   void Restart(raft::NodeId id);
   // As Crash, and the disk never comes back.
   void Destroy(raft::NodeId id);
+  // As Crash, and the node comes back at once with the empty disk that it had
+  // at its first start.
+  void LoseDisk(raft::NodeId id);
   // The process stands still; its clock runs on and messages wait.
   void Freeze(raft::NodeId id, Duration duration);
   // Cuts one direction between two nodes.
@@ -151,6 +154,7 @@
   void ObserveLeases();
 
   RaftClusterOptions options_;
+  raft::Configuration initial_;
   std::mt19937_64 random_;
   RaftChecker checker_;
   std::map<raft::NodeId, Node> nodes_;
--- a/source/sim/raft_nemesis.cc
+++ b/source/sim/raft_nemesis.cc
@@ -194,7 +194,11 @@
   }
   const auto& voters = status.configuration.voters;
   destroyed_ = voters[Pick(voters.size())].id;
-  cluster_.Destroy(destroyed_);
+  if (Pick(2) == 0) {
+    cluster_.Destroy(destroyed_);
+  } else {
+    cluster_.LoseDisk(destroyed_);
+  }
 }
 
 void RaftNemesis::PromoteOrRemove(raft::NodeId leader) {
--- a/test/unit/raft/fsm_test.cc
+++ b/test/unit/raft/fsm_test.cc
@@ -172,6 +172,8 @@
 
 TEST_CASE("Malformed appends change nothing") {
   Group group({1, 2, 3});
+  group.nodes.at(1).disk.hard_state = {1, 2};  // as after a first election
+  group.Start(1);
   Message append;
   append.kind = MessageKind::kAppend;
   append.from = 2;
