Report a group as repaired only once that can't be taken back

Cause: tolerated_losses counted a promotion from the moment the leader appended it. Told "repaired", an operator could lose the leader next: the other voter still had the configuration without the new one, and no quorum was left. Change: losses are counted under the committed configuration and the pending one, and the smaller number is given.

Conclusion: "repaired" holds against the loss of any one machine.

--- a/source/common/raft/fsm.cc
+++ b/source/common/raft/fsm.cc
@@ -282,9 +282,7 @@
   for (const Member& member : status.configuration.learners) {
     add(member, false);
   }
-  status.tolerated_losses =
-      static_cast<int>(CountHealthyVoters(status.configuration, now_)) -
-      static_cast<int>(QuorumSize(status.configuration.voters.size()));
+  status.tolerated_losses = CountToleratedLosses();
   return status;
 }
 
--- a/source/common/raft/fsm_implementation.h
+++ b/source/common/raft/fsm_implementation.h
@@ -106,6 +106,8 @@
   std::size_t CountHealthyVoters(const Configuration& configuration,
                                  MonotonicTime now) const;
 
+  int CountToleratedLosses() const;
+
   // fsm_replication.cc: the leader's log to its peers.
   void HandleAppendReply(const Message& message, MonotonicTime now);
   void HandleInstallSnapshotReply(const Message& message, MonotonicTime now);
--- a/source/common/raft/fsm_leader.cc
+++ b/source/common/raft/fsm_leader.cc
@@ -90,14 +90,27 @@
       ++healthy;
       continue;
     }
-    const PeerProgress& peer = peers_.at(voter.id);
-    if (peer.IsActive(now, options_.election_timeout) && peer.IsCaughtUp()) {
+    // A voter that a pending change removes is no peer any more.
+    const auto peer = peers_.find(voter.id);
+    if (peer != peers_.end() &&
+        peer->second.IsActive(now, options_.election_timeout) &&
+        peer->second.IsCaughtUp()) {
       ++healthy;
     }
   }
   return healthy;
 }
 
+int Fsm::Implementation::CountToleratedLosses() const {
+  const auto count = [this](const Configuration& configuration) {
+    return static_cast<int>(CountHealthyVoters(configuration, now_)) -
+           static_cast<int>(QuorumSize(configuration.voters.size()));
+  };
+  // Until a change is committed, a loss may take it back: the group must be
+  // able to go on with either configuration.
+  return std::min(count(configuration()), count(history_.At(commit_)));
+}
+
 Result<void> Fsm::Implementation::TransferLeadership(NodeId to,
                                                      MonotonicTime now) {
   now_ = now;
--- a/test/unit/raft/group.h
+++ b/test/unit/raft/group.h
@@ -5,6 +5,7 @@
 #include <doctest/doctest.h>
 
 #include <algorithm>
+#include <functional>
 #include <iterator>
 #include <map>
 #include <memory>
@@ -116,9 +117,10 @@
   }
 
   void Deliver(const Message& message) {
-    const bool lost =
-        down.contains(message.to) || down.contains(message.from) ||
-        cut.contains({message.from, message.to}) || !nodes.contains(message.to);
+    const bool lost = down.contains(message.to) ||
+                      down.contains(message.from) ||
+                      cut.contains({message.from, message.to}) ||
+                      !nodes.contains(message.to) || (drop && drop(message));
     if (!lost) {
       nodes.at(message.to).fsm->Step(message, now);
     }
@@ -175,6 +177,8 @@
   std::set<NodeId> down;
   std::set<std::pair<NodeId, NodeId>> cut;  // from, to
   std::vector<Message> sent;
+  // Loses the messages for which it is true; empty: none.
+  std::function<bool(const Message&)> drop;
   MonotonicTime now{seconds(1)};
 
  private:
