--- a/test/unit/storage/log_store_test.cc
+++ b/test/unit/storage/log_store_test.cc
@@ -4,8 +4,10 @@
 
 #include <doctest/doctest.h>
 #include <sqlite3.h>
+#include <sys/resource.h>
 #include <unistd.h>
 
+#include <csignal>
 #include <cstdlib>
 #include <fstream>
 #include <string>
@@ -220,5 +222,61 @@
   CHECK(MustFail(MakeOptions(folder, true)).code == ErrorCode::kCorrupt);
 }
 
+// Files of this process can't grow past `bytes` while it lives: the kernel
+// refuses the write, as on a full disk.
+class FileSizeLimit {
+ public:
+  explicit FileSizeLimit(rlim_t bytes) {
+    REQUIRE(getrlimit(RLIMIT_FSIZE, &before_) == 0);
+    handler_ = std::signal(SIGXFSZ, SIG_IGN);
+    const rlimit limit{bytes, before_.rlim_max};
+    REQUIRE(setrlimit(RLIMIT_FSIZE, &limit) == 0);
+  }
+  ~FileSizeLimit() {
+    setrlimit(RLIMIT_FSIZE, &before_);
+    std::signal(SIGXFSZ, handler_);
+  }
+  FileSizeLimit(const FileSizeLimit&) = delete;
+  FileSizeLimit& operator=(const FileSizeLimit&) = delete;
+
+ private:
+  rlimit before_{};
+  void (*handler_)(int) = SIG_DFL;
+};
+
+TEST_CASE("A full disk is an error for good, and costs nothing acknowledged") {
+  const TemporaryFolder folder;
+  auto store = MustOpen(folder);
+  REQUIRE(store->Write(MakeReady(1, 1, 5)));
+  raft::Ready large = MakeReady(1, 6, 1);
+  large.entries[0].data = std::string(4 << 20, 'x');
+  {
+    const FileSizeLimit limit(1 << 20);
+    const auto refused = store->Write(large);
+    REQUIRE_FALSE(refused);
+    CHECK(refused.error().code == ErrorCode::kIo);
+    CHECK(refused.error().field.find("consensus.db") != std::string::npos);
+  }
+  // What the disk holds is unknown until the store is opened anew.
+  CHECK_FALSE(store->Write(MakeReady(1, 6, 1)));
+  store.reset();
+  const auto state = MustOpen(folder)->Load();
+  REQUIRE(state);
+  CHECK(state->entries.size() == 5);
+}
+
+TEST_CASE("What was written is there after a crash without a close") {
+  const TemporaryFolder folder;
+  const TemporaryFolder crashed;
+  const auto store = MustOpen(folder);
+  REQUIRE(store->Write(MakeReady(1, 1, 50)));
+  for (const auto& file : fs::directory_iterator(folder.path())) {
+    fs::copy_file(file.path(), crashed.path() / file.path().filename());
+  }
+  const auto state = MustOpen(crashed)->Load();
+  REQUIRE(state);
+  CHECK(state->entries.size() == 50);
+}
+
 }  // namespace
 }  // namespace juniperway::storage
