Bound the frames queued for a peer that does not read

Cause: a connection queued without end; only some senders looked at queued_bytes(). Silence of a peer, cancelled calls and dripping callers were handled but untested. Change: past 256 MiB the connection closes (event peer_too_slow), above every sender's own bound. Conclusion: one slow peer costs at most the bound.

--- a/source/common/net/frame_connection.cc
+++ b/source/common/net/frame_connection.cc
@@ -74,6 +74,7 @@
   // Copy of a frame that does not lie aligned in read_buffer.
   std::vector<std::uint8_t> aligned_frame;
 
+  std::size_t queue_limit = kMaximumQueuedFrameBytes;
   std::vector<std::uint8_t> queued;
   std::vector<std::uint8_t> writing;
   bool write_running = false;
@@ -266,12 +267,23 @@
   if (implementation_->closed) {
     return;
   }
+  if (queued_bytes() + builder.GetSize() > implementation_->queue_limit) {
+    logging::LogEvent(kPeerTooSlow,
+                      {{"peer", FormatEndpoint(implementation_->remote)},
+                       {"queued_bytes", queued_bytes()}});
+    Close();
+    return;
+  }
   const std::uint8_t* data = builder.GetBufferPointer();
   implementation_->queued.insert(implementation_->queued.end(), data,
                                  data + builder.GetSize());
   FrameConnectionSteps::PostFlush(shared_from_this());
 }
 
+void FrameConnection::LimitQueue(std::size_t bytes) {
+  implementation_->queue_limit = bytes;
+}
+
 std::size_t FrameConnection::queued_bytes() const {
   return implementation_->queued.size() + implementation_->writing.size();
 }
--- a/source/common/net/frame_connection.h
+++ b/source/common/net/frame_connection.h
@@ -22,6 +22,9 @@
 
 // Larger frames close the connection: the peer is broken or hostile.
 inline constexpr std::uint32_t kMaximumFrameBytes = 64U << 20;
+// A peer that lets more than this pile up unread loses its connection. Senders
+// that can wait or drop stay well below it (queued_bytes()).
+inline constexpr std::size_t kMaximumQueuedFrameBytes = 256U << 20;
 
 class FrameConnection : public std::enable_shared_from_this<FrameConnection> {
  public:
@@ -45,8 +48,11 @@
   void Start(FrameHandler on_frame, CloseHandler on_close);
 
   // Queues a finished, size-prefixed buffer (FinishSizePrefixed).
-  // Frames queued in one turn of the event loop go out in one write.
+  // Frames queued in one turn of the event loop go out in one write. Closes
+  // the connection when the queue would grow past its bound.
   void Send(const flatbuffers::FlatBufferBuilder& builder);
+  // Replaces the bound on the queue (kMaximumQueuedFrameBytes).
+  void LimitQueue(std::size_t bytes);
 
   // Bytes queued and not yet written: a slow peer shows here.
   std::size_t queued_bytes() const;
--- a/test/unit/net/frame_connection_test.cc
+++ b/test/unit/net/frame_connection_test.cc
@@ -122,6 +122,23 @@
   CHECK(test::RunUntil(context, [&] { return closed; }));
 }
 
+TEST_CASE("a peer that reads nothing loses its connection at the bound") {
+  Pair pair;  // the accepted side is never started: it reads nothing
+  int closes = 0;
+  pair.dialed->Start([](FrameBytes) {}, [&] { ++closes; });
+  constexpr std::size_t kLimit = 8U << 20;
+  pair.dialed->LimitQueue(kLimit);
+  const auto frame = QueryOf(1, std::string(1U << 20, 'x'));
+  // What the kernel takes doesn't count.
+  for (int sent = 0; sent < 1000 && !pair.dialed->closed(); ++sent) {
+    pair.dialed->Send(frame);
+    CHECK(pair.dialed->queued_bytes() <= kLimit);
+    test::RunReady(pair.context);
+  }
+  CHECK(pair.dialed->closed());
+  REQUIRE(test::RunUntil(pair.context, [&] { return closes == 1; }));
+}
+
 TEST_CASE("a connection attempt to nobody fails as a value") {
   asio::io_context context;
   tcp::endpoint unused;
--- a/test/unit/net/http_test.cc
+++ b/test/unit/net/http_test.cc
@@ -2,6 +2,7 @@
 #include <doctest/doctest.h>
 
 #include <asio/read_until.hpp>
+#include <asio/steady_timer.hpp>
 #include <asio/write.hpp>
 #include <nlohmann/json.hpp>
 #include <optional>
@@ -311,6 +312,63 @@
   CHECK(server.requests == 2);
 }
 
+TEST_CASE("a caller that drips its request is cut off at the time limit") {
+  asio::io_context context;
+  HttpServerOptions options = LoopbackOptions();
+  options.idle_timeout = std::chrono::seconds(1);
+  HttpServer server(context, options, [](const HttpRequest&, auto) {
+    FAIL("the request was never whole");
+  });
+  tcp::socket caller(context);
+  caller.connect(server.local_endpoint());
+  // Each byte comes well within the limit; a limit on silence never ends it.
+  asio::steady_timer timer(context);
+  std::function<void()> drip = [&] {
+    std::error_code error;
+    asio::write(caller, asio::buffer("G", 1), error);
+    timer.expires_after(milliseconds(50));
+    timer.async_wait([&](const std::error_code& cancelled) {
+      if (!cancelled) {
+        drip();
+      }
+    });
+  };
+  asio::write(caller, asio::buffer(std::string("GET /x HTTP/1.1\r\nX: ")));
+  drip();
+  bool closed = false;
+  char byte = 0;
+  caller.async_read_some(
+      asio::buffer(&byte, 1),
+      [&](const std::error_code& error, std::size_t) { closed = !!error; });
+  CHECK(test::RunUntil(context, [&] { return closed; }));
+  timer.cancel();
+}
+
+TEST_CASE("a cancelled exchange gives its place to the next") {
+  asio::io_context context;
+  RawServer server(context);
+  server.on_request = [](const auto&) {};
+  HttpClient client(context, 1);
+  HttpClientRequest request;
+  request.url = UrlOf(server.acceptor.local_endpoint(), "/x");
+  const auto never = [](const HttpClientResponse&) { FAIL("was cancelled"); };
+  const auto sent = client.Start(request, never);
+  const auto waiting = client.Start(request, never);
+  REQUIRE(test::RunUntil(context, [&] { return server.requests == 1; }));
+  CHECK(client.Cancel(waiting) == HttpProgress::kNotSent);
+  CHECK(client.Cancel(waiting) == std::nullopt);
+  std::optional<int> status;
+  client.Start(request, [&](const HttpClientResponse& response) {
+    status = response.status;
+  });
+  server.on_request = [](const auto& socket) { RawServer::Answer(*socket); };
+  CHECK(client.Cancel(sent) == HttpProgress::kSent);
+  REQUIRE(test::RunUntil(context, [&] { return status.has_value(); }));
+  CHECK(status == 200);
+  CHECK(server.requests == 2);
+  CHECK(client.running() == 0);
+}
+
 TEST_CASE("an answer above the limit ends the exchange as sent") {
   asio::io_context context;
   HttpServer server(context, LoopbackOptions(),
--- a/test/unit/net/source_address_test.cc
+++ b/test/unit/net/source_address_test.cc
@@ -22,11 +22,10 @@
   asio::io_context context(1);
 
   std::shared_ptr<FrameConnection> accepted;
-  FrameListener listener(
-      context, kAnyPort,
-      [&](std::shared_ptr<FrameConnection> connection) {
-        accepted = std::move(connection);
-      });
+  FrameListener listener(context, kAnyPort,
+                         [&](std::shared_ptr<FrameConnection> connection) {
+                           accepted = std::move(connection);
+                         });
   FrameConnection::Connect(context, listener.local_endpoint(), seconds(5),
                            [](const auto&) {});
   REQUIRE(test::RunUntil(context, [&] { return accepted != nullptr; }));
