--- /dev/null
+++ b/source/common/net/http_transfer.cc
@@ -0,0 +1,175 @@
+#include "common/net/http_transfer.h"
+
+#include <algorithm>
+#include <cctype>
+#include <string_view>
+
+#include "common/net/address.h"
+
+namespace juniperway::net {
+namespace {
+
+void Append(HeaderList* list, const std::string& line) {
+  list->reset(curl_slist_append(list->release(), line.c_str()));
+}
+
+std::string ToLower(std::string_view text) {
+  std::string lower(text);
+  std::transform(lower.begin(), lower.end(), lower.begin(),
+                 [](unsigned char character) {
+                   return static_cast<char>(std::tolower(character));
+                 });
+  return lower;
+}
+
+std::string_view Trim(std::string_view text) {
+  const std::size_t first = text.find_first_not_of(" \t\r\n");
+  if (first == std::string_view::npos) {
+    return {};
+  }
+  return text.substr(first, text.find_last_not_of(" \t\r\n") - first + 1);
+}
+
+std::size_t OnBody(char* data, std::size_t size, std::size_t count,
+                   void* user_data) {
+  auto* transfer = static_cast<Transfer*>(user_data);
+  std::string& body = transfer->response.body;
+  if (body.size() + size * count > transfer->request.maximum_response_bytes) {
+    return 0;
+  }
+  body.append(data, size * count);
+  return size * count;
+}
+
+std::size_t OnHeader(char* data, std::size_t size, std::size_t count,
+                     void* user_data) {
+  auto* transfer = static_cast<Transfer*>(user_data);
+  const std::string_view line(data, size * count);
+  const std::size_t colon = line.find(':');
+  if (line.starts_with("HTTP/")) {
+    // Headers of an interim answer (1xx) do not belong to the final one.
+    transfer->response.headers.clear();
+  } else if (colon != std::string_view::npos) {
+    transfer->response.headers[ToLower(line.substr(0, colon))] =
+        Trim(line.substr(colon + 1));
+  }
+  return size * count;
+}
+
+// Called right before the request goes out on a connection. A second call means
+// that a kept connection broke after the request was sent: libcurl repeats it
+// then, but it may have been executed.
+int OnBeforeSend(void* user_data, char*, char*, int, int) {
+  auto* transfer = static_cast<Transfer*>(user_data);
+  if (transfer->send_began) {
+    transfer->repeat_refused = true;
+    return CURL_PREREQFUNC_ABORT;
+  }
+  transfer->send_began = true;
+  return CURL_PREREQFUNC_OK;
+}
+
+void SetMethodAndBody(Transfer* transfer) {
+  CURL* easy = transfer->easy;
+  const HttpClientRequest& request = transfer->request;
+  if (!request.body.empty() || request.method == "POST") {
+    curl_easy_setopt(easy, CURLOPT_POST, 1L);
+    curl_easy_setopt(easy, CURLOPT_POSTFIELDSIZE_LARGE,
+                     static_cast<curl_off_t>(request.body.size()));
+    curl_easy_setopt(easy, CURLOPT_POSTFIELDS, request.body.data());
+  }
+  if (request.method == "HEAD") {
+    curl_easy_setopt(easy, CURLOPT_NOBODY, 1L);
+  } else if (request.method != "GET" && request.method != "POST") {
+    curl_easy_setopt(easy, CURLOPT_CUSTOMREQUEST, request.method.c_str());
+  }
+}
+
+void SetHeaders(Transfer* transfer) {
+  bool has_content_type = false;
+  for (const auto& [name, value] : transfer->request.headers) {
+    std::string line = name;
+    // libcurl's way to send a header without a value.
+    line += value.empty() ? ";" : ": " + value;
+    Append(&transfer->headers, line);
+    has_content_type |= ToLower(name) == "content-type";
+  }
+  if (!transfer->request.body.empty()) {
+    if (!has_content_type) {
+      Append(&transfer->headers, "Content-Type: application/json");
+    }
+    // Waiting for "100 Continue" would cost a round trip.
+    Append(&transfer->headers, "Expect:");
+  }
+  curl_easy_setopt(transfer->easy, CURLOPT_HTTPHEADER, transfer->headers.get());
+}
+
+void SetLimits(Transfer* transfer) {
+  CURL* easy = transfer->easy;
+  const auto remaining = transfer->deadline - std::chrono::steady_clock::now();
+  const auto rounded_up = std::chrono::ceil<milliseconds>(remaining).count();
+  curl_easy_setopt(easy, CURLOPT_TIMEOUT_MS,
+                   static_cast<long>(std::max<std::int64_t>(1, rounded_up)));
+  curl_easy_setopt(easy, CURLOPT_NOSIGNAL, 1L);
+  curl_easy_setopt(easy, CURLOPT_TCP_NODELAY, 1L);
+  curl_easy_setopt(easy, CURLOPT_HTTP_VERSION,
+                   static_cast<long>(CURL_HTTP_VERSION_1_1));
+  curl_easy_setopt(easy, CURLOPT_PROTOCOLS_STR, "http,https");
+  // An empty proxy also disables those named by the environment.
+  curl_easy_setopt(easy, CURLOPT_PROXY, "");
+  if (SourceAddress()) {
+    const std::string interface = "host!" + SourceAddress()->to_string();
+    curl_easy_setopt(easy, CURLOPT_INTERFACE, interface.c_str());
+  }
+}
+
+void SetCallbacks(Transfer* transfer) {
+  CURL* easy = transfer->easy;
+  curl_easy_setopt(easy, CURLOPT_PRIVATE, transfer);
+  curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, &OnBody);
+  curl_easy_setopt(easy, CURLOPT_WRITEDATA, transfer);
+  curl_easy_setopt(easy, CURLOPT_HEADERFUNCTION, &OnHeader);
+  curl_easy_setopt(easy, CURLOPT_HEADERDATA, transfer);
+  curl_easy_setopt(easy, CURLOPT_PREREQFUNCTION, &OnBeforeSend);
+  curl_easy_setopt(easy, CURLOPT_PREREQDATA, transfer);
+}
+
+}  // namespace
+
+HttpProgress Transfer::Progress() const {
+  if (!send_began) {
+    return HttpProgress::kNotSent;
+  }
+  long sent_bytes = 0;
+  curl_easy_getinfo(easy, CURLINFO_REQUEST_SIZE, &sent_bytes);
+  return sent_bytes > 0 || repeat_refused ? HttpProgress::kSent
+                                          : HttpProgress::kNotSent;
+}
+
+void PrepareTransfer(Transfer* transfer) {
+  curl_easy_setopt(transfer->easy, CURLOPT_URL, transfer->request.url.c_str());
+  SetMethodAndBody(transfer);
+  SetHeaders(transfer);
+  SetLimits(transfer);
+  SetCallbacks(transfer);
+}
+
+void FillResponse(Transfer* transfer, CURLcode result) {
+  HttpClientResponse& response = transfer->response;
+  if (result == CURLE_OK) {
+    long status = 0;
+    curl_easy_getinfo(transfer->easy, CURLINFO_RESPONSE_CODE, &status);
+    response.progress = HttpProgress::kAnswered;
+    response.status = static_cast<int>(status);
+    return;
+  }
+  response.progress = transfer->Progress();
+  response.timed_out = result == CURLE_OPERATION_TIMEDOUT;
+  response.transport_error = curl_easy_strerror(result);
+  if (transfer->repeat_refused) {
+    response.transport_error =
+        "the connection broke after the request was sent";
+  }
+}
+
+}  // namespace juniperway::net
--- /dev/null
+++ b/source/common/net/http_transfer.h
@@ -0,0 +1,50 @@
+// One exchange of the HTTP client on a libcurl easy handle: what is asked of
+// libcurl, and what comes back. Knows nothing of sockets or other exchanges.
+#pragma once
+
+#include <curl/curl.h>
+
+#include <asio/steady_timer.hpp>
+#include <chrono>
+#include <memory>
+#include <optional>
+#include <string>
+
+#include "common/net/http_client.h"
+
+namespace juniperway::net {
+
+struct SlistDeleter {
+  void operator()(curl_slist* list) const { curl_slist_free_all(list); }
+};
+using HeaderList = std::unique_ptr<curl_slist, SlistDeleter>;
+
+// One exchange, from Start to its callback.
+struct Transfer {
+  // Null while it waits for a connection.
+  CURL* easy = nullptr;
+  HttpClient::RequestHandle handle = 0;
+  HttpClientRequest request;
+  HttpClient::Callback callback;
+  HeaderList headers;
+  HttpClientResponse response;
+  std::chrono::steady_clock::time_point deadline;
+  std::string host;
+  // Runs while it waits for a connection.
+  std::optional<asio::steady_timer> queue_timer;
+  // libcurl got as far as sending the request.
+  bool send_began = false;
+  // libcurl wanted to send again on another connection.
+  bool repeat_refused = false;
+
+  HttpProgress Progress() const;
+};
+
+// Tells libcurl everything about the request; `easy` must be set. The transfer
+// must stay where it is until libcurl has let go of the handle.
+void PrepareTransfer(Transfer* transfer);
+
+// Fills the response from libcurl's result.
+void FillResponse(Transfer* transfer, CURLcode result);
+
+}  // namespace juniperway::net
