Split sockets and status texts from the HTTP server, views from the session

Change: http_sockets, http_status, session/view_keeper (a revision is on disk before its view is used) and session/claim_codec; no behaviour change.

--- a/source/common/net/http_server.cc
+++ b/source/common/net/http_server.cc
@@ -7,12 +7,13 @@
 #include <exception>
 #include <restinio/all.hpp>
 #include <unordered_map>
-#include <unordered_set>
 #include <utility>
 
 #include "common/base/execution_state.h"
 #include "common/logging/event_log.h"
 #include "common/net/events.h"
+#include "common/net/http_sockets.h"
+#include "common/net/http_status.h"
 
 namespace juniperway::net {
 namespace {
@@ -27,63 +28,6 @@
 constexpr std::chrono::hours kHandlerTimeout{24};
 constexpr std::chrono::seconds kWriteTimeout{60};
 
-// Sockets of the servers on one io_context, so that a server can close its
-// connections: RESTinio has no way to enumerate them.
-class SocketRegistry : public asio::execution_context::service {
- public:
-  static asio::execution_context::id id;
-
-  explicit SocketRegistry(asio::execution_context& context)
-      : asio::execution_context::service(context) {}
-
-  void Add(tcp::socket* socket) { sockets_.insert(socket); }
-  void Remove(tcp::socket* socket) { sockets_.erase(socket); }
-
-  // Shuts down the connections that `listener` accepted. RESTinio then reads
-  // end of file and closes them.
-  void ShutDown(const tcp::endpoint& listener) {
-    for (tcp::socket* socket : sockets_) {
-      std::error_code error;
-      const tcp::endpoint local = socket->local_endpoint(error);
-      const bool accepted_here = !error && local.port() == listener.port() &&
-                                 (listener.address().is_unspecified() ||
-                                  local.address() == listener.address());
-      if (accepted_here) {
-        socket->shutdown(tcp::socket::shutdown_both, error);
-      }
-    }
-  }
-
- private:
-  void shutdown() override {}
-
-  std::unordered_set<tcp::socket*> sockets_;
-};
-
-asio::execution_context::id SocketRegistry::id;
-
-// A TCP socket that is listed in its context's SocketRegistry.
-class RegisteredSocket : public tcp::socket {
- public:
-  explicit RegisteredSocket(asio::io_context& context)
-      : tcp::socket(context),
-        registry_(&asio::use_service<SocketRegistry>(context)) {
-    registry_->Add(this);
-  }
-  RegisteredSocket(RegisteredSocket&& other) noexcept
-      : tcp::socket(std::move(static_cast<tcp::socket&>(other))),
-        registry_(other.registry_) {
-    registry_->Add(this);
-  }
-  RegisteredSocket(const RegisteredSocket&) = delete;
-  RegisteredSocket& operator=(const RegisteredSocket&) = delete;
-  RegisteredSocket& operator=(RegisteredSocket&&) = delete;
-  ~RegisteredSocket() { registry_->Remove(this); }
-
- private:
-  SocketRegistry* registry_;
-};
-
 // Marks the server's own instance of RESTinio's parser settings (see
 // create_parser_settings below).
 struct HttpMethods : public restinio::default_http_methods_t {};
@@ -135,45 +79,6 @@
   return lower;
 }
 
-std::string_view ReasonPhrase(int status) {
-  switch (status) {
-    case 200:
-      return "OK";
-    case 204:
-      return "No Content";
-    case 206:
-      return "Partial Content";
-    case 400:
-      return "Bad Request";
-    case 401:
-      return "Unauthorized";
-    case 403:
-      return "Forbidden";
-    case 404:
-      return "Not Found";
-    case 405:
-      return "Method Not Allowed";
-    case 409:
-      return "Conflict";
-    case 410:
-      return "Gone";
-    case 413:
-      return "Payload Too Large";
-    case 429:
-      return "Too Many Requests";
-    case 499:
-      return "Client Closed Request";
-    case 500:
-      return "Internal Server Error";
-    case 503:
-      return "Service Unavailable";
-    case 504:
-      return "Gateway Timeout";
-    default:
-      return "Status";
-  }
-}
-
 HttpResponse Refusal(ErrorCode code, std::string field, std::string message) {
   return ErrorResponse(HttpStatusOf(code),
                        Error{code, std::move(field), std::move(message)},
--- /dev/null
+++ b/source/common/net/http_sockets.cc
@@ -0,0 +1,7 @@
+#include "common/net/http_sockets.h"
+
+namespace juniperway::net {
+
+asio::execution_context::id SocketRegistry::id;
+
+}  // namespace juniperway::net
--- a/source/common/session/control_session_client.cc
+++ b/source/common/session/control_session_client.cc
@@ -3,7 +3,6 @@
 #include <algorithm>
 #include <asio/post.hpp>
 #include <asio/steady_timer.hpp>
-#include <asio/thread_pool.hpp>
 #include <random>
 #include <stdexcept>
 #include <utility>
@@ -11,11 +10,12 @@
 #include "common/logging/event_log.h"
 #include "common/net/address.h"
 #include "common/net/frame_connection.h"
+#include "common/session/claim_codec.h"
 #include "common/session/control_frames.h"
 #include "common/session/events.h"
 #include "common/session/fleet_codec.h"
 #include "common/session/operation_queue.h"
-#include "common/session/session_file.h"
+#include "common/session/view_keeper.h"
 
 namespace juniperway::session {
 namespace {
@@ -29,7 +29,6 @@
 constexpr std::size_t kMaximumQueuedOperations = 100000;
 // Pause before a call that control could not take is sent again.
 constexpr Duration kCallRetryDelay = milliseconds(100);
-constexpr Duration kPersistRetryDelay = seconds(1);
 // A goodbye is small: once the socket took it the kernel delivers it.
 constexpr Duration kGoodbyePollInterval = milliseconds(5);
 
@@ -37,20 +36,13 @@
   return seed != 0 ? seed : std::random_device()();
 }
 
-Error ToError(std::string message) {
-  return {ErrorCode::kIo, "", std::move(message)};
-}
-
 }  // namespace
 
 class ControlSessionClient::Implementation
     : public std::enable_shared_from_this<Implementation> {
  public:
   Implementation(asio::io_context& context, const SessionOptions& options)
-      : context_(context),
-        options_(options),
-        timer_(context),
-        view_(std::make_shared<FleetView>()) {
+      : context_(context), options_(options), timer_(context) {
     for (const std::string& text : options.control_endpoints) {
       auto endpoint = net::ParseEndpoint(text, "control");
       if (!endpoint) {
@@ -61,9 +53,11 @@
     if (endpoints_.empty()) {
       throw std::runtime_error("control: at least one address is needed");
     }
-    OpenFile();
+    keeper_ = std::make_shared<ViewKeeper>(
+        context, options,
+        [this](const FleetViewPointer& view) { OnTaken(view); });
     state_ = std::make_unique<SessionState>(options.timing, endpoints_.size(),
-                                            record_.revision,
+                                            keeper_->record().revision,
                                             DrawSeed(options.seed));
   }
 
@@ -79,9 +73,7 @@
     DropConnection();
     view_listener_ = nullptr;
     progress_listener_ = nullptr;
-    if (writer_) {
-      writer_->join();
-    }
+    keeper_->Close();
   }
 
   void Goodbye(Duration timeout, std::function<void()> done) {
@@ -96,8 +88,8 @@
     options_.peer_address = address;
   }
 
-  std::uint64_t incarnation() const { return record_.incarnation; }
-  FleetViewPointer view() const { return view_; }
+  std::uint64_t incarnation() const { return keeper_->record().incarnation; }
+  FleetViewPointer view() const { return keeper_->view(); }
   const SessionState& state() const { return *state_; }
   const Counters& counters() const { return counters_; }
   Counters TotalCounters() const {
@@ -158,7 +150,7 @@
     leaving_ = true;
     protocol::LeaveMemberT leave;
     leave.daemon_id = options_.daemon_id;
-    leave.incarnation = record_.incarnation;
+    leave.incarnation = keeper_->record().incarnation;
     Enqueue(MakeOperation(std::move(leave)), timeout,
             [done = std::move(done)](
                 const Result<protocol::OperationResultT>&) { done(); });
@@ -167,29 +159,6 @@
  private:
   static MonotonicTime Now() { return ReadMonotonicClock(); }
 
-  // --- Set-up ----------------------------------------------------------------
-
-  void OpenFile() {
-    const auto started = ReadWallClock().time_since_epoch().count();
-    if (options_.data_folder.empty()) {
-      record_.incarnation = static_cast<std::uint64_t>(started);
-      return;
-    }
-    auto file = SessionFile::Open(options_.data_folder, options_.cluster,
-                                  options_.daemon_id);
-    if (!file) {
-      throw std::runtime_error(FormatError(file.error()));
-    }
-    file_ = std::move(*file);
-    record_ = file_->record();
-    record_.incarnation =
-        std::max(record_.incarnation + 1, static_cast<std::uint64_t>(started));
-    if (auto written = file_->Write(record_); !written) {
-      throw std::runtime_error(FormatError(written.error()));
-    }
-    writer_ = std::make_unique<asio::thread_pool>(1);
-  }
-
   // --- Event loop ------------------------------------------------------------
 
   // Runs Pump once in a later turn of the loop, so that what is said in one
@@ -308,13 +277,13 @@
     hello.cluster = options_.cluster;
     hello.member = std::make_unique<protocol::FleetMemberT>();
     hello.member->daemon_id = options_.daemon_id;
-    hello.member->incarnation = record_.incarnation;
+    hello.member->incarnation = keeper_->record().incarnation;
     hello.member->zone = options_.zone;
     hello.member->region = options_.region;
     hello.member->peer_address = options_.peer_address;
     hello.member->gateway = options_.gateway;
     hello.member->leaving = leaving_;
-    hello.view_revision = newest()->revision;
+    hello.view_revision = keeper_->newest()->revision;
     hello.minimum_revision = state_->minimum_revision();
     SendMessage(*connection_, std::move(hello));
   }
@@ -394,11 +363,8 @@
 
   // --- Views -----------------------------------------------------------------
 
-  // The newest view, though it may not be kept and in use yet.
-  const FleetViewPointer& newest() const { return staged_ ? staged_ : view_; }
-
   void OnUpdate(const protocol::FleetUpdateT& update) {
-    const FleetViewPointer base = newest();
+    const FleetViewPointer base = keeper_->newest();
     if (!IsApplicable(update, base->revision) ||
         !state_->MayTake(update.to_revision)) {
       LogEvent(kUpdateRefused, {{"daemon", options_.daemon_id},
@@ -416,68 +382,14 @@
     }
     ++counters_.updates;
     counters_.full_updates += update.from_revision == 0 ? 1 : 0;
-    staged_ = std::move(*view);
-    KeepStaged();
-  }
-
-  // A revision is written down before it is used, so that a restart cannot take
-  // the daemon back behind it. The sync runs beside the event loop.
-  void KeepStaged() {
-    if (keeping_ || !staged_) {
-      return;
-    }
-    if (!file_) {
-      TakeStaged(staged_);
-      return;
-    }
-    keeping_ = true;
-    SessionRecord record = record_;
-    record.revision = staged_->revision;
-    asio::post(*writer_, [this, record, staged = staged_,
-                          self = shared_from_this()]() mutable {
-      Result<void> written = file_->Write(record);
-      asio::post(context_, [self = std::move(self), staged = std::move(staged),
-                            written = std::move(written)] {
-        self->OnKept(staged, written);
-      });
-    });
+    keeper_->Stage(std::move(*view));
   }
 
-  void OnKept(const FleetViewPointer& kept, const Result<void>& written) {
-    keeping_ = false;
-    if (closed_) {
-      return;
-    }
-    if (!written) {
-      LogEvent(kRevisionNotKept, {{"daemon", options_.daemon_id},
-                                  {"error", FormatError(written.error())}});
-      RetryKeep();
-      return;
-    }
-    record_.revision = kept->revision;
-    TakeStaged(kept);
-    KeepStaged();
-  }
-
-  void RetryKeep() {
-    auto timer = std::make_shared<asio::steady_timer>(context_);
-    timer->expires_after(kPersistRetryDelay);
-    timer->async_wait([timer, weak = weak_from_this()](const auto&) {
-      if (auto self = weak.lock(); self && !self->closed_) {
-        self->KeepStaged();
-      }
-    });
-  }
-
-  void TakeStaged(const FleetViewPointer& view) {
-    view_ = view;
-    if (staged_ == view) {
-      staged_.reset();
-    }
+  void OnTaken(const FleetViewPointer& view) {
     if (view_listener_) {
-      view_listener_(view_);
+      view_listener_(view);
     }
-    state_->OnTaken(view_->revision);
+    state_->OnTaken(view->revision);
     SchedulePump();
   }
 
@@ -522,34 +434,8 @@
   }
 
   std::string Claimant() const {
-    return options_.daemon_id + "/" + std::to_string(record_.incarnation);
-  }
-
-  static Result<ClaimReply> DecodeClaim(
-      const Result<protocol::OperationResultT>& result) {
-    if (!result) {
-      return tl::unexpected(result.error());
-    }
-    if (!result->claim) {
-      return tl::unexpected(ToError("the answer holds no claim"));
-    }
-    ClaimReply reply;
-    switch (result->claim->decision) {
-      case protocol::ClaimDecisionCode::kGranted:
-        reply.decision = ClaimDecision::kGranted;
-        break;
-      case protocol::ClaimDecisionCode::kAlreadyClaimed:
-        reply.decision = ClaimDecision::kAlreadyClaimed;
-        break;
-      case protocol::ClaimDecisionCode::kExpired:
-        reply.decision = ClaimDecision::kExpired;
-        break;
-    }
-    if (result->claim->has_outcome) {
-      reply.recorded_outcome =
-          static_cast<ExecutionState>(result->claim->outcome);
-    }
-    return reply;
+    return options_.daemon_id + "/" +
+           std::to_string(keeper_->record().incarnation);
   }
 
   // --- Notices ---------------------------------------------------------------
@@ -559,7 +445,8 @@
     if (has_lease != had_lease_) {
       had_lease_ = has_lease;
       LogEvent(has_lease ? kLeaseGained : kLeaseLost,
-               {{"daemon", options_.daemon_id}, {"revision", view_->revision}});
+               {{"daemon", options_.daemon_id},
+                {"revision", keeper_->view()->revision}});
     }
   }
 
@@ -592,10 +479,7 @@
   SessionOptions options_;
   asio::steady_timer timer_;
   std::vector<asio::ip::tcp::endpoint> endpoints_;
-  std::unique_ptr<SessionFile> file_;
-  // Syncs the file; joined before the file goes.
-  std::unique_ptr<asio::thread_pool> writer_;
-  SessionRecord record_;
+  std::shared_ptr<ViewKeeper> keeper_;
   std::unique_ptr<SessionState> state_;
   OperationQueue operations_;
   std::shared_ptr<net::FrameConnection> connection_;
@@ -607,10 +491,6 @@
   bool leaving_ = false;
   bool had_lease_ = false;
 
-  FleetViewPointer view_;
-  // Decoded, but not kept yet; null: none.
-  FleetViewPointer staged_;
-  bool keeping_ = false;
   std::map<std::string, protocol::BackendReportRecordT> reports_;
   bool report_under_way_ = false;
   std::uint64_t last_attempt_ = 0;
