Split the simulated fleet from the query world; describe queries

Change: view and holdings, fates of subqueries and true rows have files of their own; pages on a query's life and for operators of queries.

--- a/source/common/gateway/front_metrics.h
+++ b/source/common/gateway/front_metrics.h
@@ -1,4 +1,4 @@
-// The front's Prometheus metrics. Names and labels: docs/operations/metrics.md.
+// The front's Prometheus metrics. Names and labels: docs/operations/queries.md.
 #pragma once
 
 #include <prometheus/counter.h>
--- a/test/property/routing/query_checker.cc
+++ b/test/property/routing/query_checker.cc
@@ -1,10 +1,21 @@
 #include "property/routing/query_checker.h"
 
 #include <algorithm>
+#include <memory>
+#include <utility>
 
 namespace juniperway::routing::testing {
 namespace {
 
+std::vector<Key> KeysIn(KeyRange range) {
+  std::vector<Key> keys;
+  const Key first = (range.begin + kRowSpacing - 1) / kRowSpacing;
+  for (Key key = first * kRowSpacing; key < range.end; key += kRowSpacing) {
+    keys.push_back(key);
+  }
+  return keys;
+}
+
 class Check {
  public:
   Check(const QueryRecord& query, std::vector<std::string>& violations)
@@ -105,10 +116,8 @@
   void CheckRows(const Answer& answer) {
     std::vector<Key> keys;
     for (const KeyRange& range : answer.coverage.searched) {
-      const Key first = (range.begin + kRowSpacing - 1) / kRowSpacing;
-      for (Key key = first * kRowSpacing; key < range.end; key += kRowSpacing) {
-        keys.push_back(key);
-      }
+      const std::vector<Key> more = KeysIn(range);
+      keys.insert(keys.end(), more.begin(), more.end());
     }
     Expect(answer.truncated == (keys.size() > query_.row_limit),
            "truncated is wrong");
@@ -147,6 +156,20 @@
   return "v" + std::to_string(version) + ":" + std::to_string(key);
 }
 
+RowBlock TrueRows(resources::IndexVersion version, KeyRange range) {
+  const std::vector<Key> keys = KeysIn(range);
+  auto values = std::make_shared<std::vector<std::string>>();
+  for (const Key key : keys) {
+    values->push_back(TrueValue(version, key));
+  }
+  RowBlock block;
+  for (std::size_t i = 0; i < keys.size(); ++i) {
+    block.rows.push_back({keys[i], (*values)[i]});
+  }
+  block.storage = std::move(values);
+  return block;
+}
+
 void CheckQuery(const QueryRecord& query, Duration latest_end,
                 std::vector<std::string>& violations) {
   Check check(query, violations);
--- a/test/property/routing/query_checker.h
+++ b/test/property/routing/query_checker.h
@@ -21,6 +21,9 @@
 // The value of the row at `key` in an index version.
 std::string TrueValue(resources::IndexVersion version, Key key);
 
+// Every row of a version in a range, in order.
+RowBlock TrueRows(resources::IndexVersion version, KeyRange range);
+
 // One subquery that left the front.
 struct SentSubquery {
   OwnerId owner = 0;
--- a/test/property/routing/query_world.cc
+++ b/test/property/routing/query_world.cc
@@ -1,46 +1,22 @@
 #include "property/routing/query_world.h"
 
 #include <algorithm>
-#include <array>
 #include <functional>
 #include <memory>
-#include <random>
-#include <set>
 #include <utility>
 
 #include "common/routing/front_state.h"
 #include "common/routing/query_run.h"
 #include "property/routing/query_checker.h"
+#include "property/routing/world_fleet.h"
+#include "property/routing/world_random.h"
 
 namespace juniperway::routing::testing {
 namespace {
 
-constexpr const char* kService = "s";
-constexpr int kBackends = 8;
-constexpr int kGateways = 4;
-constexpr double kBudget = 0.05;
-constexpr Duration kSpan = milliseconds(1500);
 constexpr Duration kLatestTimer = microseconds(300);
 constexpr Duration kPause = milliseconds(20);
 
-std::string BackendName(int number) { return "b" + std::to_string(number); }
-std::string ShardName(int layout, int number) {
-  return std::to_string(layout) + "-" + std::to_string(number);
-}
-
-// A partition map of `layout` equal parts.
-resources::IndexSnapshot MakeSnapshot(resources::IndexVersion version,
-                                      int layout) {
-  resources::IndexSnapshot snapshot{kService, version, {}};
-  const Key width = kWorldEnd / static_cast<Key>(layout);
-  for (int i = 0; i < layout; ++i) {
-    const Key begin = static_cast<Key>(i) * width;
-    snapshot.partitions.push_back(
-        {{begin, begin + width}, ShardName(layout, i)});
-  }
-  return snapshot;
-}
-
 struct WorldQuery {
   QueryRecord record;
   std::unique_ptr<QueryRun> run;
@@ -64,8 +40,8 @@
   explicit World(const WorldOptions& options)
       : options_(options),
         random_(options.seed),
+        fleet_(random_),
         front_({"z0", "r0"}, options.seed) {
-    MakeView();
     Publish();
     // Some worlds know latencies from the start, so that hedges go out.
     if (Chance(0.7)) {
@@ -78,7 +54,10 @@
     }
     const int changes = static_cast<int>(Draw(12));
     for (int i = 0; i < changes; ++i) {
-      At(now_ + Between(0, 1500), [this] { ChangeView(); });
+      At(now_ + Between(0, 1500), [this] {
+        fleet_.Change();
+        Publish();
+      });
     }
     const int losses = static_cast<int>(Draw(8));
     for (int i = 0; i < losses; ++i) {
@@ -105,13 +84,10 @@
 
  private:
   // --- Chance and time ---
-  std::uint64_t Draw(std::uint64_t bound) { return random_() % bound; }
-  bool Chance(double probability) {
-    return static_cast<double>(Draw(1'000'000)) < probability * 1'000'000;
-  }
+  std::uint64_t Draw(std::uint64_t bound) { return random_.Draw(bound); }
+  bool Chance(double probability) { return random_.Chance(probability); }
   Duration Between(int low_ms, int high_ms) {
-    return microseconds(low_ms * 1000 +
-                        static_cast<int>(Draw((high_ms - low_ms) * 1000 + 1)));
+    return random_.Between(low_ms, high_ms);
   }
   void At(MonotonicTime time, std::function<void()> action) {
     events_.emplace(time, std::move(action));
@@ -124,91 +100,8 @@
   }
 
   // --- The fleet ---
-  void MakeView() {
-    view_.revision = 1;
-    resources::Service service;
-    service.retry_budget = kBudget;
-    service.hedge_quantile = 0.9;
-    if (Chance(0.5)) {
-      service.answer_policy = resources::AnswerPolicy::kLatency;
-      service.soft_deadline = Between(5, 60);
-      service.minimum_coverage = 0.5;
-    }
-    view_.services[kService] = service;
-    for (int i = 0; i < kGateways; ++i) {
-      session::Member member;
-      member.daemon_id = "g" + std::to_string(i);
-      member.zone = "z" + std::to_string(i % 2);
-      member.region = "r0";
-      member.gateway = true;
-      view_.members[member.daemon_id] = member;
-    }
-    for (int i = 0; i < kBackends; ++i) {
-      resources::Backend backend;
-      backend.service = kService;
-      backend.zone = "z" + std::to_string(i % 2);
-      backend.slots = 4;
-      for (int layout = 3; layout <= 5; ++layout) {
-        backend.shards.insert(ShardName(layout, i % layout));
-        backend.shards.insert(ShardName(layout, (i + 1) % layout));
-      }
-      view_.backends[BackendName(i)] = backend;
-    }
-    ServeNextVersion();
-  }
-
-  // A new version, with its own map; older ones go from some back ends.
-  void ServeNextVersion() {
-    const resources::IndexVersion version = ++newest_;
-    const int layout = 3 + static_cast<int>(Draw(3));
-    view_.snapshots[{kService, version}] = MakeSnapshot(version, layout);
-    view_.serving[kService] = version;
-    for (int i = 0; i < kBackends; ++i) {
-      std::set<resources::IndexVersion>& held = held_[BackendName(i)];
-      held.insert(version);
-      if (Chance(0.8)) {
-        held = {version};
-      }
-      // The view may lag behind what a back end dropped.
-      auto& report = view_.reports[BackendName(i)];
-      report.held_versions.insert(version);
-      if (Chance(0.5)) {
-        report.held_versions = held;
-      }
-    }
-    Count("snapshots");
-  }
-
-  void ChangeView() {
-    switch (Draw(6)) {
-      case 0:
-      case 1:
-      case 2:
-        ServeNextVersion();
-        break;
-      case 3: {
-        const std::string name = BackendName(static_cast<int>(Draw(kBackends)));
-        resources::Backend backend = view_.backends.at(name);
-        backend.drain = !backend.drain;
-        view_.backends[name] = backend;
-        break;
-      }
-      case 4: {
-        const std::string name = BackendName(static_cast<int>(Draw(kBackends)));
-        view_.machines[name].leaving = !view_.machines[name].leaving;
-        break;
-      }
-      default: {
-        const std::string name = "g" + std::to_string(Draw(kGateways));
-        view_.members[name].leaving = !view_.members[name].leaving;
-      }
-    }
-    ++view_.revision;
-    Publish();
-  }
-
   void Publish() {
-    session::FleetView seen = view_;
+    session::FleetView seen = fleet_.view();
     if (options_.defect == PlantedDefect::kIgnoresDrains) {
       seen.machines = {};
       for (int i = 0; i < kBackends; ++i) {
@@ -335,12 +228,10 @@
            "an owner got more time than is left");
     for (const PlannedSubquery& planned : batch.subqueries) {
       const std::string name(planned.backend);
-      const auto machine = view_.machines.find(name);
-      const bool leaves =
-          machine != view_.machines.end() && machine->second.leaving;
-      Expect(!leaves && !view_.backends.at(name).drain,
+      Expect(!fleet_.IsDraining(name),
              "sent to a back end that the view says is draining");
-      Expect(view_.reports.at(name).held_versions.contains(batch.index_version),
+      Expect(fleet_.view().reports.at(name).held_versions.contains(
+                 batch.index_version),
              "sent to a back end that does not hold the snapshot");
     }
   }
@@ -433,32 +324,14 @@
     if (sent.cancelled || (hung_up && Chance(0.5))) {
       return;
     }
-    if (!held_[backend].contains(sent.version)) {
-      Reply(query, id, SubqueryOutcome::kWrongSnapshot, Between(0, 2));
-      return;
-    }
-    constexpr std::array kRefusals = {
-        SubqueryOutcome::kShed, SubqueryOutcome::kNotOwner,
-        SubqueryOutcome::kDraining, SubqueryOutcome::kUnreachable};
-    if (Chance(0.12)) {
-      Reply(query, id, kRefusals[Draw(kRefusals.size())], Between(0, 2));
-      return;
-    }
-    const Duration work = Chance(0.1) ? Between(20, 200) : Between(1, 8);
-    if (Chance(0.05)) {
-      Reply(query, id, SubqueryOutcome::kExpiredUnstarted, remaining);
-      return;
-    }
-    sent.begun = true;
-    ++begun_;
-    if (Chance(0.04)) {
+    const Fate fate =
+        DrawFate(random_, fleet_.Holds(backend, sent.version), remaining);
+    sent.begun = fate.begun;
+    begun_ += fate.begun ? 1 : 0;
+    if (fate.silent) {
       Count("silent subqueries");
-    } else if (work > remaining) {
-      Reply(query, id, SubqueryOutcome::kExpiredStarted, remaining);
     } else {
-      Reply(query, id,
-            Chance(0.06) ? SubqueryOutcome::kLost : SubqueryOutcome::kRows,
-            work);
+      Reply(query, id, fate.outcome, fate.after);
     }
   }
 
@@ -535,35 +408,18 @@
     if (outcome == SubqueryOutcome::kRows) {
       const bool mixed =
           options_.defect == PlantedDefect::kMixedSnapshot && sent.version > 1;
-      reply.block =
-          MakeRows(mixed ? sent.version - 1 : sent.version, sent.range);
+      KeyRange range = sent.range;
+      if (Chance(0.05)) {
+        range.end = std::min(range.end + 3 * kRowSpacing, kWorldEnd);
+      }
+      reply.block = TrueRows(mixed ? sent.version - 1 : sent.version, range);
+      if (Chance(0.1)) {
+        std::ranges::reverse(reply.block.rows);
+      }
     }
     return reply;
   }
 
-  // Now and then with rows of the neighbour's range, or unsorted.
-  RowBlock MakeRows(resources::IndexVersion version, KeyRange range) {
-    if (Chance(0.05)) {
-      range.end = std::min(range.end + 3 * kRowSpacing, kWorldEnd);
-    }
-    auto values = std::make_shared<std::vector<std::string>>();
-    std::vector<Key> keys;
-    const Key first = (range.begin + kRowSpacing - 1) / kRowSpacing;
-    for (Key key = first * kRowSpacing; key < range.end; key += kRowSpacing) {
-      keys.push_back(key);
-      values->push_back(TrueValue(version, key));
-    }
-    RowBlock block;
-    for (std::size_t i = 0; i < keys.size(); ++i) {
-      block.rows.push_back({keys[i], (*values)[i]});
-    }
-    if (Chance(0.1)) {
-      std::ranges::reverse(block.rows);
-    }
-    block.storage = std::move(values);
-    return block;
-  }
-
   // --- Sums ---
   void CheckLoad() {
     const FrontCounters& counters = front_.counters;
@@ -581,6 +437,7 @@
                firsts + allowed +
                    static_cast<double>(counters.restarted_subqueries),
            "back ends began more than the budget allows");
+    result_.counts["snapshots"] += fleet_.newest();
     result_.counts["subqueries"] += sent_;
     result_.counts["hedges"] += counters.hedges;
     result_.counts["retries"] += counters.retries;
@@ -608,16 +465,13 @@
   }
 
   WorldOptions options_;
-  std::mt19937_64 random_;
+  WorldRandom random_;
+  WorldFleet fleet_;
   FrontState front_;
-  session::FleetView view_;
   MonotonicTime now_{milliseconds(1)};
   std::multimap<MonotonicTime, std::function<void()>> events_;
   std::vector<QueryPointer> queries_;
   std::map<OwnerId, Link> links_;
-  // What back ends really hold.
-  std::map<std::string, std::set<resources::IndexVersion>> held_;
-  resources::IndexVersion newest_ = 0;
   std::uint64_t sent_ = 0;
   std::uint64_t begun_ = 0;
   WorldResult result_;
