--- a/source/lab/bench/query.cc
+++ b/source/lab/bench/query.cc
@@ -10,6 +10,7 @@
 
 #include "lab/bench/bench_gateway.h"
 #include "lab/bench/query_load.h"
+#include "lab/bench/query_parts.h"
 #include "lab/bench/scatter.h"
 #include "lab/bench/stand_in_fleet.h"
 #include "lab/command_line.h"
@@ -23,28 +24,6 @@
 
 constexpr int kPartialStatus = 206;
 
-struct Flags {
-  std::string part = "all";
-  std::int64_t seed = 1;
-  std::int64_t rounds = 3;
-  std::int64_t queries = 1000;
-};
-
-double Median(std::vector<double> values) {
-  std::ranges::sort(values);
-  return values[values.size() / 2];
-}
-
-double ToMs(Duration duration) {
-  return std::chrono::duration<double, std::milli>(duration).count();
-}
-
-void Print(const Flags& flags, json line) {
-  line["bench"] = "query";
-  line["seed"] = flags.seed;
-  std::cout << line.dump() << std::endl;
-}
-
 // Bytes in use in all of malloc's arenas.
 std::size_t AllocatedBytes() {
   char* text = nullptr;
@@ -64,26 +43,9 @@
          total("<total type=\"fast\"") - total("<total type=\"rest\"");
 }
 
-LoadShape ClosedLoop(const BenchGateway& gateway, const Flags& flags,
-                     std::uint32_t concurrency) {
-  LoadShape load;
-  load.url = gateway.query_url();
-  load.count = static_cast<std::uint32_t>(flags.queries);
-  load.concurrency = concurrency;
-  load.seed = flags.seed;
-  return load;
-}
-
-// Makes connections and fills caches.
-void WarmUp(const LoadShape& load) {
-  LoadShape warm_up = load;
-  warm_up.count = std::max<std::uint32_t>(load.count / 10, 50);
-  RunLoad(warm_up);
-}
-
 // --- Cost against a bare scatter loop ---
 
-void RunCost(const Flags& flags) {
+void RunCost(const QueryBenchFlags& flags) {
   constexpr std::uint32_t kConcurrency = 4;
   StandInShape shape;
   shape.seed = flags.seed;
@@ -128,7 +90,7 @@
 
 // --- Memory and processor time against fan-out ---
 
-void RunFanOut(const Flags& flags) {
+void RunFanOut(const QueryBenchFlags& flags) {
   constexpr std::uint32_t kConcurrency = 4;
   constexpr std::int64_t kSubqueries = 64'000;
   for (const std::uint32_t fan_out : {16U, 64U, 256U, 520U}) {
@@ -170,97 +132,6 @@
   }
 }
 
-// --- Stragglers: 1 back end in 20, 20 times slower ---
-
-struct StragglerCase {
-  std::string name;
-  bool straggler = false;
-  bool hedging = true;
-  routing::ReplicaPolicy policy = routing::ReplicaPolicy::kLeastLoadedOfTwo;
-};
-
-struct StragglerFigures {
-  std::vector<double> p50;
-  std::vector<double> p99;
-  std::vector<double> extra;
-  std::vector<double> whole;
-  std::vector<double> hedges;
-  std::vector<double> budget_refusals;
-};
-
-void MeasureStraggler(const Flags& flags, StandInFleet& stand_ins,
-                      const StragglerCase& one, StragglerFigures& figures) {
-  constexpr double kSlowFactor = 20;
-  constexpr double kRate = 80;
-  const std::uint32_t partitions = stand_ins.shape().partitions;
-  const std::uint32_t backends = partitions * stand_ins.shape().replicas;
-  for (std::uint32_t slow = 0; slow < backends / 20; ++slow) {
-    stand_ins.SetSlowFactor(StandInFleet::BackendName(slow * 7 % partitions, 0),
-                            one.straggler ? kSlowFactor : 1);
-  }
-  BenchGateway gateway(stand_ins, {.replica_policy = one.policy,
-                                   .service = [&](resources::Service& service) {
-                                     service.hedging = one.hedging;
-                                   }});
-  LoadShape load = ClosedLoop(gateway, flags, 0);
-  load.rate = kRate;
-  WarmUp(load);
-  const std::uint64_t before = stand_ins.TotalBegun();
-  const LoadResult result = RunLoad(load);
-  const auto begun = static_cast<double>(stand_ins.TotalBegun() - before);
-  const double needed = static_cast<double>(load.count) * partitions;
-  figures.p50.push_back(ToMs(result.Quantile(0.5)));
-  figures.p99.push_back(ToMs(result.Quantile(0.99)));
-  figures.extra.push_back(begun / needed - 1);
-  figures.whole.push_back(static_cast<double>(result.Whole()) / load.count);
-  const double firsts =
-      gateway.Counter("juniperway_front_subqueries_total", "kind=\"first\"");
-  figures.hedges.push_back(
-      gateway.Counter("juniperway_front_subqueries_total", "kind=\"hedge\"") /
-      firsts);
-  figures.budget_refusals.push_back(
-      gateway.Counter("juniperway_front_budget_refusals_total") / firsts);
-}
-
-void RunStraggler(const Flags& flags) {
-  StandInShape shape;
-  shape.partitions = 20;
-  shape.replicas = 2;
-  shape.service_time = milliseconds(4);
-  shape.sigma = 0.2;
-  shape.seed = flags.seed;
-  StandInFleet stand_ins(shape);
-  using routing::ReplicaPolicy;
-  const std::vector<StragglerCase> cases = {
-      {"steady", false, true, ReplicaPolicy::kLeastLoadedOfTwo},
-      {"steady, random replica", false, true, ReplicaPolicy::kRandom},
-      {"straggler", true, true, ReplicaPolicy::kLeastLoadedOfTwo},
-      {"straggler, no hedging", true, false, ReplicaPolicy::kLeastLoadedOfTwo},
-      {"straggler, random replica", true, true, ReplicaPolicy::kRandom},
-      {"straggler, random replica, no hedging", true, false,
-       ReplicaPolicy::kRandom},
-  };
-  std::vector<StragglerFigures> figures(cases.size());
-  for (int round = 0; round < flags.rounds; ++round) {
-    for (std::size_t i = 0; i < cases.size(); ++i) {
-      MeasureStraggler(flags, stand_ins, cases[i], figures[i]);
-    }
-  }
-  const double steady_p99 = Median(figures.front().p99);
-  for (std::size_t i = 0; i < cases.size(); ++i) {
-    Print(flags, {{"part", "straggler"},
-                  {"case", cases[i].name},
-                  {"median_of", flags.rounds},
-                  {"p50_ms", Median(figures[i].p50)},
-                  {"p99_ms", Median(figures[i].p99)},
-                  {"p99_to_steady", Median(figures[i].p99) / steady_p99},
-                  {"extra_load", Median(figures[i].extra)},
-                  {"hedges", Median(figures[i].hedges)},
-                  {"budget_refusals", Median(figures[i].budget_refusals)},
-                  {"whole", Median(figures[i].whole)}});
-  }
-}
-
 // --- Overload ---
 
 json OverloadLine(const LoadResult& result, double capacity) {
@@ -291,7 +162,7 @@
           {"whole_p99_ms", ToMs(result.Quantile(0.99))}};
 }
 
-void RunOverload(const Flags& flags) {
+void RunOverload(const QueryBenchFlags& flags) {
   constexpr double kOverload = 2;
   StandInShape shape;
   shape.partitions = 8;
@@ -326,7 +197,7 @@
 
 int RunQueryBench(int argc, const char** argv) {
   FLAGS_minloglevel = google::GLOG_ERROR;
-  Flags flags;
+  QueryBenchFlags flags;
   CommandLine line("juniperway-lab bench query");
   line.Add("part", flags.part, "cost, fan-out, straggler, overload or all")
       .Add("seed", flags.seed, "seed of arrivals and service times")
@@ -345,7 +216,7 @@
     RunFanOut(flags);
   }
   if (wanted("straggler")) {
-    RunStraggler(flags);
+    RunStragglerPart(flags);
   }
   if (wanted("overload")) {
     RunOverload(flags);
--- a/source/lab/bench/stand_in_fleet.cc
+++ b/source/lab/bench/stand_in_fleet.cc
@@ -3,6 +3,7 @@
 #include <signal.h>
 #include <stdlib.h>
 
+#include <algorithm>
 #include <filesystem>
 #include <fstream>
 #include <nlohmann/json.hpp>
@@ -123,14 +124,17 @@
   return view;
 }
 
-void StandInFleet::SetSlowFactor(const std::string& backend, double factor) {
+void StandInFleet::ChangeBehaviour(const std::string& backend,
+                                   const nlohmann::json& behaviour) {
+  const nlohmann::json change = {{"backend", backend},
+                                 {"behaviour", behaviour}};
   for (const Process& process : processes_) {
-    if (std::ranges::find(process.backends, backend) ==
-        process.backends.end()) {
+    const bool concerned =
+        backend == "*" ||
+        std::ranges::find(process.backends, backend) != process.backends.end();
+    if (!concerned) {
       continue;
     }
-    const nlohmann::json change = {{"backend", backend},
-                                   {"behaviour", {{"slow_factor", factor}}}};
     const auto response =
         http_.Post("http://" + process.lab_address + "/v1/lab", change.dump());
     if (response.status != 200) {
--- a/source/lab/bench/stand_in_fleet.h
+++ b/source/lab/bench/stand_in_fleet.h
@@ -4,6 +4,7 @@
 
 #include <cstdint>
 #include <map>
+#include <nlohmann/json_fwd.hpp>
 #include <string>
 #include <vector>
 
@@ -49,8 +50,10 @@
   // Services, back ends, reports and the snapshot; without members.
   session::FleetView MakeView() const;
 
-  // Makes one back end `factor` times slower.
-  void SetSlowFactor(const std::string& backend, double factor);
+  // Changes the behaviour of one back end, or of all ("*"); fields as in
+  // lab::Behaviour's JSON form.
+  void ChangeBehaviour(const std::string& backend,
+                       const nlohmann::json& behaviour);
   // Subqueries begun by all back ends since their start.
   std::uint64_t TotalBegun();
 
