--- a/source/common/base/key_range.h
+++ b/source/common/base/key_range.h
@@ -23,6 +23,8 @@
   KeyRange Intersection(const KeyRange& other) const {
     return {std::max(begin, other.begin), std::min(end, other.end)};
   }
+  // clang-tidy 14 takes the defaulted comparison for a null pointer.
+  // NOLINTNEXTLINE(modernize-use-nullptr)
   auto operator<=>(const KeyRange&) const = default;
 };
 
--- a/source/common/gateway/front_link.cc
+++ b/source/common/gateway/front_link.cc
@@ -64,11 +64,13 @@
     return;
   }
   const auto* message = net::ReadFrame<protocol::QueryFrame>(frame);
-  if (message == nullptr) {
-    connection_->Close();
-  } else if (const auto* batch = message->message_as_BatchRequest()) {
+  const auto* batch =
+      message == nullptr ? nullptr : message->message_as_BatchRequest();
+  const auto* cancel =
+      message == nullptr ? nullptr : message->message_as_CancelRequest();
+  if (batch != nullptr) {
     OnBatch(*batch);
-  } else if (const auto* cancel = message->message_as_CancelRequest()) {
+  } else if (cancel != nullptr) {
     OnCancel(*cancel);
   } else {
     connection_->Close();
--- a/source/common/gateway/query_executor.cc
+++ b/source/common/gateway/query_executor.cc
@@ -132,12 +132,13 @@
 void QueryExecutor::StartClaim(const QueryPointer& query) {
   const std::weak_ptr<int> alive = alive_;
   const Duration remaining = query->deadline() - ReadMonotonicClock();
-  session_.Claim(query->claim_key(), query->submission.query.expiry, remaining,
-                 [this, alive, query](Result<session::ClaimReply> reply) {
-                   if (!alive.expired()) {
-                     OnClaimReply(query, reply);
-                   }
-                 });
+  session_.Claim(
+      query->claim_key(), query->submission.query.expiry, remaining,
+      [this, alive, query](const Result<session::ClaimReply>& reply) {
+        if (!alive.expired()) {
+          OnClaimReply(query, reply);
+        }
+      });
 }
 
 void QueryExecutor::OnClaimReply(const QueryPointer& query,
--- a/source/common/routing/replica_selector.cc
+++ b/source/common/routing/replica_selector.cc
@@ -118,11 +118,12 @@
     best = std::min(best, states.Latency(*replica, now));
   }
   const double bound = kNearFactor * best + kNearSlackUs;
-  const auto far = std::ranges::partition(
-      candidates_, [&states, now, bound](const ReplicaRoute* replica) {
-        return states.Latency(*replica, now) <= bound;
-      });
-  return candidates_.size() - far.size();
+  const auto far =
+      std::partition(candidates_.begin(), candidates_.end(),
+                     [&states, now, bound](const ReplicaRoute* replica) {
+                       return states.Latency(*replica, now) <= bound;
+                     });
+  return static_cast<std::size_t>(far - candidates_.begin());
 }
 
 const ReplicaRoute& ReplicaSelector::CheaperOfTwo(std::size_t count,
--- a/test/property/routing/query_checker.cc
+++ b/test/property/routing/query_checker.cc
@@ -63,7 +63,8 @@
 
   void CheckAtMostOnce() {
     std::vector<KeyRange> begun;
-    for (const auto& [attempt, sent] : query_.sent) {
+    for (const auto& [attempt, subquery] : query_.sent) {
+      const SentSubquery& sent = subquery;
       if (!sent.begun) {
         continue;
       }
--- a/test/support/query_fixture.h
+++ b/test/support/query_fixture.h
@@ -148,7 +148,7 @@
 class QueryFixture {
  public:
   explicit QueryFixture(const FleetShape& shape = {})
-      : view(MakeFleet(shape)), front({"zone-0", "region"}, /*seed=*/1) {
+      : view(MakeFleet(shape)), front({"zone-0", "region"}, /*random_seed=*/1) {
     request.request_id = "r";
     request.service = kService;
     request.row_limit = 1000;
