--- a/source/lab/bench/command.cc
+++ b/source/lab/bench/command.cc
@@ -3,6 +3,7 @@
 #include <map>
 #include <string>
 
+#include "lab/bench/fairness.h"
 #include "lab/bench/query.h"
 #include "lab/bench/raft.h"
 #include "lab/bench/state.h"
@@ -14,6 +15,10 @@
 // Takes the arguments from the benchmark's name on; returns the exit status.
 using Benchmark = int (*)(int argc, const char** argv);
 
+int RunFairness(int /*argc*/, const char** /*argv*/) {
+  return RunFairnessBench(std::cout);
+}
+
 int RunState(int /*argc*/, const char** /*argv*/) {
   return RunStateBench(std::cout);
 }
@@ -22,6 +27,7 @@
   static const std::map<std::string, Benchmark> benchmarks = {
       {"query", RunQueryBench},
       {"raft", RunRaftBench},
+      {"fairness", RunFairness},
       {"state", RunState},
   };
   return benchmarks;
