--- a/test/unit/gateway/refusal_path_test.cc
+++ b/test/unit/gateway/refusal_path_test.cc
@@ -3,7 +3,9 @@
 // requests that run at most once.
 #include <doctest/doctest.h>
 
+#include <memory>
 #include <string>
+#include <vector>
 
 #include "common/net/address.h"
 #include "support/event_loop.h"
@@ -145,6 +147,34 @@
   CheckToldWhenToComeBack(exchange);
 }
 
+TEST_CASE("overload: after the first sheds, refused before anything is sent") {
+  InProcessFleet fleet({.partitions = 1, .zones = 1});
+  fleet.service().queue_limit = 2;
+  fleet.Publish();
+  lab::Behaviour slow;
+  slow.slow_factor = 300;
+  SetBehaviour(fleet, slow);
+  // Far more than the four slots and the two waiting places.
+  constexpr int kBurst = 40;
+  std::vector<std::shared_ptr<Exchange>> exchanges;
+  for (int i = 0; i < kBurst; ++i) {
+    exchanges.push_back(fleet.Start(LongRequest()));
+  }
+  std::uint64_t whole = 0;
+  for (const auto& exchange : exchanges) {
+    REQUIRE(fleet.Run([&] { return exchange->done(); }));
+    if (exchange->status() == 200) {
+      ++whole;
+    } else {
+      CheckRefused(*exchange, 503, "not-run");
+      CheckToldWhenToComeBack(*exchange);
+    }
+  }
+  CHECK(fleet.Metric("juniperway_front_admission_refusals_total") > 0);
+  CHECK(whole > 0);
+  CHECK(Begun(fleet) == whole);
+}
+
 TEST_CASE("refused at entry: code, field, not run") {
   InProcessFleet fleet;
   CallerRequest request = LongRequest();
