--- a/source/common/owner/fair_queue.h
+++ b/source/common/owner/fair_queue.h
@@ -40,6 +40,7 @@
   struct Entry {
     MonotonicTime deadline;
     SubqueryId id = 0;
+    // NOLINTNEXTLINE(modernize-use-nullptr)
     auto operator<=>(const Entry&) const = default;
   };
   using Entries = std::set<Entry>;
--- a/source/lab/bench/command.cc
+++ b/source/lab/bench/command.cc
@@ -4,6 +4,7 @@
 #include <string>
 
 #include "lab/bench/fairness.h"
+#include "lab/bench/owner.h"
 #include "lab/bench/raft.h"
 #include "lab/bench/state.h"
 #include "lab/commands.h"
@@ -18,6 +19,10 @@
   return RunFairnessBench(std::cout);
 }
 
+int RunOwner(int /*argc*/, const char** /*argv*/) {
+  return RunOwnerBench(std::cout);
+}
+
 int RunState(int /*argc*/, const char** /*argv*/) {
   return RunStateBench(std::cout);
 }
@@ -26,6 +31,7 @@
   static const std::map<std::string, Benchmark> benchmarks = {
       {"raft", RunRaftBench},
       {"fairness", RunFairness},
+      {"owner", RunOwner},
       {"state", RunState},
   };
   return benchmarks;
--- a/test/unit/owner/gate_fixture.h
+++ b/test/unit/owner/gate_fixture.h
@@ -71,7 +71,7 @@
 inline BackendReply Broken() { return BackendReply(); }
 
 // An open gate whose first probe was answered.
-inline BackendGate OpenGate(GateSettings settings, MonotonicTime now,
+inline BackendGate OpenGate(const GateSettings& settings, MonotonicTime now,
                             Duration probe_interval = kNoProbes) {
   BackendGate gate(settings, probe_interval, /*seed=*/7);
   gate.SetAccess(GateAccess::kOpen, now);
