--- a/source/lab/bench/command.cc
+++ b/source/lab/bench/command.cc
@@ -5,6 +5,7 @@
 
 #include "lab/bench/fairness.h"
 #include "lab/bench/owner.h"
+#include "lab/bench/query.h"
 #include "lab/bench/raft.h"
 #include "lab/bench/state.h"
 #include "lab/commands.h"
@@ -29,9 +30,8 @@
 
 const std::map<std::string, Benchmark>& Benchmarks() {
   static const std::map<std::string, Benchmark> benchmarks = {
-      {"raft", RunRaftBench},
-      {"fairness", RunFairness},
-      {"owner", RunOwner},
+      {"query", RunQueryBench},  {"raft", RunRaftBench},
+      {"fairness", RunFairness}, {"owner", RunOwner},
       {"state", RunState},
   };
   return benchmarks;
--- a/source/lab/bench/fixed_session.h
+++ b/source/lab/bench/fixed_session.h
@@ -1,9 +1,8 @@
-// A control session whose view and watermarks the benchmark sets; the lease is
-// always valid, and there are no claims.
+// A ControlSession without control machines: the view and the lease never
+// change, and no claim is granted. For benchmarks of the query path.
 #pragma once
 
 #include <functional>
-#include <memory>
 #include <string>
 #include <utility>
 
@@ -13,46 +12,32 @@
 
 class FixedSession : public session::ControlSession {
  public:
-  void Set(session::FleetViewPointer view) { view_ = std::move(view); }
-  void SetReleased(resources::Revision revision) {
-    in_force_ = revision;
-    zone_released_ = revision;
-  }
-  // Runs with each revision that the owner has released.
-  void SetReleaseListener(std::function<void(resources::Revision)> listener) {
-    on_released_ = std::move(listener);
-  }
+  // The view may be set until the first gateway starts, and by its thread.
+  void SetView(session::FleetViewPointer view) { view_ = std::move(view); }
 
   session::FleetViewPointer View() const override { return view_; }
-  void SetViewListener(ViewListener /*listener*/) override {}
-  bool HasLease(MonotonicTime /*now*/) const override { return true; }
-  resources::Revision InForceRevision() const override { return in_force_; }
-  resources::Revision ZoneReleasedRevision() const override {
-    return zone_released_;
+  void SetViewListener(ViewListener) override {}
+  bool HasLease(MonotonicTime) const override { return true; }
+  resources::Revision InForceRevision() const override {
+    return view_->revision;
   }
-  void SetProgressListener(std::function<void()> /*listener*/) override {}
-  void ReportReleased(resources::Revision revision) override {
-    if (on_released_) {
-      on_released_(revision);
-    }
-  }
-  void ReportBackend(const std::string& /*backend*/,
-                     const session::BackendReport& /*report*/) override {}
-  void Claim(const session::ClaimKey& /*key*/, WallTime /*expiry*/,
-             Duration /*timeout*/, ClaimCallback callback) override {
-    callback(MakeError(ErrorCode::kUnavailable, "", "no claims here"));
+  resources::Revision ZoneReleasedRevision() const override {
+    return view_->revision;
   }
-  void RecordOutcome(const session::ClaimKey& /*key*/,
-                     ExecutionState /*outcome*/) override {}
-  void Leave(Duration /*timeout*/, std::function<void()> done) override {
-    done();
+  void SetProgressListener(std::function<void()>) override {}
+  void ReportReleased(resources::Revision) override {}
+  void ReportBackend(const std::string&,
+                     const session::BackendReport&) override {}
+  void Claim(const session::ClaimKey&, WallTime, Duration,
+             ClaimCallback callback) override {
+    callback(MakeError(ErrorCode::kUnavailable, "", "no control machines"));
   }
+  void RecordOutcome(const session::ClaimKey&, ExecutionState) override {}
+  void Leave(Duration, std::function<void()> done) override { done(); }
 
  private:
-  session::FleetViewPointer view_ = std::make_shared<session::FleetView>();
-  resources::Revision in_force_ = 0;
-  resources::Revision zone_released_ = 0;
-  std::function<void(resources::Revision)> on_released_;
+  session::FleetViewPointer view_ =
+      std::make_shared<const session::FleetView>();
 };
 
 }  // namespace juniperway::lab
--- a/source/lab/bench/owner_rig.cc
+++ b/source/lab/bench/owner_rig.cc
@@ -120,7 +120,7 @@
   owner_loop_.Run([this] {
     for (const std::string& name : options_.owners) {
       auto owner = std::make_unique<Owner>();
-      owner->session.Set(view_);
+      owner->session.SetView(view_);
       owner->session.SetReleased(view_->revision);
       owner->session.SetReleaseListener(
           [this, raw = owner.get()](resources::Revision revision) {
@@ -164,7 +164,7 @@
     change(*next);
     view_ = std::move(next);
     for (const auto& owner : owners_) {
-      owner->session.Set(view_);
+      owner->session.SetView(view_);
       owner->server->OnView(view_);
     }
   });
--- a/source/lab/bench/owner_rig.h
+++ b/source/lab/bench/owner_rig.h
@@ -13,6 +13,7 @@
 #include <memory>
 #include <string>
 #include <thread>
+#include <utility>
 #include <vector>
 
 #include "common/gateway/owner_server.h"
@@ -43,6 +44,30 @@
   std::thread thread_;
 };
 
+// A session whose watermarks the rig sets, and that hands on what is released.
+class ReleasingSession : public FixedSession {
+ public:
+  void SetReleased(resources::Revision revision) { released_ = revision; }
+  // Runs with each revision that the owner has released.
+  void SetReleaseListener(std::function<void(resources::Revision)> listener) {
+    on_released_ = std::move(listener);
+  }
+
+  resources::Revision InForceRevision() const override { return released_; }
+  resources::Revision ZoneReleasedRevision() const override {
+    return released_;
+  }
+  void ReportReleased(resources::Revision revision) override {
+    if (on_released_) {
+      on_released_(revision);
+    }
+  }
+
+ private:
+  resources::Revision released_ = 0;
+  std::function<void(resources::Revision)> on_released_;
+};
+
 struct OwnerRigOptions {
   int backends = 4;
   std::uint32_t slots = 4;
@@ -54,7 +79,7 @@
 class OwnerRig {
  public:
   struct Owner {
-    FixedSession session;
+    ReleasingSession session;
     std::shared_ptr<prometheus::Registry> registry =
         std::make_shared<prometheus::Registry>();
     std::unique_ptr<gateway::OwnerServer> server;
