--- a/source/lab/bench/owner.cc
+++ b/source/lab/bench/owner.cc
@@ -108,15 +108,15 @@
     std::this_thread::sleep_for(milliseconds(10));
   }
   const double probes = rig.Counter(owner, kProbes);
-  const Duration processor = rig.owner_loop().ProcessorTime();
+  const Duration processor = rig.owner_loop().CpuTime();
   const MonotonicTime begin = ReadMonotonicClock();
   std::this_thread::sleep_for(kIdleTime);
   const double elapsed =
       std::chrono::duration<double>(ReadMonotonicClock() - begin).count();
   line["probes_per_backend_second"] =
       Rounded((rig.Counter(owner, kProbes) - probes) / backends / elapsed);
-  line["idle_cpu_us_per_second"] = Rounded(
-      Microseconds(rig.owner_loop().ProcessorTime() - processor) / elapsed);
+  line["idle_cpu_us_per_second"] =
+      Rounded(Microseconds(rig.owner_loop().CpuTime() - processor) / elapsed);
 }
 
 void MeasureLoad(OwnerRig& rig, int backends, nlohmann::json& line) {
@@ -126,10 +126,10 @@
   std::vector<double> rates;
   double lowest_share = 1;
   for (int round = 0; round < kRounds; ++round) {
-    const Duration processor = rig.owner_loop().ProcessorTime();
+    const Duration processor = rig.owner_loop().CpuTime();
     const MonotonicTime begin = ReadMonotonicClock();
     lowest_share = std::min(lowest_share, loop.Run(kSubqueriesPerRound));
-    costs.push_back(Microseconds(rig.owner_loop().ProcessorTime() - processor) /
+    costs.push_back(Microseconds(rig.owner_loop().CpuTime() - processor) /
                     kSubqueriesPerRound);
     rates.push_back(kSubqueriesPerRound * 1e6 /
                     Microseconds(ReadMonotonicClock() - begin));
