Split the gate's feasibility and the back end's status into modules

Change: owner/feasibility (which waiting subqueries cannot be in time) and gateway/owner_backend_status (reports, log events, gauges), without a change of behaviour; the held versions are compared before they are copied.

--- a/source/common/gateway/owner_backend.cc
+++ b/source/common/gateway/owner_backend.cc
@@ -10,7 +10,6 @@
 namespace juniperway::gateway {
 namespace {
 
-using owner::BreakerState;
 using owner::DrainSource;
 using owner::GateAccess;
 using owner::GateAction;
@@ -54,7 +53,7 @@
       options_(std::move(options)),
       metrics_(metrics),
       listener_(listener),
-      gauges_(metrics.backend_gauges(), options_.name),
+      status_(options_.name, metrics),
       resource_(view.backends.at(options_.name)),
       required_shards_(RequiredShardsOf(resource_, view)),
       gate_(SettingsFrom(view), options_.probe_interval, options_.seed),
@@ -300,7 +299,7 @@
   std::optional<owner::BackendGate::ProbeResult> result;
   if (const auto health = owner::ParseHealth(response)) {
     held_.OnHealth(*health, required_shards_, now);
-    probed_ = true;
+    status_.OnProbed();
     result = {health->cold, health->draining};
   } else {
     metrics_.failed_probes().Increment();
@@ -324,9 +323,12 @@
   if (client_outdated_ && gate_.connections() == 0) {
     ReplaceClient();
   }
-  ReportChanges();
-  TellChanges(now);
-  UpdateGauges(now);
+  if (const auto report = status_.TakeReport(gate_, held_)) {
+    listener_.OnReport(options_.name, *report);
+  }
+  if (status_.Update(gate_, now)) {
+    listener_.OnBreakerOpened();
+  }
   ArmTimer(now);
   if (gate_.access() == GateAccess::kOpen) {
     let_go_ = false;
@@ -337,60 +339,6 @@
   }
 }
 
-void OwnerBackend::ReportChanges() {
-  const DrainSource source = gate_.drain_source();
-  // Operator and platform are in the view already; before the first probe
-  // nothing is known that the previous owner had not reported.
-  const bool own_word =
-      source == DrainSource::kAnswer || source == DrainSource::kHealth;
-  if (gate_.access() != GateAccess::kOpen || (!probed_ && !own_word)) {
-    return;
-  }
-  session::BackendReport report{held_.held(), own_word};
-  if (reported_ && reported_->held_versions == report.held_versions &&
-      reported_->draining == report.draining) {
-    return;
-  }
-  reported_ = report;
-  listener_.OnReport(options_.name, report);
-}
-
-void OwnerBackend::TellChanges(MonotonicTime now) {
-  const DrainSource source = gate_.drain_source();
-  if (source != logged_drain_) {
-    const bool draining = source != DrainSource::kNone;
-    logging::LogEvent(
-        draining ? owner::kBackendDraining : owner::kBackendDrainEnded,
-        {{"backend", options_.name},
-         {"source",
-          owner::DrainSourceName(draining ? source : logged_drain_)}});
-    logged_drain_ = source;
-  }
-  const bool open = gate_.breaker_state(now) != BreakerState::kClosed;
-  if (open != logged_breaker_open_) {
-    logging::LogEvent(open ? owner::kBreakerOpened : owner::kBreakerClosed,
-                      {{"backend", options_.name}});
-    logged_breaker_open_ = open;
-    if (open) {
-      listener_.OnBreakerOpened();
-    }
-  }
-}
-
-void OwnerBackend::UpdateGauges(MonotonicTime now) {
-  gauges_.Set(BackendFigure::kOwned, gate_.access() == GateAccess::kOpen);
-  gauges_.Set(BackendFigure::kRunning, gate_.running());
-  gauges_.Set(BackendFigure::kQueued, static_cast<double>(gate_.queued()));
-  gauges_.Set(BackendFigure::kUsableSlots, gate_.UsableSlots(now));
-  gauges_.Set(BackendFigure::kConnections, gate_.connections());
-  gauges_.Set(BackendFigure::kDraining,
-              gate_.drain_source() != DrainSource::kNone);
-  gauges_.Set(BackendFigure::kBreakerOpen,
-              gate_.breaker_state(now) != BreakerState::kClosed);
-  gauges_.Set(BackendFigure::kMeanServiceTime,
-              std::chrono::duration<double>(gate_.mean_service_time()).count());
-}
-
 void OwnerBackend::ArmTimer(MonotonicTime now) {
   const auto next = gate_.NextTimer(now);
   if (!next) {
--- a/source/common/gateway/owner_backend.h
+++ b/source/common/gateway/owner_backend.h
@@ -14,6 +14,7 @@
 
 #include "common/gateway/backend_client.h"
 #include "common/gateway/front_link.h"
+#include "common/gateway/owner_backend_status.h"
 #include "common/gateway/owner_metrics.h"
 #include "common/owner/backend_gate.h"
 #include "common/owner/backend_health.h"
@@ -100,16 +101,13 @@
   void OnProbeDone(const net::HttpClientResponse& response);
   void Answer(owner::SubqueryId id, SubqueryAnswer answer);
   void AfterChange(MonotonicTime now);
-  void ReportChanges();
-  void TellChanges(MonotonicTime now);
-  void UpdateGauges(MonotonicTime now);
   void ArmTimer(MonotonicTime now);
 
   asio::io_context& context_;
   OwnerBackendOptions options_;
   OwnerMetrics& metrics_;
   Listener& listener_;
-  BackendGauges gauges_;
+  OwnerBackendStatus status_;
   resources::Backend resource_;
   // Of the back end's service, in its order.
   std::vector<std::string> request_classes_;
@@ -117,14 +115,10 @@
   owner::BackendGate gate_;
   owner::HeldVersions held_;
   std::unordered_map<owner::SubqueryId, Open> open_;
-  std::optional<session::BackendReport> reported_;
-  bool probed_ = false;
   // Not before the server has weighed it against the other replicas.
   bool may_eject_ = false;
   // OnLetGo was called since access was last open.
   bool let_go_ = true;
-  owner::DrainSource logged_drain_ = owner::DrainSource::kNone;
-  bool logged_breaker_open_ = false;
   // The connection limit changed: take a new client when this one is idle.
   bool client_outdated_ = false;
   // Callbacks of replaced clients are told by it.
--- a/source/common/owner/backend_gate.cc
+++ b/source/common/owner/backend_gate.cc
@@ -4,6 +4,8 @@
 #include <iterator>
 #include <utility>
 
+#include "common/owner/feasibility.h"
+
 namespace juniperway::owner {
 namespace {
 
@@ -196,12 +198,6 @@
   return TakeActions();
 }
 
-bool BackendGate::idle() const { return queue_.empty() && connections() == 0; }
-
-std::uint32_t BackendGate::connections() const {
-  return running() + cancels_ + (probe_sent_ ? 1 : 0);
-}
-
 std::uint32_t BackendGate::UsableSlots(MonotonicTime now) const {
   const std::uint32_t possible =
       std::min(settings_.slots, settings_.maximum_connections);
@@ -280,9 +276,12 @@
 }
 
 void BackendGate::RefuseInfeasible(MonotonicTime now) {
+  const FeasibilityEstimate estimate{std::max(now, paused_until_),
+                                     service_time_.mean(),
+                                     static_cast<double>(UsableSlots(now))};
   std::vector<SubqueryId> infeasible;
   for (const FairQueue::Backlog& backlog : queue_.Backlogs()) {
-    std::ranges::copy(InfeasibleOf(backlog, now),
+    std::ranges::copy(InfeasibleOf(backlog, estimate),
                       std::back_inserter(infeasible));
   }
   for (const SubqueryId id : infeasible) {
@@ -291,25 +290,6 @@
   }
 }
 
-std::vector<SubqueryId> BackendGate::InfeasibleOf(
-    const FairQueue::Backlog& backlog, MonotonicTime now) const {
-  const Duration mean = service_time_.mean();
-  const MonotonicTime first_start = std::max(now, paused_until_);
-  const double slots = UsableSlots(now) * backlog.share;
-  std::vector<SubqueryId> infeasible;
-  std::int64_t ahead = 0;
-  for (const FairQueue::Entry& entry : *backlog.entries) {
-    const Duration wait(static_cast<Duration::rep>(
-        static_cast<double>(mean.count() * (ahead + 1)) / slots));
-    if (first_start + wait + mean > entry.deadline) {
-      infeasible.push_back(entry.id);
-    } else {
-      ++ahead;
-    }
-  }
-  return infeasible;
-}
-
 void BackendGate::RefuseAll(MonotonicTime now) {
   while (!queue_.empty()) {
     const SubqueryId id = queue_.Earliest().id;
@@ -416,6 +396,4 @@
   return Duration(jitter(random_));
 }
 
-GateActions BackendGate::TakeActions() { return std::exchange(actions_, {}); }
-
 }  // namespace juniperway::owner
--- a/source/common/owner/backend_gate.h
+++ b/source/common/owner/backend_gate.h
@@ -13,7 +13,7 @@
 #include <map>
 #include <optional>
 #include <random>
-#include <set>
+#include <utility>
 #include <vector>
 
 #include "common/base/time.h"
@@ -116,14 +116,16 @@
   GateActions CutOff(MonotonicTime now);
 
   // Nothing is queued, running, being cancelled or probed.
-  bool idle() const;
+  bool idle() const { return queue_.empty() && connections() == 0; }
 
   std::uint32_t running() const {
     return static_cast<std::uint32_t>(running_.size());
   }
   std::size_t queued() const { return queue_.size(); }
   // Exchanges under way: searches, cancels and the probe.
-  std::uint32_t connections() const;
+  std::uint32_t connections() const {
+    return running() + cancels_ + (probe_sent_ ? 1 : 0);
+  }
   // Slots usable at `now`.
   std::uint32_t UsableSlots(MonotonicTime now) const;
   GateAccess access() const { return access_; }
@@ -154,9 +156,6 @@
   void Dispatch(MonotonicTime now);
   void RefuseExpired(MonotonicTime now);
   void RefuseInfeasible(MonotonicTime now);
-  // Those of `backlog` that would not be done in time.
-  std::vector<SubqueryId> InfeasibleOf(const FairQueue::Backlog& backlog,
-                                       MonotonicTime now) const;
   void RefuseAll(MonotonicTime now);
   void ExpireRunning(MonotonicTime now);
   void Close(SubqueryId id);
@@ -169,7 +168,7 @@
               Duration retry_after = Duration::zero());
   Duration RetryAfter(MonotonicTime now) const;
   Duration Jittered(Duration duration);
-  GateActions TakeActions();
+  GateActions TakeActions() { return std::exchange(actions_, {}); }
 
   GateSettings settings_;
   Duration probe_interval_;
