Test a hand-over between two owners at a stand-in back end

Cause: that slots and connections hold over two owners was shown under virtual time only. Change: the fixture takes further gateways; one case in which the new owner sees the change first and is asked all the time while the old one finishes. Conclusion: the sum holds at the back end, too.

--- a/test/integration/gateway/owner_fixture.cc
+++ b/test/integration/gateway/owner_fixture.cc
@@ -14,7 +14,6 @@
 namespace juniperway::test {
 namespace {
 
-const std::string kDaemon = "g1";
 const std::string kZone = "z";
 const std::string kLogs = "logs";
 constexpr Key kKeys = 1000;
@@ -59,18 +58,16 @@
   return backend;
 }
 
-void OwnerFixture::Start(Duration probe_interval) {
+void OwnerFixture::Start(Duration probe_interval,
+                         resources::Revision released) {
   view.services[kLogs].queue_limit = 100000;
   resources::IndexSnapshot& snapshot = view.snapshots[{kLogs, kOwnerVersion}];
   snapshot.service = kLogs;
   snapshot.index_version = kOwnerVersion;
   snapshot.partitions = {{{0, kKeys}, kOwnerShard}};
-  session::Member& member = view.members[kDaemon];
-  member.daemon_id = kDaemon;
-  member.zone = kZone;
-  member.gateway = true;
+  Join();
   gateway::OwnerOptions options;
-  options.daemon_id = kDaemon;
+  options.daemon_id = daemon_id_;
   options.incarnation = 1;
   options.zone = kZone;
   options.listen = {asio::ip::address_v4::loopback(), 0};
@@ -81,15 +78,27 @@
     owner->OnView(newest);
   });
   session.SetProgressListener([this] { owner->OnProgress(); });
-  Publish();
+  PublishUnreleased();
+  session.SetZoneReleased(released == 0 ? view.revision : released);
   Connect();
 }
 
+void OwnerFixture::Join() {
+  session::Member& member = view.members[daemon_id_];
+  member.daemon_id = daemon_id_;
+  member.zone = kZone;
+  member.gateway = true;
+}
+
 void OwnerFixture::Publish() {
+  PublishUnreleased();
+  session.SetZoneReleased(view.revision);
+}
+
+void OwnerFixture::PublishUnreleased() {
   ++view.revision;
   session.SetView(view);
   session.SetInForce(view.revision);
-  session.SetZoneReleased(view.revision);
 }
 
 void OwnerFixture::Connect() {
--- a/test/integration/gateway/owner_fixture.h
+++ b/test/integration/gateway/owner_fixture.h
@@ -10,6 +10,7 @@
 #include <map>
 #include <memory>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "common/gateway/owner_server.h"
@@ -31,9 +32,22 @@
                              Duration service_time);
 
 class OwnerFixture {
+  // Null where the loop is another fixture's.
+  std::unique_ptr<asio::io_context> own_context_;
+
  public:
   using AttemptId = routing::AttemptId;
 
+  explicit OwnerFixture(std::string daemon_id = "g1")
+      : own_context_(std::make_unique<asio::io_context>()),
+        context(*own_context_),
+        daemon_id_(std::move(daemon_id)) {}
+  // A further gateway beside `other`, in its event loop and of its view.
+  OwnerFixture(OwnerFixture& other, std::string daemon_id)
+      : context(other.context),
+        view(other.view),
+        daemon_id_(std::move(daemon_id)) {}
+
   // Adds a stand-in; call before Start. Its resource may then be changed in
   // `view`.
   lab::BackendServer& Add(const lab::BackendSettings& settings);
@@ -45,10 +59,16 @@
 
   // Starts the owner with `view`, which gives it every back end, and connects
   // the front.
-  void Start(Duration probe_interval = kRareProbes);
+  // @param released what the zone has released; 0: the view's revision.
+  void Start(Duration probe_interval = kRareProbes,
+             resources::Revision released = 0);
 
+  // Makes this gateway a member of `view`.
+  void Join();
   // Hands the owner `view` under the next revision, released at once.
   void Publish();
+  // ... and not released.
+  void PublishUnreleased();
 
   // Sends one subquery.
   AttemptId Ask(const std::string& backend, Duration remaining = seconds(60),
@@ -74,7 +94,7 @@
     return session.reports().contains(backend);
   }
 
-  asio::io_context context;
+  asio::io_context& context;
   StaticSession session{context};
   session::FleetView view;
   std::shared_ptr<prometheus::Registry> registry =
@@ -86,6 +106,7 @@
  private:
   void Connect();
 
+  std::string daemon_id_;
   std::shared_ptr<net::FrameConnection> front_;
   AttemptId next_attempt_ = 1;
 };
--- a/test/integration/gateway/owner_limits_test.cc
+++ b/test/integration/gateway/owner_limits_test.cc
@@ -76,6 +76,47 @@
   CHECK_FALSE(fixture.Has(noisy[50]));
 }
 
+TEST_CASE("A back end that changes hands never gets more than its limits") {
+  OwnerFixture before("g1");
+  lab::BackendServer& server = before.Add(StandIn("b", 2, seconds(1)));
+  before.Start();
+  OwnerFixture after(before, "g2");
+  after.view.members["g1"].leaving = true;
+  std::vector<OwnerFixture::AttemptId> running(2);
+  for (auto& attempt : running) {
+    attempt = before.Ask("b");
+  }
+  const auto queued = before.Ask("b");
+  REQUIRE(before.RunUntil([&] { return server.model().running() == 2; }));
+  after.Join();
+  before.view = after.view;
+  before.view.revision = 1;
+  // The new owner sees the change first, and is asked all the time.
+  after.Start(kRareProbes, /*released=*/1);
+  CHECK(after.OutcomeOf(after.Ask("b")) == SubqueryOutcome::kNotOwner);
+  before.PublishUnreleased();
+  CHECK(before.OutcomeOf(queued) == SubqueryOutcome::kNotOwner);
+  const auto both_released = [&] {
+    return std::min(before.session.reported_released(),
+                    after.session.reported_released()) >= 2;
+  };
+  REQUIRE_FALSE(both_released());
+  while (!both_released()) {
+    CHECK(after.OutcomeOf(after.Ask("b")) == SubqueryOutcome::kNotOwner);
+  }
+  after.session.SetZoneReleased(2);
+  const auto outcomes = after.Flood("b", 2);
+  CHECK(outcomes.at(SubqueryOutcome::kRows) == 2);
+  for (const auto attempt : running) {
+    CHECK(before.OutcomeOf(attempt) == SubqueryOutcome::kRows);
+  }
+  const lab::BackendCounters& counters = server.model().counters();
+  CHECK(counters.arrived_over_slots == 0);
+  CHECK(counters.peak_running == 2);
+  CHECK(counters.peak_connections <=
+        server.model().settings().maximum_connections);
+}
+
 TEST_CASE("A cold back end gets its slots one after the other") {
   lab::BackendSettings settings = StandIn("b", 4, milliseconds(2));
   settings.cold_start = seconds(1000);
