Let an answered probe end the breaker's pause

Cause: owners see only their own breakers, so when all replicas of a shard fail for a while (regions that lose each other), each owner's pause may have grown to 5 s and more, and the shard stays out that long after the back ends are back. Change: an answered health probe ends the pause under way; one search then tries the back end, as after any pause. Conclusion: a back end that is back is tried within a probe interval.

--- a/source/common/owner/backend_gate.cc
+++ b/source/common/owner/backend_gate.cc
@@ -138,6 +138,7 @@
   probe_sent_.reset();
   if (result) {
     drain_.OnHealth(result->draining, sent, now);
+    breaker_.AllowTrial(now);
     if (result->cold && !cold_) {
       slow_start_.Begin(now, settings_.slow_start);
     }
@@ -385,9 +386,7 @@
 Duration BackendGate::RetryAfter(MonotonicTime now) const {
   const auto ahead = static_cast<std::int64_t>(queue_.size() + running_.size());
   const Duration backlog = service_time_.mean() * ahead / UsableSlots(now);
-  const Duration pause =
-      paused_until_ > now ? paused_until_ - now : Duration::zero();
-  return std::max({kShortestRetryAfter, backlog, pause});
+  return std::max({kShortestRetryAfter, backlog, paused_until_ - now});
 }
 
 Duration BackendGate::Jittered(Duration duration) {
--- a/source/common/owner/circuit_breaker.cc
+++ b/source/common/owner/circuit_breaker.cc
@@ -39,6 +39,12 @@
   }
 }
 
+void CircuitBreaker::AllowTrial(MonotonicTime now) {
+  if (open_) {
+    retry_at_ = std::min(retry_at_, now);
+  }
+}
+
 BreakerState CircuitBreaker::State(MonotonicTime now) const {
   if (!open_) {
     return BreakerState::kClosed;
--- a/source/common/owner/circuit_breaker.h
+++ b/source/common/owner/circuit_breaker.h
@@ -30,6 +30,9 @@
   // No connection, a broken one, or no answer at all within the deadline.
   void OnFailure(MonotonicTime now);
 
+  // There is a sign that the back end is back: ends a pause under way.
+  void AllowTrial(MonotonicTime now);
+
   BreakerState State(MonotonicTime now) const;
 
   // End of the pause. Meaningful while open.
--- a/test/unit/owner/backend_gate_test.cc
+++ b/test/unit/owner/backend_gate_test.cc
@@ -295,6 +295,35 @@
   }
 }
 
+TEST_CASE("An answered probe lets one subquery try before the pause is over") {
+  BackendGate gate = OpenGate(kTwoSlots, At(0), /*probe_interval=*/seconds(1));
+  for (SubqueryId id = 1; id <= 5; ++id) {
+    gate.Submit(id, At(99000), At(0));
+    gate.OnReply(id, Broken(), At(0));
+  }
+  REQUIRE(gate.breaker_state(At(1)) == BreakerState::kOpen);
+  const MonotonicTime probe = At(1250);  // At the latest.
+  REQUIRE(IdsOf(gate.OnTimer(probe), GateActionKind::kProbe).size() == 1);
+  // Grows to pauses that outlast the next probe.
+  MonotonicTime now = probe;
+  while (gate.breaker_state(now + seconds(2)) != BreakerState::kOpen) {
+    now += seconds(10);
+    gate.Submit(100, now + seconds(1), now);
+    gate.OnReply(100, Broken(), now);
+  }
+  CHECK(OutcomeOf(gate.Submit(200, At(9999000), now), 200) ==
+        SubqueryOutcome::kShed);
+  SUBCASE("answered") {
+    gate.OnProbeDone(BackendGate::ProbeResult{}, now);
+    CHECK(Started(gate.Submit(201, At(9999000), now)).size() == 1);
+    CHECK(Started(gate.Submit(202, At(9999000), now)).empty());
+  }
+  SUBCASE("failed") {
+    gate.OnProbeDone(std::nullopt, now);
+    CHECK(Started(gate.Submit(201, At(9999000), now)).empty());
+  }
+}
+
 TEST_CASE("A breaker that may not open keeps trying") {
   BackendGate gate = OpenGate(kTwoSlots, At(0));
   gate.SetMayEject(false, At(0));
