--- a/source/lab/fleet/deployment.cc
+++ b/source/lab/fleet/deployment.cc
@@ -16,7 +16,8 @@
   resources::RequestClass request_class;
   JsonReader reader(json, "request_classes.");
   reader.Required("name", request_class.name)
-      .Required("repeatable", request_class.repeatable);
+      .Required("repeatable", request_class.repeatable)
+      .Optional("weight", request_class.weight);
   if (Result<void> finished = reader.Finish(); !finished) {
     return tl::unexpected<Error>(finished.error());
   }
