Let virtual time stand at the end of a run

Cause: Timeline::RunUntil left the clock at the last event, so that a caller who runs in short steps through a pause stood still for ever.

Change: the clock stands at the end asked for.

Conclusion: steps of any length work.

--- a/source/sim/timeline.h
+++ b/source/sim/timeline.h
@@ -2,6 +2,7 @@
 // nothing else moves the clock.
 #pragma once
 
+#include <algorithm>
 #include <cstdint>
 #include <functional>
 #include <queue>
@@ -21,7 +22,7 @@
     items_.push({now_ + delay, next_number_++, std::move(run)});
   }
 
-  // Runs everything up to and at `end`.
+  // Runs everything up to and at `end`, where now() then stands.
   void RunUntil(MonotonicTime end) {
     while (!items_.empty() && items_.top().at <= end) {
       const Item item = items_.top();
@@ -29,6 +30,7 @@
       now_ = item.at;
       item.run();
     }
+    now_ = std::max(now_, end);
   }
 
  private:
