Make a simulated run depend on its seed alone

Change: connections are ordered by a number of the run; a test runs one seed twice.

Conclusion: a printed seed replays.

--- a/source/sim/control/control_checker.cc
+++ b/source/sim/control/control_checker.cc
@@ -3,6 +3,13 @@
 #include <algorithm>
 
 namespace juniperway::sim {
+namespace {
+
+std::string KeyOf(const resources::ResourceId& resource) {
+  return std::string(resources::KindName(resource.kind)) + " " + resource.name;
+}
+
+}  // namespace
 
 std::string_view ControlPromiseName(ControlPromise promise) {
   switch (promise) {
@@ -64,12 +71,12 @@
   if (!first) {
     return;
   }
-  const auto [winner, won] = winners_.emplace(
-      std::pair(change.resource, change.base), change.change_id);
+  const auto [winner, won] =
+      winners_[KeyOf(change.resource)].emplace(change.base, change.change_id);
   Expect(ControlPromise::kOneWinner, won,
          change.change_id + " and " + winner->second + " both won at version " +
              std::to_string(change.base) + " of " + change.resource.name);
-  resources::Revision& highest = accepted_[change.resource];
+  resources::Revision& highest = accepted_[KeyOf(change.resource)];
   highest = std::max(highest, change.revision);
 }
 
@@ -132,7 +139,7 @@
 
 void ControlChecker::ObserveFinal(const resources::ResourceId& resource,
                                   resources::Revision version) {
-  const resources::Revision accepted = accepted_[resource];
+  const resources::Revision accepted = accepted_[KeyOf(resource)];
   Expect(ControlPromise::kAcceptedKept, version >= accepted,
          resource.name + " is at version " + std::to_string(version) +
              " though " + std::to_string(accepted) + " was accepted");
--- a/source/sim/control/control_checker.h
+++ b/source/sim/control/control_checker.h
@@ -9,7 +9,6 @@
 #include <set>
 #include <string>
 #include <string_view>
-#include <utility>
 
 #include "common/raft/types.h"
 #include "common/resources/resource.h"
@@ -100,11 +99,10 @@
   HashByIndex snapshots_;
   // Change id to the revision that it made.
   std::map<std::string, resources::Revision> effects_;
-  // Resource and version to the change that won there.
-  std::map<std::pair<resources::ResourceId, resources::Revision>, std::string>
-      winners_;
+  // By resource: version to the change that won there.
+  std::map<std::string, std::map<resources::Revision, std::string>> winners_;
   // Highest accepted version.
-  std::map<resources::ResourceId, resources::Revision> accepted_;
+  std::map<std::string, resources::Revision> accepted_;
   std::map<std::string, resources::Revision> taken_;
   std::map<resources::Revision, std::uint64_t> views_;
   resources::Revision in_force_ = 0;
--- a/source/sim/control/control_machine.h
+++ b/source/sim/control/control_machine.h
@@ -27,12 +27,21 @@
 
 // A session's connection between a daemon and a control machine.
 struct SessionConnection {
+  // Unique in a run; orders connections the same way in each replay.
+  std::uint64_t number = 0;
   SimDaemon* daemon = nullptr;
   std::shared_ptr<Stream> to_machine;
   std::shared_ptr<Stream> to_daemon;
 };
 using ConnectionPointer = std::shared_ptr<SessionConnection>;
 
+struct ConnectionOrder {
+  bool operator()(const ConnectionPointer& left,
+                  const ConnectionPointer& right) const {
+    return left->number < right->number;
+  }
+};
+
 class ControlMachine : public Process {
  public:
   using Callback = control::CommandPipeline::Callback;
@@ -119,7 +128,7 @@
   MonotonicTime wake_at_ = MonotonicTime::max();
   Duration wall_skew_{0};
   bool update_scheduled_ = false;
-  std::map<ConnectionPointer, Session> sessions_;
+  std::map<ConnectionPointer, Session, ConnectionOrder> sessions_;
 };
 
 }  // namespace juniperway::sim
--- a/source/sim/control/control_sim.cc
+++ b/source/sim/control/control_sim.cc
@@ -20,6 +20,7 @@
 template <typename Pointers>
 auto PointersTo(const Pointers& owners) {
   std::vector<typename Pointers::value_type::element_type*> pointers;
+  pointers.reserve(owners.size());
   for (const auto& owner : owners) {
     pointers.push_back(owner.get());
   }
--- a/source/sim/control/process.h
+++ b/source/sim/control/process.h
@@ -33,8 +33,12 @@
     return std::uniform_int_distribution<std::uint64_t>(0, count - 1)(random);
   }
 
+  // Unique in this run.
+  std::uint64_t MakeNumber() { return ++last_number; }
+
   Timeline timeline;
   std::mt19937_64 random;
+  std::uint64_t last_number = 0;
 };
 
 class Process {
--- a/test/property/sim/control_test.cc
+++ b/test/property/sim/control_test.cc
@@ -68,6 +68,7 @@
   }
   std::atomic<std::uint64_t> next = 1;
   std::vector<std::thread> threads;
+  threads.reserve(kThreads);
   for (int i = 0; i < kThreads; ++i) {
     threads.emplace_back([&] {
       for (std::uint64_t seed = next++; seed <= seeds; seed = next++) {
@@ -101,6 +102,18 @@
   CHECK(totals.terms > totals.runs * 2);
 }
 
+TEST_CASE("The same seed gives the same run") {
+  const QuietLog quiet;
+  ControlSimOptions options;
+  options.seed = 1;
+  ControlSim first(options);
+  first.Run();
+  ControlSim second(options);
+  second.Run();
+  CHECK(first.checker().checks() == second.checker().checks());
+  CHECK(first.faults() == second.faults());
+}
+
 TEST_CASE("Three control machines and four daemons keep every promise") {
   CheckAllSeeds({}, kSeeds);
 }
