--- a/source/common/gateway/front_server.cc
+++ b/source/common/gateway/front_server.cc
@@ -129,16 +129,33 @@
     if (request.path == "/v1/ready") {
       return Ready();
     }
-    if (request.path == "/v1/view") {
-      net::HttpResponse response;
-      response.body = ViewToJson(*session.View()).dump();
-      return response;
+    return request.path == "/v1/view" ? View() : Metrics();
+  }
+
+  // A daemon that has just started has no view yet, which is not the empty one.
+  net::HttpResponse View() const {
+    const session::FleetViewPointer view = session.View();
+    if (view->revision == 0) {
+      const Error error{ErrorCode::kUnavailable, "",
+                        "this gateway has no configuration yet"};
+      return net::ErrorResponse(net::HttpStatusOf(error.code), error,
+                                ExecutionStateName(ExecutionState::kNotRun));
     }
-    return Metrics();
+    net::HttpResponse response;
+    // Names of other daemons need not be UTF-8.
+    response.body = ViewToJson(*view).dump(
+        -1, ' ', false, nlohmann::json::error_handler_t::replace);
+    return response;
+  }
+
+  // A lease alone says nothing before the first view: control may be behind
+  // what this daemon has had, and then sends it none.
+  bool HasConfirmedView(MonotonicTime now) const {
+    return session.HasLease(now) && session.View()->revision > 0;
   }
 
   net::HttpResponse Ready() const {
-    const bool lease = session.HasLease(ReadMonotonicClock());
+    const bool lease = HasConfirmedView(ReadMonotonicClock());
     const bool ready = lease && !stopping;
     net::HttpResponse response;
     response.status = ready ? 200 : 503;
@@ -211,7 +228,7 @@
     }
     const auto& services = session.View()->services;
     const auto service = services.find(service_name);
-    const bool lease = session.HasLease(now);
+    const bool lease = HasConfirmedView(now);
     if (service == services.end() && lease) {
       return Refusal{{ErrorCode::kNotFound, "service", "is not declared"},
                      ExecutionState::kNotRun,
@@ -226,6 +243,13 @@
                      ExecutionState::kNotRun,
                      Jittered(kNoLeaseRetryAfter)};
     }
+    if (!executor.HasRoom(service_name)) {
+      executor.CountAdmissionRefusal();
+      return Refusal{{ErrorCode::kUnavailable, "",
+                      "the service's back ends are overloaded"},
+                     ExecutionState::kNotRun,
+                     Jittered(kOverloadRetryAfter)};
+    }
     return std::nullopt;
   }
 
--- a/source/common/gateway/owner_backend.h
+++ b/source/common/gateway/owner_backend.h
@@ -10,6 +10,7 @@
 #include <optional>
 #include <string>
 #include <unordered_map>
+#include <vector>
 
 #include "common/gateway/backend_client.h"
 #include "common/gateway/front_link.h"
@@ -43,6 +44,9 @@
     // What it holds or whether it drains changed.
     virtual void OnReport(const std::string& backend,
                           const session::BackendReport& report) = 0;
+    // Its breaker opened: the right of the others to open theirs changes before
+    // anything else happens. May call SetMayEject of any other.
+    virtual void OnBreakerOpened() = 0;
     // Access is not open and nothing is left at the back end, connections
     // included. The object may be destroyed, but not inside this call.
     virtual void OnLetGo(const std::string& backend) = 0;
@@ -80,9 +84,10 @@
     std::optional<MonotonicTime> started;
   };
 
-  owner::GateSettings SettingsFrom(const session::FleetView& view) const;
+  owner::GateSettings SettingsFrom(const session::FleetView& view);
   void ReplaceClient();
   std::string AttemptId(owner::SubqueryId id) const;
+  owner::ClassIndex ClassOf(const QueryContext& query) const;
   void Perform(const owner::GateActions& actions, MonotonicTime now);
   void PerformOne(const owner::GateAction& action, MonotonicTime now);
   void StartSearch(owner::SubqueryId id, MonotonicTime now);
@@ -96,7 +101,7 @@
   void Answer(owner::SubqueryId id, SubqueryAnswer answer);
   void AfterChange(MonotonicTime now);
   void ReportChanges();
-  void LogChanges(MonotonicTime now);
+  void TellChanges(MonotonicTime now);
   void UpdateGauges(MonotonicTime now);
   void ArmTimer(MonotonicTime now);
 
@@ -106,13 +111,16 @@
   Listener& listener_;
   BackendGauges gauges_;
   resources::Backend resource_;
+  // Of the back end's service, in its order.
+  std::vector<std::string> request_classes_;
   owner::RequiredShards required_shards_;
   owner::BackendGate gate_;
   owner::HeldVersions held_;
   std::unordered_map<owner::SubqueryId, Open> open_;
   std::optional<session::BackendReport> reported_;
   bool probed_ = false;
-  bool may_eject_ = true;
+  // Not before the server has weighed it against the other replicas.
+  bool may_eject_ = false;
   // OnLetGo was called since access was last open.
   bool let_go_ = true;
   owner::DrainSource logged_drain_ = owner::DrainSource::kNone;
--- a/source/common/gateway/owner_server.cc
+++ b/source/common/gateway/owner_server.cc
@@ -80,6 +80,7 @@
       }
     }
     ejection = owner::EjectionPolicy(*view, owned);
+    RefreshEjection(now);
     RefreshAccess(now);
   }
 
@@ -107,6 +108,9 @@
     for (const auto& [name, backend] : backends) {
       backend->SetAccess(tracker.AccessTo(name), now);
       if (!tracker.Owns(name) && backend->gate().idle()) {
+        // One that was still waiting for its predecessor had nothing to let go
+        // of, and says nothing now.
+        tracker.OnLetGo(name);
         DiscardLater(name);
       }
     }
@@ -230,6 +234,8 @@
     session.ReportBackend(backend, report);
   }
 
+  void OnBreakerOpened() override { RefreshEjection(ReadMonotonicClock()); }
+
   void OnLetGo(const std::string& backend) override {
     tracker.OnLetGo(backend);
     ReportReleased();
--- a/source/common/gateway/query_codec.cc
+++ b/source/common/gateway/query_codec.cc
@@ -40,6 +40,13 @@
   return copy;
 }
 
+// Numbers that the rest of the gateway can hold.
+bool IsSound(const protocol::SubqueryResult& result) {
+  return result.outcome() <= protocol::SubqueryOutcome::MAX &&
+         result.retry_after_us() <=
+             static_cast<std::uint64_t>(Duration::max().count());
+}
+
 routing::SubqueryReply DecodeResult(const protocol::SubqueryResult& result,
                                     const SharedFrame& frame) {
   routing::SubqueryReply reply;
@@ -78,12 +85,13 @@
   const auto request_id = builder.CreateString(request.request_id);
   const auto service = builder.CreateString(request.service);
   const auto text = builder.CreateString(request.text);
+  const auto request_class = builder.CreateString(request.request_class);
   const auto list = builder.CreateVector(subqueries);
   const auto remaining = static_cast<std::uint64_t>(
       std::max<Duration::rep>(batch.remaining.count(), 0));
   const auto message = protocol::CreateBatchRequest(
       builder, query_id, request_id, service, batch.index_version, text,
-      batch.row_limit, remaining, request.repeatable, list);
+      batch.row_limit, remaining, request.repeatable, list, request_class);
   FinishFrame(builder, protocol::QueryMessage::BatchRequest, message.Union());
   return builder;
 }
@@ -116,6 +124,9 @@
   if (result->results() != nullptr) {
     reply.replies.reserve(result->results()->size());
     for (const protocol::SubqueryResult* one : *result->results()) {
+      if (!IsSound(*one)) {
+        return std::nullopt;
+      }
       reply.replies.push_back(DecodeResult(*one, copy));
     }
   }
