Test the control group's own changes, watches and backups

Cause: learner promotion, removal of the leader, planned stop, removal of silent daemons, watches and backups had no test. Change: members_test over three control servers in one event loop.

--- /dev/null
+++ b/test/integration/control/members_test.cc
@@ -0,0 +1,169 @@
+// The control group changes: a machine joins and becomes a voter once it has
+// caught up, the leader is removed or stopped as planned, a daemon that went
+// silent is removed; and watches and backups, which any machine serves.
+#include <doctest/doctest.h>
+#include <fmt/format.h>
+
+#include <asio/io_context.hpp>
+#include <filesystem>
+#include <fstream>
+#include <nlohmann/json.hpp>
+
+#include "common/storage/log_store.h"
+#include "support/control_group.h"
+#include "support/event_loop.h"
+
+namespace juniperway {
+namespace {
+
+using test::ControlGroup;
+using test::RunUntil;
+using test::ServiceJson;
+
+constexpr int kOk = 200;
+constexpr int kAccepted = 202;
+constexpr int kMaximumCalls = 20000;
+
+// Asks the machine for its status until `condition` holds for it.
+template <typename Condition>
+bool WaitForStatus(ControlGroup& group, std::size_t position,
+                   Condition condition) {
+  for (int call = 0; call < kMaximumCalls; ++call) {
+    const auto status = group.GetJson(position, "/v1/status");
+    if (status.is_object() && status["leader_reachable"] == true &&
+        condition(status)) {
+      return true;
+    }
+  }
+  return false;
+}
+
+void Apply(ControlGroup& group, std::size_t position, const std::string& name) {
+  REQUIRE(group
+              .Call(position, "POST", "/v1/apply", ServiceJson(name, 0),
+                    "id-" + name)
+              .status == kOk);
+}
+
+TEST_CASE("A machine joins as a learner, then votes; a leader is removed") {
+  asio::io_context context(1);
+  ControlGroup group(context, 3);
+  REQUIRE(group.WaitForLeader(0) < 3);
+  Apply(group, 0, "before");
+  const std::size_t newcomer = group.StartWaiting();
+  const auto body = nlohmann::json{{"node_id", newcomer + 1},
+                                   {"address", group.Address(newcomer)}}
+                        .dump();
+  CHECK(group.Call(0, "POST", "/v1/members", body).status == kAccepted);
+  // A lost answer's resend is no error.
+  CHECK(group.Call(1, "POST", "/v1/members", body).status == kAccepted);
+  CHECK(WaitForStatus(group, 0, [](const nlohmann::json& status) {
+    return status["voters"] == 4 && status["repaired"] == true;
+  }));
+  CHECK(group.GetJson(newcomer, "/v1/resources/Service/before").is_object());
+
+  const std::size_t leader = group.WaitForLeader(newcomer);
+  const auto removed =
+      group.Call(newcomer, "DELETE", fmt::format("/v1/members/{}", leader + 1));
+  CHECK(removed.status == kAccepted);
+  const std::size_t remaining = (leader + 1) % 4;
+  CHECK(WaitForStatus(group, remaining, [leader](const nlohmann::json& status) {
+    return status["voters"] == 3 && status["leader"] != leader + 1;
+  }));
+  group.Crash(leader);
+  Apply(group, remaining, "after");
+}
+
+TEST_CASE("A leader that stops as planned hands over at once") {
+  asio::io_context context(1);
+  ControlGroup group(context, 3);
+  const std::size_t leader = group.WaitForLeader(0);
+  REQUIRE(leader < 3);
+  bool stopped = false;
+  group.server(leader)->Stop(seconds(30), [&stopped] { stopped = true; });
+  REQUIRE(RunUntil(context, [&stopped] { return stopped; }));
+  const std::size_t other = (leader + 1) % 3;
+  const auto status = group.GetJson(other, "/v1/status");
+  // No election timeout: the next leader is there when the old one is gone.
+  REQUIRE(status.is_object());
+  CHECK(status["leader_reachable"] == true);
+  CHECK(status["leader"] != leader + 1);
+  Apply(group, other, "after");
+}
+
+TEST_CASE("A daemon that went silent is removed; a new start joins again") {
+  asio::io_context context(1);
+  ControlGroup group(context, 3);
+  REQUIRE(group.WaitForLeader(0) < 3);
+  auto silent = group.MakeClient("silent", "zone-1");
+  auto other = group.MakeClient("other", "zone-1");
+  silent->Start();
+  other->Start();
+  const auto sees_both = [&other] {
+    return other->View()->members.size() == 2;
+  };
+  REQUIRE(RunUntil(context, sees_both));
+  silent.reset();
+  REQUIRE(RunUntil(context,
+                   [&other] { return other->View()->members.size() == 1; }));
+  silent = group.MakeClient("silent", "zone-1");
+  silent->Start();
+  CHECK(RunUntil(context, sees_both));
+}
+
+TEST_CASE("A watch waits for changes, and says when it must start anew") {
+  asio::io_context context(1);
+  ControlGroup group(context, 3);
+  REQUIRE(group.WaitForLeader(0) < 3);
+  Apply(group, 0, "first");
+  std::optional<net::HttpClientResponse> watched;
+  net::HttpClient http(context, 0);
+  net::HttpClientRequest request;
+  request.url = group.Url(1, "/v1/watch?from=1&timeout_ms=60000");
+  request.timeout = seconds(60);
+  http.Start(request, [&watched](net::HttpClientResponse response) {
+    watched = std::move(response);
+  });
+  Apply(group, 2, "second");
+  REQUIRE(RunUntil(context, [&watched] { return watched.has_value(); }));
+  REQUIRE(watched->status == kOk);
+  const auto change = nlohmann::json::parse(watched->body);
+  CHECK(change["revision"] == 2);
+  REQUIRE(change["items"].size() == 1);
+  CHECK(change["items"][0]["type"] == "put");
+  CHECK(change["items"][0]["resource"]["name"] == "second");
+
+  REQUIRE(group
+              .Call(0, "DELETE", "/v1/resources/Service/second?version=2", {},
+                    "id-delete")
+              .status == kOk);
+  const auto deleted = nlohmann::json::parse(
+      group.Call(0, "GET", "/v1/watch?from=2&timeout_ms=60000").body);
+  CHECK(deleted["items"][0]["type"] == "delete");
+  CHECK(deleted["items"][0]["resource"]["name"] == "second");
+  const auto quiet = group.Call(0, "GET", "/v1/watch?from=3&timeout_ms=0");
+  CHECK(nlohmann::json::parse(quiet.body)["items"].empty());
+  CHECK(group.Call(0, "GET", "/v1/watch?from=99&timeout_ms=0").status == 410);
+}
+
+TEST_CASE("A backup opens as a store with the state in it") {
+  asio::io_context context(1);
+  ControlGroup group(context, 1);
+  REQUIRE(group.WaitForLeader(0) == 0);
+  Apply(group, 0, "kept");
+  const auto backup = group.Call(0, "GET", "/v1/backup");
+  REQUIRE(backup.status == kOk);
+  const auto folder = group.folder() / "restored";
+  std::filesystem::create_directories(folder);
+  std::ofstream(folder / "consensus.db", std::ios::binary) << backup.body;
+  auto store = storage::OpenSqliteLogStore(
+      {.folder = folder, .cluster = "test", .node = 1, .create = false});
+  REQUIRE(store.has_value());
+  const auto state = (*store)->Load();
+  REQUIRE(state.has_value());
+  CHECK(state->snapshot.configuration.voters.size() == 1);
+  CHECK(state->entries.size() >= 2);
+}
+
+}  // namespace
+}  // namespace juniperway
--- a/test/support/control_group.h
+++ b/test/support/control_group.h
@@ -52,6 +52,7 @@
   // @return the leader's position; size() when none came.
   std::size_t WaitForLeader(std::size_t position);
   std::size_t size() const { return servers_.size(); }
+  const std::filesystem::path& folder() const { return folder_; }
 
  private:
   void Start(std::size_t position, std::vector<raft::Member> initial_members);
