Measure control sessions with hollow daemons

Cause: the cost of a daemon's control session and the time to in force were not known. Change: juniperway-lab bench control: hollow daemons in one process against three processes of juniperwayd. Conclusion: none yet.

--- a/source/lab/bench/command.cc
+++ b/source/lab/bench/command.cc
@@ -3,6 +3,7 @@
 #include <map>
 #include <string>
 
+#include "lab/bench/control.h"
 #include "lab/bench/fairness.h"
 #include "lab/bench/raft.h"
 #include "lab/bench/state.h"
@@ -24,6 +25,7 @@
 
 const std::map<std::string, Benchmark>& Benchmarks() {
   static const std::map<std::string, Benchmark> benchmarks = {
+      {"control", RunControlBench},
       {"raft", RunRaftBench},
       {"fairness", RunFairness},
       {"state", RunState},
--- a/test/integration/control/leader_loss_test.cc
+++ b/test/integration/control/leader_loss_test.cc
@@ -107,7 +107,9 @@
   }
 
   void CheckNothingLost() {
-    for (const auto& [name, revision] : accepted) {
+    for (const auto& item : accepted) {
+      const std::string& name = item.first;
+      const resources::Revision revision = item.second;
       CAPTURE(name);
       const auto read = fleet->control().GetAnywhere(PathOf(name));
       REQUIRE(read.status == kOk);
