--- a/source/lab/bench/command.cc
+++ b/source/lab/bench/command.cc
@@ -5,6 +5,7 @@
 
 #include "lab/bench/control.h"
 #include "lab/bench/fairness.h"
+#include "lab/bench/query.h"
 #include "lab/bench/raft.h"
 #include "lab/bench/state.h"
 #include "lab/commands.h"
@@ -26,6 +27,7 @@
 const std::map<std::string, Benchmark>& Benchmarks() {
   static const std::map<std::string, Benchmark> benchmarks = {
       {"control", RunControlBench},
+      {"query", RunQueryBench},
       {"raft", RunRaftBench},
       {"fairness", RunFairness},
       {"state", RunState},
