Keep what was in force across a change of leader

Cause: a new leader knew the watermarks only from daemons' heartbeats, so a change that had been shown in force was shown as accepted for up to a second. Conclusion: a status does not go back unless the announcement reached nobody.

--- a/source/common/control/control_node_peers.cc
+++ b/source/common/control/control_node_peers.cc
@@ -118,6 +118,7 @@
   for (const auto& zone : progress.zones) {
     zones[zone->zone] = zone->released_revision;
   }
+  role_->OnAnnounced(progress.in_force_revision, zones);
   sessions_->OnProgress(progress.in_force_revision, zones);
 }
 
--- a/source/common/control/leader_role.cc
+++ b/source/common/control/leader_role.cc
@@ -1,5 +1,6 @@
 #include "common/control/leader_role.h"
 
+#include <algorithm>
 #include <utility>
 
 #include "common/control/events.h"
@@ -60,8 +61,7 @@
   if (!leases_.active() && ports_.has_leader_lease(now)) {
     const ControlState& state = ports_.state();
     leases_.Start(status.term, state.revision(), state.fleet().members, now);
-    announced_in_force_ = 0;
-    announced_zones_.clear();
+    leases_.Learn(announced_in_force_, announced_zones_);
     logging::LogEvent(kLeasesStarted,
                       {{"node", status.id},
                        {"term", status.term},
@@ -150,6 +150,16 @@
   }
 }
 
+void LeaderRole::OnAnnounced(
+    resources::Revision in_force,
+    const std::map<std::string, resources::Revision>& zones) {
+  announced_in_force_ = std::max(announced_in_force_, in_force);
+  for (const auto& [zone, released] : zones) {
+    resources::Revision& known = announced_zones_[zone];
+    known = std::max(known, released);
+  }
+}
+
 void LeaderRole::Advance(MonotonicTime now) {
   if (!IsLeading(now)) {
     return;
--- a/source/common/control/leader_role.h
+++ b/source/common/control/leader_role.h
@@ -56,6 +56,10 @@
   HeartbeatReplies OnHeartbeats(const Heartbeats& heartbeats,
                                 MonotonicTime now);
   void OnGoodbye(const DaemonKey& daemon);
+  // Watermarks that another leader announced: kept for the day this machine
+  // leads, so that what was said to be in force stays so.
+  void OnAnnounced(resources::Revision in_force,
+                   const std::map<std::string, resources::Revision>& zones);
 
   // Proposes the operations with the next flush.
   void Submit(Operations operations, CommandPipeline::Callback callback);
@@ -86,6 +90,7 @@
   // Daemons that the lease table wants removed, not proposed yet.
   std::vector<DaemonKey> removals_;
   bool platform_update_under_way_ = false;
+  // Highest watermarks that this or another leader announced.
   resources::Revision announced_in_force_ = 0;
   std::map<std::string, resources::Revision> announced_zones_;
   // Callbacks that outlive this object find it gone.
--- a/source/common/control/lease_table.cc
+++ b/source/common/control/lease_table.cc
@@ -61,7 +61,8 @@
   if (member->second.incarnation > facts.daemon.incarnation) {
     return GrantOutcome::kSuperseded;
   }
-  LearnWatermarks(facts, member->second.zone);
+  Learn(facts.known_in_force,
+        {{member->second.zone, facts.known_zone_released}});
   auto lease = leases_.find(facts.daemon);
   if (lease != leases_.end() && lease->second.end <= now) {
     leases_.erase(lease);
@@ -104,12 +105,15 @@
   return facts.released >= std::max(released, start_revision_);
 }
 
-void LeaseTable::LearnWatermarks(const HeartbeatFacts& facts,
-                                 const std::string& zone) {
+void LeaseTable::Learn(
+    resources::Revision in_force,
+    const std::map<std::string, resources::Revision>& zones) {
   // Nothing above the state's revision can have been announced.
-  in_force_ = std::max(in_force_, std::min(facts.known_in_force, revision_));
-  resources::Revision& released = zone_released_[zone];
-  released = std::max(released, std::min(facts.known_zone_released, revision_));
+  in_force_ = std::max(in_force_, std::min(in_force, revision_));
+  for (const auto& [zone, known] : zones) {
+    resources::Revision& released = zone_released_[zone];
+    released = std::max(released, std::min(known, revision_));
+  }
 }
 
 void LeaseTable::OnGoodbye(const DaemonKey& daemon) {
--- a/source/common/control/lease_table.h
+++ b/source/common/control/lease_table.h
@@ -90,6 +90,9 @@
   void Start(std::uint64_t term, resources::Revision revision,
              const std::map<std::string, session::Member>& members,
              MonotonicTime now);
+  // Watermarks that earlier leaders announced: true, so worth learning.
+  void Learn(resources::Revision in_force,
+             const std::map<std::string, resources::Revision>& zones);
   // It no longer leads: everything is forgotten.
   void Stop();
   bool active() const { return active_; }
@@ -143,7 +146,6 @@
   bool MayGrant(const HeartbeatFacts& facts, const MemberEntry& member) const;
   void SettleRevision(MonotonicTime now);
   void DropEnded(MonotonicTime now);
-  void LearnWatermarks(const HeartbeatFacts& facts, const std::string& zone);
   Duration LeaseTimeHere() const;
 
   Options options_;
--- a/source/common/control/resource_api.cc
+++ b/source/common/control/resource_api.cc
@@ -375,10 +375,17 @@
       return;
     }
     const protocol::OperationResultT& result = *results->front();
-    logging::LogEvent(result.error ? kChangeRefused : kChangeAccepted,
-                      {{"change", change_id},
-                       {"revision", result.revision},
-                       {"resent", result.resent}});
+    if (result.error) {
+      logging::LogEvent(
+          kChangeRefused,
+          {{"change", change_id},
+           {"error", FormatError(session::DecodeError(*result.error))},
+           {"resent", result.resent}});
+    } else {
+      logging::LogEvent(kChangeAccepted, {{"change", change_id},
+                                          {"revision", result.revision},
+                                          {"resent", result.resent}});
+    }
     answer(ChangeAnswer(change_id, result));
   });
 }
--- a/test/integration/control/leader_loss_test.cc
+++ b/test/integration/control/leader_loss_test.cc
@@ -106,6 +106,24 @@
     accepted[name] = change->revision;
   }
 
+  void WaitInForce(const std::string& name) {
+    REQUIRE(lab::WaitFor(kLimit, [&] {
+      const auto change =
+          fleet->control().GetAnywhere("/v1/changes/id-" + name);
+      return change.status == kOk && change.body["state"] == "in_force";
+    }));
+  }
+
+  // The first answer of the next leader must not take it back.
+  void CheckStillInForce(const std::string& name) {
+    lab::ControlReply change;
+    REQUIRE(lab::WaitFor(kLimit, [&] {
+      change = fleet->control().GetAnywhere("/v1/changes/id-" + name);
+      return change.status == kOk;
+    }));
+    CHECK(change.body["state"] == "in_force");
+  }
+
   void CheckNothingLost() {
     for (const auto& item : accepted) {
       const std::string& name = item.first;
@@ -128,13 +146,16 @@
   ControlFleet test;
   for (int round = 0; round < 2; ++round) {
     const std::string leader = test.WaitForLeader();
-    test.Accept(fmt::format("before-{}", round));
+    const std::string before = fmt::format("before-{}", round);
+    test.Accept(before);
+    test.WaitInForce(before);
     // One change is under way when the leader dies; its caller sends it again.
     const std::string torn = fmt::format("torn-{}", round);
     const auto first = test.fleet->control().ApplyOnce(
         PositionOf(leader), {MakeService(torn, 0)}, "id-" + torn,
         microseconds(1500));
     test.fleet->Kill(leader);
+    test.CheckStillInForce(before);
     test.Accept(torn);
     if (first.status == kOk) {
       CHECK(first.body["revision"] == test.accepted[torn]);
