Let a lease outlast the loss of the leader

Cause: a daemon whose machine was well but knew no leader left it after 2.5 s, often for the very machine that was lost, and its lease ran out there. Change: it stays with a live machine for 3.3 s, asks every 0.4 s while its lease is not renewed, and leaves a silent machine after 1 s instead of 1.5 s; control says that there is no leader after 0.6 s instead of 0.8 s. Conclusion: the election timeout and these times hold together; the test says so when one is changed.

--- a/source/common/control/session_server.cc
+++ b/source/common/control/session_server.cc
@@ -12,7 +12,7 @@
 
 // A heartbeat that the leader left unanswered for this long is answered with
 // "no leader": the daemon learns that this machine is alive and the leader not.
-constexpr Duration kLeaderAnswerTimeout = milliseconds(800);
+constexpr Duration kLeaderAnswerTimeout = milliseconds(600);
 // A session without a heartbeat for this long is closed.
 constexpr Duration kDeadSessionTimeout = seconds(15);
 // A daemon with this much unread gets no further update until it has read.
--- a/source/common/session/session_state.cc
+++ b/source/common/session/session_state.cc
@@ -58,6 +58,7 @@
   phase_ = Phase::kConnected;
   unanswered_.clear();
   last_grant_ = now;
+  last_answer_refused_ = false;
   SendHeartbeat(now);
 }
 
@@ -79,6 +80,7 @@
   // this one shows that the machine is not silent.
   unanswered_.erase(unanswered_.begin(), std::next(sent));
   OnProgress(answer.in_force, answer.zone_released);
+  last_answer_refused_ = !answer.granted;
   if (answer.granted) {
     lease_end_ = std::max(lease_end_, sent_at + answer.lease);
     last_grant_ = now;
@@ -170,11 +172,13 @@
 }
 
 MonotonicTime SessionState::NextHeartbeat(MonotonicTime now) const {
+  if (!HasLease(now) || term_ == 0) {
+    return last_heartbeat_ + timing_.unleased_heartbeat_interval;
+  }
   // A lease that was granted on this connection is renewed at leisure.
-  const Duration interval = HasLease(now) && term_ != 0
-                                ? timing_.heartbeat_interval
-                                : timing_.unleased_heartbeat_interval;
-  return last_heartbeat_ + interval;
+  return last_heartbeat_ + (last_answer_refused_
+                                ? timing_.unrenewed_heartbeat_interval
+                                : timing_.heartbeat_interval);
 }
 
 MonotonicTime SessionState::OldestUnanswered(MonotonicTime otherwise) const {
--- a/source/common/session/session_state.h
+++ b/source/common/session/session_state.h
@@ -22,11 +22,17 @@
   Duration heartbeat_interval = seconds(1);
   // While connected without a lease, heartbeats go out faster.
   Duration unleased_heartbeat_interval = milliseconds(200);
+  // While a lease lasts but the last answer did not renew it: there is no
+  // leader now, and the next one should find the daemon soon.
+  Duration unrenewed_heartbeat_interval = milliseconds(400);
   // A control machine that leaves a heartbeat unanswered for this long is
-  // left. Must be well under the lease.
-  Duration silence_timeout = milliseconds(1500);
+  // left. Longer than a live machine takes to say that there is no leader; with
+  // the heartbeat interval well under the lease.
+  Duration silence_timeout = milliseconds(1000);
   // A control machine that answers but grants nothing for this long is left.
-  Duration ungranted_timeout = milliseconds(2500);
+  // Longer than an ordinary election: the machine may be well, and the next
+  // one may be the one that was lost. Under the lease.
+  Duration ungranted_timeout = milliseconds(3300);
   Duration connect_timeout = seconds(1);
   // Reconnect delays are drawn from [0, min(maximum, minimum x 2^attempts)].
   Duration reconnect_minimum = milliseconds(50);
@@ -134,6 +140,8 @@
   MonotonicTime last_heartbeat_;
   // When this connection last granted a lease, or was opened.
   MonotonicTime last_grant_;
+  // The latest answer on this connection did not grant.
+  bool last_answer_refused_ = false;
   MonotonicTime lease_end_ = MonotonicTime::min();
   std::uint64_t term_ = 0;
 
--- /dev/null
+++ b/test/unit/session/session_state_test.cc
@@ -0,0 +1,148 @@
+// The daemon's side of a session through the loss of a leader: whichever
+// machine it was connected to and whenever its heartbeats fell, its lease must
+// outlast the longest ordinary election.
+#include "common/session/session_state.h"
+
+#include <doctest/doctest.h>
+
+#include <cstdint>
+#include <deque>
+#include <utility>
+#include <variant>
+
+namespace juniperway::session {
+namespace {
+
+constexpr Duration kStep = milliseconds(10);
+constexpr Duration kRoundTrip = milliseconds(20);
+constexpr Duration kLease = seconds(4);
+constexpr std::size_t kMachines = 3;
+// Election timeout, its jitter, and the votes.
+constexpr Duration kElection = milliseconds(2100);
+// A machine answers "no leader" for a leader that is silent for this long.
+constexpr Duration kNoLeaderDelay = milliseconds(600);
+
+enum class Fate {
+  kFrozen,
+  // Alive, but without the quorum for good.
+  kCutOff,
+};
+
+// Three control machines, one of them lost at a time; the leader is lost with
+// it and the next one is there after kElection.
+class LeaderLoss {
+ public:
+  LeaderLoss(std::uint64_t seed, MonotonicTime lost_at, std::size_t lost,
+             Fate fate)
+      : state_(SessionTiming{}, kMachines, 0, seed),
+        lost_at_(lost_at),
+        lost_(lost),
+        fate_(fate) {}
+
+  // @return when the daemon was first without a lease after it had one; max()
+  // when it never was.
+  MonotonicTime Run() {
+    state_.Start(now_);
+    bool had_lease = false;
+    while (now_ < lost_at_ + seconds(12)) {
+      now_ += kStep;
+      Deliver();
+      state_.Tick(now_);
+      for (const SessionAction& action : state_.TakeActions()) {
+        CarryOut(action);
+      }
+      if (had_lease && !state_.HasLease(now_)) {
+        return now_;
+      }
+      had_lease = had_lease || state_.HasLease(now_);
+    }
+    CHECK(had_lease);
+    return MonotonicTime::max();
+  }
+
+ private:
+  struct Answer {
+    MonotonicTime due;
+    std::uint64_t connection = 0;
+    HeartbeatAnswer content;
+  };
+
+  void CarryOut(const SessionAction& action) {
+    if (const auto* connect = std::get_if<ConnectAction>(&action)) {
+      ++connection_;
+      machine_ = connect->endpoint;
+      // A frozen machine's kernel still takes connections.
+      state_.OnConnected(now_);
+      for (const SessionAction& first : state_.TakeActions()) {
+        CarryOut(first);
+      }
+    } else if (const auto* beat = std::get_if<HeartbeatAction>(&action)) {
+      AnswerTo(beat->heartbeat);
+    } else {
+      ++connection_;
+    }
+  }
+
+  void AnswerTo(const HeartbeatContent& heartbeat) {
+    Answer answer{now_ + kRoundTrip, connection_, {}};
+    answer.content.sequence = heartbeat.sequence;
+    if (now_ < lost_at_) {
+      answer.content.granted = true;
+      answer.content.lease = kLease;
+      answer.content.term = 1;
+    } else if (machine_ == lost_ && fate_ == Fate::kFrozen) {
+      return;
+    } else if (machine_ == lost_) {
+      answer.due = now_ + kNoLeaderDelay;
+    } else if (now_ < lost_at_ + kElection) {
+      answer.due = now_ + kNoLeaderDelay;
+    } else {
+      const bool known = heartbeat.term == 2;
+      answer.content.granted = known;
+      answer.content.new_term = !known;
+      answer.content.lease = known ? kLease : Duration(0);
+      answer.content.term = 2;
+    }
+    answers_.push_back(answer);
+  }
+
+  void Deliver() {
+    std::deque<Answer> later;
+    for (const Answer& answer : std::exchange(answers_, {})) {
+      if (answer.due > now_) {
+        later.push_back(answer);
+      } else if (answer.connection == connection_) {
+        state_.OnHeartbeatReply(answer.content, now_);
+      }
+    }
+    answers_.insert(answers_.end(), later.begin(), later.end());
+  }
+
+  SessionState state_;
+  MonotonicTime lost_at_;
+  std::size_t lost_;
+  Fate fate_;
+  MonotonicTime now_{seconds(1)};
+  std::uint64_t connection_ = 0;
+  std::size_t machine_ = 0;
+  std::deque<Answer> answers_;
+};
+
+TEST_CASE("A lease outlasts the loss of the leader") {
+  int lost_leases = 0;
+  for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+    // Where in a heartbeat interval the loss falls.
+    for (Duration phase{}; phase < seconds(1); phase += milliseconds(50)) {
+      for (std::size_t lost = 0; lost < kMachines; ++lost) {
+        for (const Fate fate : {Fate::kFrozen, Fate::kCutOff}) {
+          LeaderLoss loss(seed, MonotonicTime(seconds(10) + phase), lost, fate);
+          lost_leases += loss.Run() != MonotonicTime::max() ? 1 : 0;
+        }
+      }
+    }
+  }
+  CHECK(lost_leases == 0);
+}
+
+}  // namespace
+}  // namespace juniperway::session
