Send a daemon its next update once it uses the one before

Cause: updates were sent as fast as the state changed. When 2000 daemons joined at once, daemons fell behind, their leases ran out, they were removed and joined again, and that never settled. Change: one update is on its way to a daemon at a time; the next one holds everything since. Conclusion: a slow daemon gets fewer, larger updates; time to in force of single changes is as before.

--- a/source/common/control/session_server.cc
+++ b/source/common/control/session_server.cc
@@ -1,6 +1,5 @@
 #include "common/control/session_server.h"
 
-#include <algorithm>
 #include <asio/post.hpp>
 #include <utility>
 
@@ -15,8 +14,6 @@
 constexpr Duration kLeaderAnswerTimeout = milliseconds(600);
 // A session without a heartbeat for this long is closed.
 constexpr Duration kDeadSessionTimeout = seconds(15);
-// A daemon with this much unread gets no further update until it has read.
-constexpr std::size_t kMaximumQueuedBytes = 16U << 20;
 
 bool MayComeFromDaemon(protocol::Operation type) {
   return type == protocol::Operation::LeaveMember ||
@@ -116,6 +113,10 @@
 
 void SessionServer::OnHeartbeat(Session& session,
                                 const protocol::HeartbeatT& heartbeat) {
+  session.confirmed_revision = heartbeat.confirmed_revision;
+  if (IsDue(session)) {
+    OnStateChanged();
+  }
   if (session.unanswered_sequence == 0) {
     session.unanswered_sequence = heartbeat.sequence;
     session.unanswered_since = session.heard;
@@ -287,14 +288,19 @@
   });
 }
 
+bool SessionServer::IsDue(const Session& session) const {
+  const resources::Revision revision = ports_.state().revision();
+  return session.sent_revision < revision &&
+         session.confirmed_revision >= session.sent_revision &&
+         session.minimum_revision <= revision;
+}
+
 void SessionServer::SendUpdates() {
   const ControlState& state = ports_.state();
   // Most sessions stand at the same revision and share one frame.
   std::map<resources::Revision, flatbuffers::FlatBufferBuilder> frames;
   for (auto& [number, session] : sessions_) {
-    const bool due = session.sent_revision < state.revision() &&
-                     session.minimum_revision <= state.revision();
-    if (!due || session.connection->queued_bytes() > kMaximumQueuedBytes) {
+    if (!IsDue(session)) {
       continue;
     }
     auto frame = frames.find(session.sent_revision);
@@ -325,11 +331,6 @@
     sessions_.at(number).connection->Close();
     OnClosed(number);
   }
-  if (std::ranges::any_of(sessions_, [this](const auto& session) {
-        return session.second.sent_revision < ports_.state().revision();
-      })) {
-    OnStateChanged();
-  }
 }
 
 void SessionServer::Stop() {
--- a/source/common/control/session_server.h
+++ b/source/common/control/session_server.h
@@ -72,6 +72,9 @@
     protocol::FleetMemberT member;
     // Revision that the daemon has, or that is on its way to it.
     resources::Revision sent_revision = 0;
+    // Revision that it uses. While this is behind, an update is on its way and
+    // no other is sent: a daemon that cannot follow gets fewer, larger ones.
+    resources::Revision confirmed_revision = 0;
     resources::Revision minimum_revision = 0;
     bool join_under_way = false;
     bool said_goodbye = false;
@@ -88,6 +91,8 @@
   void Join(std::uint64_t number, Session& session);
   void FlushHeartbeats();
   void SendNoLeader(Session& session, std::uint64_t sequence);
+  // An update is to be sent, and none is on its way.
+  bool IsDue(const Session& session) const;
   void SendUpdates();
   Session* FindByDaemon(const std::string& daemon_id, std::uint64_t incarnation,
                         std::uint64_t* number);
