Refuse until callers have turned away before a planned stop ends

Cause: a gateway ended as soon as it had answered everything; a query that arrived in its last milliseconds met a reset, and was lost for its caller. Change: the front goes on refusing (not run, connection closed, Retry-After) until no query has come for gateway.stop_quiet_ms; the lab's callers leave a gateway that refuses so alone for as long as it says, as a load balancer would.

--- a/source/common/gateway/front_server.cc
+++ b/source/common/gateway/front_server.cc
@@ -26,8 +26,9 @@
 constexpr Duration kOverloadRetryAfter = milliseconds(200);
 constexpr Duration kNoLeaseRetryAfter = seconds(1);
 constexpr Duration kStoppingRetryAfter = seconds(1);
-// While stopping: how often it is looked whether the last answers are written.
-constexpr Duration kDrainPoll = milliseconds(2);
+// While stopping: how often it is looked whether callers have turned away and
+// the last answers are written.
+constexpr Duration kDrainPoll = milliseconds(5);
 constexpr int kStatusMethodNotAllowed = 405;
 
 // The service's name in "/v1/services/{service}/query".
@@ -177,6 +178,7 @@
                    const net::HttpRequest& request,
                    std::shared_ptr<net::HttpResponder> responder) {
     const MonotonicTime now = ReadMonotonicClock();
+    last_query = now;
     executor.OnView(session.View());
     if (auto refusal = WhyNotAdmitted(service_name, now)) {
       RefuseAtEntry(request, std::move(*refusal), *responder);
@@ -265,6 +267,7 @@
 
   void Stop(std::function<void()> drained_listener) {
     stopping = true;
+    last_query = ReadMonotonicClock();
     drained = std::move(drained_listener);
     http.CloseAfterAnswers();
     logging::LogEvent(kFrontStopping, {{"running", executor.running()}});
@@ -275,7 +278,9 @@
     if (!stopping || executor.running() > 0 || !drained) {
       return;
     }
-    if (http.unwritten_answers() > 0) {
+    const bool quiet =
+        ReadMonotonicClock() >= last_query + options.quiet_before_drained;
+    if (!quiet || http.unwritten_answers() > 0) {
       drain_poll.expires_after(kDrainPoll);
       drain_poll.async_wait([this](const asio::error_code& error) {
         if (!error) {
@@ -298,6 +303,7 @@
   bool stopping = false;
   std::function<void()> drained;
   asio::steady_timer drain_poll{context};
+  MonotonicTime last_query;
   // Last: its handlers use all of the above.
   net::HttpServer http;
 };
--- a/source/common/gateway/front_server.h
+++ b/source/common/gateway/front_server.h
@@ -32,6 +32,9 @@
   std::size_t maximum_caller_connections = 4096;
   // How long one attempt to connect to an owner may take.
   Duration peer_connect_timeout = milliseconds(1000);
+  // A planned stop goes on refusing until no query has come for this long, so
+  // that callers and load balancers have turned away before the listener goes.
+  Duration quiet_before_drained = milliseconds(500);
   // Of replica choice, jitter and made-up request ids.
   std::uint64_t random_seed = 1;
 };
@@ -54,7 +57,8 @@
   void OnView(const session::FleetViewPointer& view);
 
   // Planned stop: /v1/ready turns 503 and new queries are refused (not run).
-  // `drained` runs once, when every query in flight has been answered.
+  // `drained` runs once, when every query in flight has been answered and
+  // callers have turned away.
   void Stop(std::function<void()> drained);
 
   std::size_t running_queries() const;
--- a/source/daemon/gateway_role.cc
+++ b/source/daemon/gateway_role.cc
@@ -62,6 +62,7 @@
   options.http_listen = settings.gateway->http_listen;
   options.maximum_concurrent_queries =
       settings.gateway->maximum_concurrent_queries;
+  options.quiet_before_drained = settings.gateway->stop_quiet;
   options.random_seed = seed;
   return options;
 }
--- a/source/daemon/settings.cc
+++ b/source/daemon/settings.cc
@@ -20,6 +20,7 @@
 constexpr std::int64_t kMaximumNodeId = 1'000'000;
 constexpr std::int64_t kMinimumStopTimeoutMs = 100;
 constexpr std::int64_t kMaximumStopTimeoutMs = 3'600'000;
+constexpr std::int64_t kMaximumStopQuietMs = 60'000;
 constexpr std::int64_t kMaximumConcurrentQueries = 1'000'000;
 
 constexpr const char* kGatewayRole = "gateway";
@@ -137,6 +138,10 @@
   reader.Integer("maximum_concurrent_queries", Presence::kOptional, 1,
                  kMaximumConcurrentQueries, queries);
   gateway.maximum_concurrent_queries = static_cast<std::size_t>(queries);
+  std::int64_t quiet_ms = gateway.stop_quiet / milliseconds(1);
+  reader.Integer("stop_quiet_ms", Presence::kOptional, 0, kMaximumStopQuietMs,
+                 quiet_ms);
+  gateway.stop_quiet = milliseconds(quiet_ms);
   reader.RefuseUnknownKeys();
   return gateway;
 }
--- a/source/daemon/settings.h
+++ b/source/daemon/settings.h
@@ -24,6 +24,8 @@
   // What other daemons dial; empty: where peer_listen listens.
   std::string peer_advertise;
   std::size_t maximum_concurrent_queries = 4096;
+  // A planned stop refuses until no query has come for this long.
+  Duration stop_quiet = milliseconds(500);
 };
 
 struct ControlSettings {
--- a/source/lab/caller/load.h
+++ b/source/lab/caller/load.h
@@ -68,7 +68,13 @@
                   Attempt& attempt);
   void RetryOrFinish(std::size_t index);
   void FinishIfDone();
-  // Any gateway, other than the last one tried where there is a choice.
+  // A gateway that refuses and closes the connection is going: it is left alone
+  // for as long as it says.
+  void NoteRefusal(const net::HttpClientResponse& response,
+                   const Attempt& attempt);
+  bool IsGoing(std::size_t gateway) const;
+  // Any gateway, other than the last one tried and those that are going where
+  // there is a choice.
   std::size_t ChooseGateway(const QueryRecord& record);
 
   asio::io_context& context_;
@@ -76,6 +82,8 @@
   const Catalog& catalog_;
   Workload workload_;
   std::mt19937_64 random_;
+  // By gateway: not asked before this.
+  std::vector<MonotonicTime> going_until_;
   net::HttpClient client_;
   asio::steady_timer timer_;
   DoneCallback on_done_;
--- a/test/unit/daemon/settings_test.cc
+++ b/test/unit/daemon/settings_test.cc
@@ -128,6 +128,8 @@
        "j.toml:9: gateway.peer_advertise: is required where"},
       {"10.0.1.1:7200\"", "10.0.1.1:7200\"\nmaximum_concurrent_queries = 0",
        "j.toml:12: gateway.maximum_concurrent_queries: must be a whole number"},
+      {"10.0.1.1:7200\"", "10.0.1.1:7200\"\nstop_quiet_ms = -1",
+       "j.toml:12: gateway.stop_quiet_ms: must be a whole number"},
       {"10.0.1.1:7200\"", "10.0.1.1:7200\"\nnode_id = 1",
        "j.toml:12: gateway.node_id: is no known key"},
       {"node_id = 1", "node_id = 0", "j.toml:14: control.node_id: must be"},
