--- a/source/common/gateway/front_server.cc
+++ b/source/common/gateway/front_server.cc
@@ -143,7 +143,9 @@
                                 ExecutionStateName(ExecutionState::kNotRun));
     }
     net::HttpResponse response;
-    response.body = ViewToJson(*view).dump();
+    // Names of other daemons need not be UTF-8.
+    response.body = ViewToJson(*view).dump(
+        -1, ' ', false, nlohmann::json::error_handler_t::replace);
     return response;
   }
 
@@ -243,6 +245,13 @@
                      ExecutionState::kNotRun,
                      Jittered(kNoLeaseRetryAfter)};
     }
+    if (!executor.HasRoom(service_name)) {
+      executor.CountAdmissionRefusal();
+      return Refusal{{ErrorCode::kUnavailable, "",
+                      "the service's back ends are overloaded"},
+                     ExecutionState::kNotRun,
+                     Jittered(kOverloadRetryAfter)};
+    }
     return std::nullopt;
   }
 
