Wake a session that has calls to send while it is cut off

Cause: while an unsent call waited, the next wake-up was the earliest time there is; its difference from now overflowed and the timer was set 60 s ahead. A daemon that lost its connection with a claim or report under way neither connected again nor ended the claim at its deadline until something else woke it. Change: unsent calls ask for a wake-up only while connected, and times are compared, not subtracted. Conclusion: claims end at their deadlines, and sessions come back at their own pace.

--- a/source/common/session/control_session_client.cc
+++ b/source/common/session/control_session_client.cc
@@ -223,15 +223,15 @@
   }
 
   void ArmTimer(MonotonicTime now) {
-    MonotonicTime deadline =
-        std::min(state_->NextDeadline(), operations_.NextDeadline());
+    MonotonicTime deadline = std::min(
+        state_->NextDeadline(), operations_.NextDeadline(state_->connected()));
     if (had_lease_) {
       deadline = std::min(deadline, now + options_.timing.heartbeat_interval);
     }
-    // Never spins: a deadline in the past means the very next moment.
+    // Never spins: a deadline in the past means the very next moment. Compared
+    // as times: the difference from the earliest time would overflow.
     const Duration delay =
-        std::clamp(Duration(deadline - now), Duration(milliseconds(1)),
-                   Duration(seconds(60)));
+        std::clamp(deadline, now + milliseconds(1), now + seconds(60)) - now;
     timer_.expires_after(delay);
     timer_.async_wait([self = shared_from_this()](const asio::error_code& e) {
       if (!e) {
--- a/source/common/session/operation_queue.h
+++ b/source/common/session/operation_queue.h
@@ -39,8 +39,8 @@
 
   // Fails what is past its deadline.
   void Expire(MonotonicTime now);
-  // When Expire or TakeCall has something to do next.
-  MonotonicTime NextDeadline() const;
+  // When Expire or, while connected, TakeCall has something to do next.
+  MonotonicTime NextDeadline(bool connected) const;
 
   std::size_t size() const { return pending_.size(); }
 
