--- a/source/daemon/gateway_role.cc
+++ b/source/daemon/gateway_role.cc
@@ -62,6 +62,7 @@
   options.http_listen = settings.gateway->http_listen;
   options.maximum_concurrent_queries =
       settings.gateway->maximum_concurrent_queries;
+  options.quiet_before_drained = settings.gateway->stop_quiet;
   options.random_seed = seed;
   return options;
 }
@@ -134,8 +135,15 @@
       return;
     }
     session.Leave(kLeaveTimeout, [this] {
-      Step("left");
       left = true;
+      if (!session.HasLease(ReadMonotonicClock())) {
+        // Cut off from control: the fleet learns of it when the lease has run
+        // out, and that is over.
+        LogEvent(kStopIncomplete, {{"step", "leave"}});
+        StopOwner();
+        return;
+      }
+      Step("left");
       hand_over_timer.expires_after(kHandOverTimeout);
       hand_over_timer.async_wait([this](const asio::error_code& error) {
         if (!error) {
