Show missing ranges, refusals and the slowest queries of a run

Cause: a run's figures did not tell why answers were partial or late. Change: counts by reason and by error, and the five slowest queries.

--- a/source/lab/caller/history.h
+++ b/source/lab/caller/history.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <cstdint>
+#include <map>
 #include <optional>
 #include <string>
 #include <vector>
@@ -76,6 +77,8 @@
   // Of an answer.
   resources::IndexVersion snapshot = 0;
   double share = 0;
+  // Ranges that an answer misses, by reason.
+  std::map<std::string, std::uint64_t> missing;
   resources::Revision revision = 0;
   bool confirmed = false;
 };
--- a/source/lab/caller/load.cc
+++ b/source/lab/caller/load.cc
@@ -150,6 +150,9 @@
   }
   attempt.snapshot = answer->snapshot;
   attempt.share = answer->share;
+  for (const MissingRange& missing : answer->missing) {
+    ++attempt.missing[missing.reason];
+  }
   attempt.revision = answer->revision;
   attempt.confirmed = answer->confirmed;
   CheckAnswer(catalog_.DatasetOf(query.service),
--- a/source/lab/caller/summary.cc
+++ b/source/lab/caller/summary.cc
@@ -1,5 +1,7 @@
 #include "lab/caller/summary.h"
 
+#include <fmt/format.h>
+
 #include <algorithm>
 #include <map>
 #include <nlohmann/json.hpp>
@@ -12,6 +14,8 @@
 namespace juniperway::lab {
 namespace {
 
+constexpr std::size_t kSlowest = 5;
+
 void CountAttempt(const Attempt& attempt, Summary& summary,
                   std::vector<Duration>& refusal_times) {
   switch (attempt.outcome) {
@@ -31,6 +35,7 @@
       break;
   }
   refusal_times.push_back(attempt.ended - attempt.sent);
+  ++summary.refusals[fmt::format("{} {}", attempt.status, attempt.error_code)];
   if (attempt.execution == ExecutionState::kNotRun) {
     ++summary.refused_not_run;
   } else if (attempt.execution == ExecutionState::kRan) {
@@ -64,6 +69,36 @@
                               static_cast<double>(needed.size());
 }
 
+std::vector<std::string> DescribeSlowest(
+    const std::vector<QueryRecord>& history) {
+  std::vector<const QueryRecord*> records;
+  for (const QueryRecord& record : history) {
+    records.push_back(&record);
+  }
+  const std::size_t count = std::min(kSlowest, records.size());
+  std::partial_sort(records.begin(),
+                    records.begin() + static_cast<std::ptrdiff_t>(count),
+                    records.end(), [](const auto* left, const auto* right) {
+                      return left->latency() > right->latency();
+                    });
+  std::vector<std::string> slowest;
+  for (std::size_t index = 0; index < count; ++index) {
+    const QueryRecord& record = *records[index];
+    const Duration since = record.intended - history.front().intended;
+    std::string text =
+        fmt::format("{} {} {} after {} ms: {} ms", record.query.id,
+                    record.query.service, record.query.request_class,
+                    ToMilliseconds(since), ToMilliseconds(record.latency()));
+    for (const Attempt& attempt : record.attempts) {
+      text += fmt::format("; {} {} {} in {} ms", attempt.gateway,
+                          attempt.status, attempt.error_code,
+                          ToMilliseconds(attempt.ended - attempt.sent));
+    }
+    slowest.push_back(text);
+  }
+  return slowest;
+}
+
 }  // namespace
 
 Duration Quantile(std::vector<Duration> values, double quantile) {
@@ -96,7 +131,11 @@
     const double share = record.attempts.back().share;
     covered += share;
     summary.partial += share < 1 ? 1 : 0;
+    for (const auto& [reason, ranges] : record.attempts.back().missing) {
+      summary.missing[reason] += ranges;
+    }
   }
+  summary.slowest = DescribeSlowest(history);
   summary.p50 = Quantile(latencies, 0.5);
   summary.p99 = Quantile(latencies, 0.99);
   summary.p999 = Quantile(latencies, 0.999);
@@ -122,6 +161,9 @@
           {"p50_ms", FractionalMilliseconds(summary.p50)},
           {"p99_ms", FractionalMilliseconds(summary.p99)},
           {"p999_ms", FractionalMilliseconds(summary.p999)},
+          {"missing", summary.missing},
+          {"refusals", summary.refusals},
+          {"slowest", summary.slowest},
           {"refusal_p99_ms", FractionalMilliseconds(summary.refusal_p99)},
           {"coverage", summary.coverage},
           {"extra_load", summary.extra_load}};
--- a/source/lab/caller/summary.h
+++ b/source/lab/caller/summary.h
@@ -2,7 +2,9 @@
 #pragma once
 
 #include <cstdint>
+#include <map>
 #include <nlohmann/json_fwd.hpp>
+#include <string>
 #include <vector>
 
 #include "common/base/time.h"
@@ -33,6 +35,12 @@
   // Begun subqueries beyond one for each partition of each query, as a share
   // of those.
   double extra_load = 0;
+  // Ranges missing in answers by reason, and refusals by error code and field
+  // of what the caller was told.
+  std::map<std::string, std::uint64_t> missing;
+  std::map<std::string, std::uint64_t> refusals;
+  // The queries that took longest, for people.
+  std::vector<std::string> slowest;
   // Time until a refusal, p99.
   Duration refusal_p99 = Duration(0);
 };
