Refuse connections to what has died, in the lab's proxy

Cause: the proxy took connections to a back end or daemon whose process was gone and reset them, where a live machine refuses them; so requests counted as sent that a caller or owner would never have sent. Change: links stop listening (the port stays bound) while their process is gone.

--- a/source/lab/experiment/faults/backends.cc
+++ b/source/lab/experiment/faults/backends.cc
@@ -1,5 +1,6 @@
 // Back ends that are slow, lost, cold or lie about themselves.
 #include <algorithm>
+#include <memory>
 
 #include "lab/experiment/faults/faults.h"
 #include "lab/experiment/run.h"
@@ -13,18 +14,26 @@
 constexpr std::size_t kFewServices = 6;
 
 constexpr const char* kStragglerNote = "straggler";
-constexpr const char* kLostNote = "replica-loss";
 constexpr const char* kLyingNote = "lying-health";
 constexpr const char* kLateNote = "late-answers";
 
 Result<void> CrashAll(ExperimentRun& run,
-                      const std::vector<std::string>& backends,
-                      const char* change) {
-  for (const std::string& backend : backends) {
-    Result<void> changed =
-        run.fleet().stand_ins().ChangeBackend(backend, {{change, true}});
-    if (!changed) {
-      return changed;
+                      const std::vector<BackendPlan>& backends) {
+  for (const BackendPlan& backend : backends) {
+    Result<void> crashed = run.fleet().stand_ins().CrashBackend(backend);
+    if (!crashed) {
+      return crashed;
+    }
+  }
+  return {};
+}
+
+Result<void> RestartAll(ExperimentRun& run,
+                        const std::vector<BackendPlan>& backends) {
+  for (const BackendPlan& backend : backends) {
+    Result<void> restarted = run.fleet().stand_ins().RestartBackend(backend);
+    if (!restarted) {
+      return restarted;
     }
   }
   return {};
@@ -62,14 +71,12 @@
 }
 
 Disturbance ReplicaLoss() {
-  return {[](ExperimentRun& run) {
-            run.notes()[kLostNote] =
-                NamesOf(SpareBackends(run.fleet().layout(), run.random()));
-            return CrashAll(run, run.notes()[kLostNote], "crash");
+  const auto lost = std::make_shared<std::vector<BackendPlan>>();
+  return {[lost](ExperimentRun& run) {
+            *lost = SpareBackends(run.fleet().layout(), run.random());
+            return CrashAll(run, *lost);
           },
-          [](ExperimentRun& run) {
-            return CrashAll(run, run.notes()[kLostNote], "restart");
-          }};
+          [lost](ExperimentRun& run) { return RestartAll(run, *lost); }};
 }
 
 Disturbance LyingHealth() {
@@ -99,9 +106,9 @@
   return {[](ExperimentRun& run) -> Result<void> {
             // Restarted at once, so that all the warm ones are few.
             const auto backends =
-                NamesOf(SpareBackends(run.fleet().layout(), run.random()));
-            Result<void> done = CrashAll(run, backends, "crash");
-            return done ? CrashAll(run, backends, "restart") : done;
+                SpareBackends(run.fleet().layout(), run.random());
+            Result<void> done = CrashAll(run, backends);
+            return done ? RestartAll(run, backends) : done;
           },
           [](ExperimentRun&) { return Result<void>(); }};
 }
--- a/source/lab/experiment/faults/daemons.cc
+++ b/source/lab/experiment/faults/daemons.cc
@@ -56,12 +56,11 @@
 }  // namespace
 
 Disturbance GatewayKilled() {
-  return {[](ExperimentRun& run) -> Result<void> {
+  return {[](ExperimentRun& run) {
             const std::string gateway =
                 AnyOf(run.fleet().layout().gateways, run.random()).name;
             run.notes()[kKilledGateway] = {gateway};
-            run.fleet().Kill(gateway);
-            return {};
+            return run.fleet().Kill(gateway);
           },
           [](ExperimentRun& run) {
             return run.fleet().Restart(run.notes()[kKilledGateway].front());
@@ -93,8 +92,8 @@
   return {[](ExperimentRun& run) {
             const std::string leader = Leader(run);
             run.notes()[kKilledControl] = {leader};
-            run.fleet().Kill(leader);
-            return ChangeAnyService(run, "while-killed");
+            Result<void> killed = run.fleet().Kill(leader);
+            return killed ? ChangeAnyService(run, "while-killed") : killed;
           },
           [](ExperimentRun& run) {
             Result<void> done =
--- a/source/lab/experiment/scripts/control_loss.cc
+++ b/source/lab/experiment/scripts/control_loss.cc
@@ -42,7 +42,9 @@
 Result<void> RestartAll(ExperimentRun& run,
                         const std::vector<MachinePlan>& machines) {
   for (const MachinePlan& machine : machines) {
-    run.fleet().Kill(machine.name);
+    if (Result<void> killed = run.fleet().Kill(machine.name); !killed) {
+      return killed;
+    }
   }
   for (const MachinePlan& machine : machines) {
     Result<void> started = run.fleet().Restart(machine.name);
@@ -92,8 +94,10 @@
       0, machines.size() - 1)(run.random());
   run.RunFor(seconds(1));
   // The machine dies with its disk, and a new one takes its place.
-  run.fleet().Kill(machines[lost].name);
-  Result<void> done = ChangeOften(run, 3);
+  Result<void> done = run.fleet().Kill(machines[lost].name);
+  if (done) {
+    done = ChangeOften(run, 3);
+  }
   if (!done) {
     return done;
   }
@@ -112,8 +116,10 @@
   }
   // Another one goes right after.
   const std::size_t second = (lost + 1) % machines.size();
-  run.fleet().Kill(machines[second].name);
-  done = ChangeOften(run, 3);
+  done = run.fleet().Kill(machines[second].name);
+  if (done) {
+    done = ChangeOften(run, 3);
+  }
   if (!done) {
     return done;
   }
--- a/source/lab/fleet/fleet.cc
+++ b/source/lab/fleet/fleet.cc
@@ -157,7 +157,7 @@
   }
   for (const ServiceLayout& service : layout_.services) {
     for (const BackendPlan& backend : service.backends) {
-      links.push_back({LinkName("backend", backend.name), backend.name,
+      links.push_back({StandIns::BackendLink(backend.name), backend.name,
                        stand_ins_->BackendAddress(backend.name)});
     }
   }
@@ -286,8 +286,17 @@
   return {};
 }
 
-void Fleet::Kill(const std::string& daemon) {
+Result<void> Fleet::Kill(const std::string& daemon) {
   daemons_.at(daemon).process->Kill();
+  return SetListening(daemon, false);
+}
+
+Result<void> Fleet::SetListening(const std::string& name, bool listening) {
+  std::vector<ProxyLink> links;
+  for (const std::string& listener : ListenersOf(daemons_.at(name).settings)) {
+    links.push_back({LinkName(name, listener), name, "", listening});
+  }
+  return stand_ins_->SetLinks(links);
 }
 
 void Fleet::Freeze(const std::string& daemon) {
@@ -311,6 +320,9 @@
   }
   record.exited = ReadMonotonicClock();
   record.exit_status = *status;
+  if (Result<void> refused = SetListening(daemon, false); !refused) {
+    return tl::unexpected<Error>(refused.error());
+  }
   return record;
 }
 
@@ -443,7 +455,7 @@
 }
 
 std::string Fleet::BackendResourceAddress(const std::string& backend) const {
-  return stand_ins_->LinkAddress(LinkName("backend", backend));
+  return stand_ins_->LinkAddress(StandIns::BackendLink(backend));
 }
 
 }  // namespace juniperway::lab
--- a/source/lab/fleet/fleet.h
+++ b/source/lab/fleet/fleet.h
@@ -38,7 +38,7 @@
   Result<void> Declare();
 
   // Signals to the daemon "control-1" or "tpe-a-gateway-1".
-  void Kill(const std::string& daemon);
+  Result<void> Kill(const std::string& daemon);
   void Freeze(const std::string& daemon);
   void Thaw(const std::string& daemon);
   // SIGTERM; waits for its end.
@@ -92,6 +92,8 @@
   Result<void> MakeLinks();
   void PlanDaemons();
   Result<void> StartDaemons();
+  // Whether connections to a daemon's listeners are taken.
+  Result<void> SetListening(const std::string& daemon, bool listening);
   Result<void> Launch(Daemon& daemon);
   Result<void> AwaitReady(Daemon& daemon);
   Result<void> AwaitLeader();
--- a/source/lab/fleet/stand_ins.cc
+++ b/source/lab/fleet/stand_ins.cc
@@ -139,7 +139,8 @@
   for (const ProxyLink& link : links) {
     items.push_back({{"name", link.name},
                      {"machine", link.machine},
-                     {"target", link.target}});
+                     {"target", link.target},
+                     {"listening", link.listening}});
   }
   const Result<nlohmann::json> state =
       Post(proxy_address_, "/v1/links", {{"links", items}});
@@ -175,6 +176,22 @@
   return Post(host.control_address, "/v1/lab", body).map([](const auto&) {});
 }
 
+std::string StandIns::BackendLink(const std::string& backend) {
+  return "backend/" + backend;
+}
+
+Result<void> StandIns::CrashBackend(const BackendPlan& backend) {
+  Result<void> refused = SetLinks(
+      {{BackendLink(backend.name), backend.name, "", /*listening=*/false}});
+  return refused ? ChangeBackend(backend.name, {{"crash", true}}) : refused;
+}
+
+Result<void> StandIns::RestartBackend(const BackendPlan& backend) {
+  Result<void> restarted = ChangeBackend(backend.name, {{"restart", true}});
+  return restarted ? SetLinks({{BackendLink(backend.name), backend.name, ""}})
+                   : restarted;
+}
+
 const std::string& StandIns::BackendAddress(const std::string& backend) const {
   return backend_addresses_.at(backend);
 }
--- a/source/lab/fleet/stand_ins.h
+++ b/source/lab/fleet/stand_ins.h
@@ -31,8 +31,10 @@
 struct ProxyLink {
   std::string name;
   std::string machine;
-  // "ip:port" behind it; empty: not yet known.
+  // "ip:port" behind it; empty: as before, or not yet known.
   std::string target;
+  // False: connections are refused, as by a machine without the process.
+  bool listening = true;
 };
 
 class StandIns {
@@ -55,6 +57,11 @@
   // @param change as POST /v1/lab takes it, without "backend".
   Result<void> ChangeBackend(const std::string& backend,
                              const nlohmann::json& change);
+  // Its process dies, or starts again with cold caches.
+  Result<void> CrashBackend(const BackendPlan& backend);
+  Result<void> RestartBackend(const BackendPlan& backend);
+  // Name of the link in front of a back end.
+  static std::string BackendLink(const std::string& backend);
   // Where a back end itself listens.
   const std::string& BackendAddress(const std::string& backend) const;
 
--- a/source/lab/proxy/link.cc
+++ b/source/lab/proxy/link.cc
@@ -17,14 +17,27 @@
       name_(std::move(name)),
       machine_(std::move(machine)),
       acceptor_(context,
-                asio::ip::tcp::endpoint(asio::ip::address_v4::loopback(), 0)) {
+                asio::ip::tcp::endpoint(asio::ip::address_v4::loopback(), 0)),
+      endpoint_(acceptor_.local_endpoint()) {
   Accept();
 }
 
 Link::~Link() = default;
 
-asio::ip::tcp::endpoint Link::endpoint() const {
-  return acceptor_.local_endpoint();
+void Link::SetListening(bool listening) {
+  if (listening == listening_) {
+    return;
+  }
+  listening_ = listening;
+  if (listening) {
+    acceptor_.listen();
+    Accept();
+    return;
+  }
+  acceptor_.close();
+  acceptor_.open(endpoint_.protocol());
+  acceptor_.set_option(asio::socket_base::reuse_address(true));
+  acceptor_.bind(endpoint_);
 }
 
 void Link::Accept() {
--- a/source/lab/proxy/link.h
+++ b/source/lab/proxy/link.h
@@ -42,6 +42,9 @@
 
   // Where new connections go; without a target they are reset.
   void SetTarget(const asio::ip::tcp::endpoint& target) { target_ = target; }
+  // Without listening, connections are refused as by a machine whose process
+  // is gone; the port is kept. Throws std::system_error (set-up fault).
+  void SetListening(bool listening);
   // Faults changed: blocked bytes may pass now.
   void Wake();
   // Resets the connections from matching machines. @return how many.
@@ -49,7 +52,7 @@
 
   const std::string& name() const { return name_; }
   const std::string& machine() const { return machine_; }
-  asio::ip::tcp::endpoint endpoint() const;
+  asio::ip::tcp::endpoint endpoint() const { return endpoint_; }
   LinkCounters counters() const;
 
  private:
@@ -64,6 +67,9 @@
   std::string name_;
   std::string machine_;
   asio::ip::tcp::acceptor acceptor_;
+  // Kept, as a closed acceptor knows it no more.
+  asio::ip::tcp::endpoint endpoint_;
+  bool listening_ = true;
   std::optional<asio::ip::tcp::endpoint> target_;
   std::uint64_t next_id_ = 0;
   std::map<std::uint64_t, std::shared_ptr<ProxiedConnection>> connections_;
--- a/source/lab/proxy/proxy.cc
+++ b/source/lab/proxy/proxy.cc
@@ -88,10 +88,12 @@
     std::string name;
     std::string machine;
     std::string target;
+    bool listening = true;
     JsonReader item_reader(item, "link.");
     item_reader.Required("name", name)
         .Required("machine", machine)
-        .Optional("target", target);
+        .Optional("target", target)
+        .Optional("listening", listening);
     if (Result<void> finished = item_reader.Finish(); !finished) {
       return finished;
     }
@@ -99,6 +101,7 @@
     if (!link) {
       link = std::make_unique<Link>(context_, state_, name, machine);
     }
+    link->SetListening(listening);
     if (target.empty()) {
       continue;
     }
--- a/source/lab/proxy/proxy.h
+++ b/source/lab/proxy/proxy.h
@@ -30,8 +30,8 @@
  private:
   void Handle(const net::HttpRequest& request, net::HttpResponder& responder);
   Result<void> Apply(const net::HttpRequest& request);
-  // {"links":[{"name","machine","target"}]}: makes the links that are new, and
-  // sets the targets of all named.
+  // {"links":[{"name","machine","target","listening"}]}: makes the links that
+  // are new, and sets the targets of all named.
   Result<void> SetLinks(const nlohmann::json& json);
   // {"link": name or "*", "from": selector}.
   Result<void> ResetConnections(const nlohmann::json& json);
