--- a/source/common/gateway/front_server.cc
+++ b/source/common/gateway/front_server.cc
@@ -142,12 +142,20 @@
                                 ExecutionStateName(ExecutionState::kNotRun));
     }
     net::HttpResponse response;
-    response.body = ViewToJson(*view).dump();
+    // Names of other daemons need not be UTF-8.
+    response.body = ViewToJson(*view).dump(
+        -1, ' ', false, nlohmann::json::error_handler_t::replace);
     return response;
   }
 
+  // A lease alone says nothing before the first view: control may be behind
+  // what this daemon has had, and then sends it none.
+  bool HasConfirmedView(MonotonicTime now) const {
+    return session.HasLease(now) && session.View()->revision > 0;
+  }
+
   net::HttpResponse Ready() const {
-    const bool lease = session.HasLease(ReadMonotonicClock());
+    const bool lease = HasConfirmedView(ReadMonotonicClock());
     const bool ready = lease && !stopping;
     net::HttpResponse response;
     response.status = ready ? 200 : 503;
@@ -220,7 +228,7 @@
     }
     const auto& services = session.View()->services;
     const auto service = services.find(service_name);
-    const bool lease = session.HasLease(now);
+    const bool lease = HasConfirmedView(now);
     if (service == services.end() && lease) {
       return Refusal{{ErrorCode::kNotFound, "service", "is not declared"},
                      ExecutionState::kNotRun,
@@ -235,6 +243,13 @@
                      ExecutionState::kNotRun,
                      Jittered(kNoLeaseRetryAfter)};
     }
+    if (!executor.HasRoom(service_name)) {
+      executor.CountAdmissionRefusal();
+      return Refusal{{ErrorCode::kUnavailable, "",
+                      "the service's back ends are overloaded"},
+                     ExecutionState::kNotRun,
+                     Jittered(kOverloadRetryAfter)};
+    }
     return std::nullopt;
   }
 
--- a/source/common/gateway/query_executor.cc
+++ b/source/common/gateway/query_executor.cc
@@ -56,10 +56,11 @@
     : context_(context),
       session_(session),
       metrics_(metrics),
-      state_({options.zone, options.region}, options.random_seed),
+      state_({options.zone, options.region}, options.random_seed,
+             options.replica_policy),
       peers_(context, options.peer_connect_timeout, options.random_seed + 1,
              {[this](routing::OwnerId owner, net::FrameBytes frame) {
-                OnFrame(owner, frame);
+                return OnFrame(owner, frame);
               },
               [this](routing::OwnerId owner, routing::OwnerLoss loss) {
                 OnOwnerLost(owner, loss);
@@ -81,6 +82,11 @@
                   peers_.sent_bytes(), peers_.received_bytes());
 }
 
+bool QueryExecutor::HasRoom(const std::string& service) const {
+  const auto state = state_.services.find(service);
+  return state == state_.services.end() || state->second.admission.HasRoom();
+}
+
 void QueryExecutor::OnView(const session::FleetViewPointer& view) {
   if (view == state_.routes->view_pointer()) {
     return;
@@ -109,6 +115,7 @@
       context_, std::move(submission), std::move(responder));
   query->id = next_query_id_++;
   queries_.emplace(query->id, query);
+  state_.services[query->submission.service].admission.OnBegin();
   const std::weak_ptr<ActiveQuery> weak = query;
   query->responder->OnCallerGone([this, weak] {
     if (const QueryPointer gone = weak.lock()) {
@@ -209,6 +216,7 @@
   request.text = submission.query.text;
   request.range = submission.query.range;
   request.row_limit = submission.query.row_limit;
+  request.request_class = submission.query.request_class;
   request.repeatable = submission.query.repeatable;
   request.received = submission.received;
   request.deadline = query->deadline();
@@ -265,6 +273,11 @@
   query->timer.cancel();
   queries_.erase(query->id);
   const Submission& submission = query->submission;
+  const MonotonicTime now = ReadMonotonicClock();
+  state_.services[submission.service].admission.OnEnd(
+      query->run == nullptr ? routing::AdmissionLimit::End::kOther
+                            : query->run->LoadSignal(outcome),
+      submission.received, now);
   if (query->claim_granted) {
     session_.RecordOutcome(query->claim_key(), ExecutionOf(outcome));
   }
@@ -275,8 +288,7 @@
   } else if (const auto* refusal = std::get_if<routing::Refusal>(&outcome)) {
     query->responder->Send(RefusalResponse(submission.request_id, *refusal));
   }
-  metrics_.OnOutcome(submission.service, outcome,
-                     ReadMonotonicClock() - submission.received);
+  metrics_.OnOutcome(submission.service, outcome, now - submission.received);
   if (queries_.empty() && idle_listener_) {
     idle_listener_();
   }
@@ -293,13 +305,13 @@
   Apply(query, query->run->OnCallerGone(ReadMonotonicClock()));
 }
 
-void QueryExecutor::OnFrame(routing::OwnerId owner, net::FrameBytes frame) {
+bool QueryExecutor::OnFrame(routing::OwnerId owner, net::FrameBytes frame) {
   std::optional<BatchReply> reply = DecodeBatchResult(frame);
   if (!reply.has_value()) {
     logging::LogEvent(
         kPeerMalformedFrame,
         {{"peer", state_.owner_names.NameOf(owner)}, {"bytes", frame.size()}});
-    return;
+    return false;
   }
   const auto found = queries_.find(reply->query_id);
   if (found == queries_.end() || found->second->run == nullptr) {
@@ -307,11 +319,12 @@
     const bool known = reply->query_id < next_query_id_;
     (known ? counters.late_results : counters.foreign_results) +=
         reply->replies.size();
-    return;
+    return true;
   }
   const QueryPointer query = found->second;
   Apply(query, query->run->OnReplies(owner, std::move(reply->replies),
                                      ReadMonotonicClock()));
+  return true;
 }
 
 void QueryExecutor::OnOwnerLost(routing::OwnerId owner,
--- a/source/lab/bench/command.cc
+++ b/source/lab/bench/command.cc
@@ -4,6 +4,7 @@
 #include <string>
 
 #include "lab/bench/fairness.h"
+#include "lab/bench/query.h"
 #include "lab/bench/raft.h"
 #include "lab/bench/state.h"
 #include "lab/commands.h"
@@ -24,6 +25,7 @@
 
 const std::map<std::string, Benchmark>& Benchmarks() {
   static const std::map<std::string, Benchmark> benchmarks = {
+      {"query", RunQueryBench},
       {"raft", RunRaftBench},
       {"fairness", RunFairness},
       {"state", RunState},
