Reconnect at once when a session with unanswered calls is lost

Cause: after a lost session, calls that wait to be sent made the next deadline the earliest time there is; taking the present from it wrapped around, and the session slept for a minute. The daemon lost its lease and refused everything for that long. Change: the deadline is bounded before it becomes a delay, and calls count only where they can be sent (else a lost session woke a thousand times a second).

--- a/source/common/session/control_session_client.cc
+++ b/source/common/session/control_session_client.cc
@@ -223,15 +223,17 @@
   }
 
   void ArmTimer(MonotonicTime now) {
+    const bool can_send = connection_ && state_->connected();
     MonotonicTime deadline =
-        std::min(state_->NextDeadline(), operations_.NextDeadline());
+        std::min(state_->NextDeadline(), operations_.NextDeadline(can_send));
     if (had_lease_) {
       deadline = std::min(deadline, now + options_.timing.heartbeat_interval);
     }
-    // Never spins: a deadline in the past means the very next moment.
-    const Duration delay =
-        std::clamp(Duration(deadline - now), Duration(milliseconds(1)),
-                   Duration(seconds(60)));
+    // Never spins: a deadline in the past means the very next moment. It may be
+    // the earliest time there is, from which nothing can be taken away.
+    const MonotonicTime bounded =
+        std::clamp(deadline, now + milliseconds(1), now + seconds(60));
+    const Duration delay = bounded - now;
     timer_.expires_after(delay);
     timer_.async_wait([self = shared_from_this()](const asio::error_code& e) {
       if (!e) {
--- a/source/common/session/operation_queue.cc
+++ b/source/common/session/operation_queue.cc
@@ -83,10 +83,11 @@
   }
 }
 
-MonotonicTime OperationQueue::NextDeadline() const {
+MonotonicTime OperationQueue::NextDeadline(bool can_send) const {
   const MonotonicTime deadline =
       deadlines_.empty() ? MonotonicTime::max() : deadlines_.begin()->first;
-  return unsent_.empty() ? deadline : std::min(deadline, hold_until_);
+  const bool waits = can_send && !unsent_.empty();
+  return waits ? std::min(deadline, hold_until_) : deadline;
 }
 
 void OperationQueue::Finish(std::uint64_t id,
--- a/source/common/session/operation_queue.h
+++ b/source/common/session/operation_queue.h
@@ -39,8 +39,8 @@
 
   // Fails what is past its deadline.
   void Expire(MonotonicTime now);
-  // When Expire or TakeCall has something to do next.
-  MonotonicTime NextDeadline() const;
+  // When Expire has something to do next or, if calls can be sent, TakeCall.
+  MonotonicTime NextDeadline(bool can_send) const;
 
   std::size_t size() const { return pending_.size(); }
 
--- a/source/lab/promises/history_check.cc
+++ b/source/lab/promises/history_check.cc
@@ -188,8 +188,13 @@
           report.Check(Promise::kPlannedStopCutsNothing,
                        attempt.outcome == AttemptOutcome::kAnswered ||
                            attempt.outcome == AttemptOutcome::kRefused,
-                       fmt::format("{} was cut off by the stop of {}",
-                                   attempt.request_id, stop.gateway));
+                       fmt::format("{} was cut off by the stop of {}: sent {} "
+                                   "us and ended {} us after the signal; it "
+                                   "exited after {} us",
+                                   attempt.request_id, stop.gateway,
+                                   (attempt.sent - stop.signalled).count(),
+                                   (attempt.ended - stop.signalled).count(),
+                                   (stop.exited - stop.signalled).count()));
         }
       }
     }
