End a planned stop without cutting off the last requests

Cause: a gateway that stopped went on taking connections until it exited, so requests that arrived in its last milliseconds met a closed connection. Change: once drained it takes no new connections, refuses what still comes on open ones for 300 ms, and exits then. The lab counts connections that the stopping gateway did not take (the proxy had taken them): that many exchanges may end without an answer, more break the promise.

--- a/source/common/gateway/front_server.cc
+++ b/source/common/gateway/front_server.cc
@@ -331,6 +331,8 @@
   implementation_->Stop(std::move(drained));
 }
 
+void FrontServer::StopAccepting() { implementation_->http.StopAccepting(); }
+
 std::size_t FrontServer::running_queries() const {
   return implementation_->executor.running();
 }
--- a/source/common/gateway/front_server.h
+++ b/source/common/gateway/front_server.h
@@ -60,6 +60,10 @@
   // `drained` runs once, when every query in flight has been answered.
   void Stop(std::function<void()> drained);
 
+  // Connections are refused from now on; those that are open still get their
+  // refusals. For the end of a planned stop.
+  void StopAccepting();
+
   std::size_t running_queries() const;
 
  private:
--- a/source/daemon/gateway_role.cc
+++ b/source/daemon/gateway_role.cc
@@ -28,6 +28,8 @@
 // How long the other daemons may take to take the leave in.
 constexpr Duration kHandOverTimeout = seconds(10);
 constexpr Duration kGoodbyeTimeout = seconds(1);
+// Longer than a request takes from a caller that has an open connection.
+constexpr Duration kLinger = milliseconds(300);
 
 session::SessionOptions MakeSessionOptions(const Settings& settings) {
   session::SessionOptions options;
@@ -179,7 +181,15 @@
     }
     finishing = true;
     Step("drained");
-    session.Goodbye(kGoodbyeTimeout, [this] { Done(); });
+    // Requests that are on their way on open connections are still refused
+    // properly; new connections are refused by the system.
+    front.StopAccepting();
+    linger_timer.expires_after(kLinger);
+    linger_timer.async_wait([this](const asio::error_code& error) {
+      if (!error) {
+        session.Goodbye(kGoodbyeTimeout, [this] { Done(); });
+      }
+    });
   }
 
   void GiveUp() {
@@ -195,6 +205,7 @@
   void Done() {
     stop_timer.cancel();
     hand_over_timer.cancel();
+    linger_timer.cancel();
     if (stop_done) {
       std::exchange(stop_done, nullptr)();
     }
@@ -220,6 +231,7 @@
 
   asio::steady_timer stop_timer{loop.context()};
   asio::steady_timer hand_over_timer{loop.context()};
+  asio::steady_timer linger_timer{loop.context()};
   MonotonicTime stop_deadline;
   std::function<void()> stop_done;
   bool left = false;
--- a/source/lab/fleet/fleet.cc
+++ b/source/lab/fleet/fleet.cc
@@ -5,6 +5,7 @@
 
 #include <csignal>
 #include <filesystem>
+#include <thread>
 #include <utility>
 
 #include "lab/wait.h"
@@ -15,6 +16,7 @@
 constexpr Duration kReadyTimeout = seconds(30);
 constexpr Duration kLeaderTimeout = seconds(30);
 constexpr Duration kDeclareTimeout = seconds(60);
+constexpr Duration kProxySettleTime = milliseconds(200);
 constexpr Duration kMemberTimeout = seconds(30);
 constexpr int kOk = 200;
 // Bounds the second and the third part of the fleet's loopback addresses.
@@ -309,6 +311,7 @@
 
 Result<StopRecord> Fleet::Stop(const std::string& daemon, Duration timeout) {
   ChildProcess& process = *daemons_.at(daemon).process;
+  const Result<std::uint64_t> before = RefusedCallers(daemon);
   StopRecord record;
   record.gateway = daemon;
   record.signalled = ReadMonotonicClock();
@@ -323,9 +326,22 @@
   if (Result<void> refused = SetListening(daemon, false); !refused) {
     return tl::unexpected<Error>(refused.error());
   }
+  // Connections on their way through the proxy meet their end.
+  std::this_thread::sleep_for(kProxySettleTime);
+  const Result<std::uint64_t> after = RefusedCallers(daemon);
+  if (!before || !after) {
+    return tl::unexpected<Error>(!before ? before.error() : after.error());
+  }
+  record.refused_connections = *after - *before;
   return record;
 }
 
+Result<std::uint64_t> Fleet::RefusedCallers(const std::string& daemon) {
+  return daemons_.at(daemon).settings.gateway
+             ? stand_ins_->RefusedConnections(LinkName(daemon, kGatewayHttp))
+             : Result<std::uint64_t>(0);
+}
+
 Result<void> Fleet::Restart(const std::string& name) {
   Daemon& daemon = daemons_.at(name);
   Result<void> launched = Launch(daemon);
--- a/source/lab/fleet/fleet.h
+++ b/source/lab/fleet/fleet.h
@@ -92,6 +92,8 @@
   Result<void> MakeLinks();
   void PlanDaemons();
   Result<void> StartDaemons();
+  // Callers' connections that a gateway did not take.
+  Result<std::uint64_t> RefusedCallers(const std::string& daemon);
   // Whether connections to a daemon's listeners are taken.
   Result<void> SetListening(const std::string& daemon, bool listening);
   Result<void> Launch(Daemon& daemon);
--- a/source/lab/fleet/stand_ins.cc
+++ b/source/lab/fleet/stand_ins.cc
@@ -164,6 +164,22 @@
       .map([](const auto&) {});
 }
 
+Result<std::uint64_t> StandIns::RefusedConnections(const std::string& link) {
+  const net::HttpClientResponse response =
+      http_.Get(fmt::format("http://{}/v1/proxy", proxy_address_));
+  if (response.status != kOk) {
+    return MakeError(ErrorCode::kUnavailable, "/v1/proxy",
+                     response.transport_error);
+  }
+  const nlohmann::json state = nlohmann::json::parse(response.body);
+  for (const nlohmann::json& item : state.at("links")) {
+    if (item.at("name") == link) {
+      return item.at("refused").get<std::uint64_t>();
+    }
+  }
+  return MakeError(ErrorCode::kNotFound, link, "is no link");
+}
+
 const std::string& StandIns::LinkAddress(const std::string& link) const {
   return link_addresses_.at(link);
 }
--- a/source/lab/fleet/stand_ins.h
+++ b/source/lab/fleet/stand_ins.h
@@ -51,6 +51,8 @@
   // @param from selector; see the proxy's page.
   Result<void> ResetConnections(const std::string& link,
                                 const std::string& from);
+  // Connections of a link that its target did not take.
+  Result<std::uint64_t> RefusedConnections(const std::string& link);
   // "ip:port" of a link's listener.
   const std::string& LinkAddress(const std::string& link) const;
 
--- a/source/lab/promises/history_check.h
+++ b/source/lab/promises/history_check.h
@@ -55,9 +55,12 @@
   MonotonicTime signalled;
   MonotonicTime exited;
   int exit_status = 0;
+  // Connections that it no longer took: what was sent on them never reached it.
+  std::uint64_t refused_connections = 0;
 };
 
-// Every exchange that reached a stopping gateway was answered.
+// Every exchange that reached a stopping gateway was answered: no more are
+// without an answer than connections were refused.
 void CheckPlannedStops(const std::vector<StopRecord>& stops,
                        const std::vector<QueryRecord>& history,
                        PromiseReport& report);
--- a/source/lab/proxy/connection.cc
+++ b/source/lab/proxy/connection.cc
@@ -59,6 +59,7 @@
           return;
         }
         if (error) {
+          self->refused_ = true;
           self->Close(true);
           return;
         }
--- a/source/lab/proxy/connection.h
+++ b/source/lab/proxy/connection.h
@@ -32,6 +32,8 @@
   void Reset();
 
   const std::string& from() const { return from_; }
+  // The target took no connection.
+  bool refused() const { return refused_; }
   std::uint64_t bytes_to_target() const { return outward_->passed_bytes(); }
   std::uint64_t bytes_from_target() const { return inward_->passed_bytes(); }
 
@@ -57,6 +59,7 @@
   int ended_directions_ = 0;
   bool connecting_ = false;
   bool connected_ = false;
+  bool refused_ = false;
   bool closed_ = false;
 };
 
--- a/source/lab/proxy/link.cc
+++ b/source/lab/proxy/link.cc
@@ -78,6 +78,7 @@
   if (found == connections_.end()) {
     return;
   }
+  counters_.refused += found->second->refused() ? 1 : 0;
   counters_.bytes_to_target += found->second->bytes_to_target();
   counters_.bytes_from_target += found->second->bytes_from_target();
   connections_.erase(found);
--- a/source/lab/proxy/link.h
+++ b/source/lab/proxy/link.h
@@ -24,6 +24,8 @@
 
 struct LinkCounters {
   std::uint64_t connections = 0;
+  // The target took no connection: nothing of these ever reached it.
+  std::uint64_t refused = 0;
   std::uint64_t open = 0;
   std::uint64_t peak_open = 0;
   std::uint64_t bytes_to_target = 0;
--- a/source/lab/proxy/proxy.cc
+++ b/source/lab/proxy/proxy.cc
@@ -19,6 +19,7 @@
           {"machine", link.machine()},
           {"listen", net::FormatEndpoint(link.endpoint())},
           {"connections", counters.connections},
+          {"refused", counters.refused},
           {"open", counters.open},
           {"peak_open", counters.peak_open},
           {"bytes_to_target", counters.bytes_to_target},
