--- a/source/common/gateway/front_server.h
+++ b/source/common/gateway/front_server.h
@@ -64,6 +64,10 @@
   // callers have turned away.
   void Stop(std::function<void()> drained);
 
+  // Connections are refused from now on; those that are open still get their
+  // refusals. For the end of a planned stop.
+  void StopAccepting();
+
   std::size_t running_queries() const;
 
  private:
--- a/source/common/session/operation_queue.cc
+++ b/source/common/session/operation_queue.cc
@@ -83,11 +83,11 @@
   }
 }
 
-MonotonicTime OperationQueue::NextDeadline(bool connected) const {
+MonotonicTime OperationQueue::NextDeadline(bool can_send) const {
   const MonotonicTime deadline =
       deadlines_.empty() ? MonotonicTime::max() : deadlines_.begin()->first;
-  const bool to_send = connected && !unsent_.empty();
-  return to_send ? std::min(deadline, hold_until_) : deadline;
+  const bool waits = can_send && !unsent_.empty();
+  return waits ? std::min(deadline, hold_until_) : deadline;
 }
 
 void OperationQueue::Finish(std::uint64_t id,
--- a/source/lab/fleet/stand_ins.cc
+++ b/source/lab/fleet/stand_ins.cc
@@ -18,7 +18,7 @@
 };
 
 Result<Started> StartLab(const StandInOptions& options,
-                         std::vector<std::string> arguments,
+                         const std::vector<std::string>& arguments,
                          const std::string& log_name) {
   Result<ChildProcess> process = ChildProcess::Start(
       options.binary_folder + "/juniperway-lab", arguments,
@@ -139,7 +139,8 @@
   for (const ProxyLink& link : links) {
     items.push_back({{"name", link.name},
                      {"machine", link.machine},
-                     {"target", link.target}});
+                     {"target", link.target},
+                     {"listening", link.listening}});
   }
   const Result<nlohmann::json> state =
       Post(proxy_address_, "/v1/links", {{"links", items}});
@@ -163,6 +164,22 @@
       .map([](const auto&) {});
 }
 
+Result<std::uint64_t> StandIns::RefusedConnections(const std::string& link) {
+  const net::HttpClientResponse response =
+      http_.Get(fmt::format("http://{}/v1/proxy", proxy_address_));
+  if (response.status != kOk) {
+    return MakeError(ErrorCode::kUnavailable, "/v1/proxy",
+                     response.transport_error);
+  }
+  const nlohmann::json state = nlohmann::json::parse(response.body);
+  for (const nlohmann::json& item : state.at("links")) {
+    if (item.at("name") == link) {
+      return item.at("refused").get<std::uint64_t>();
+    }
+  }
+  return MakeError(ErrorCode::kNotFound, link, "is no link");
+}
+
 const std::string& StandIns::LinkAddress(const std::string& link) const {
   return link_addresses_.at(link);
 }
@@ -175,6 +192,22 @@
   return Post(host.control_address, "/v1/lab", body).map([](const auto&) {});
 }
 
+std::string StandIns::BackendLink(const std::string& backend) {
+  return "backend/" + backend;
+}
+
+Result<void> StandIns::CrashBackend(const BackendPlan& backend) {
+  Result<void> refused = SetLinks(
+      {{BackendLink(backend.name), backend.name, "", /*listening=*/false}});
+  return refused ? ChangeBackend(backend.name, {{"crash", true}}) : refused;
+}
+
+Result<void> StandIns::RestartBackend(const BackendPlan& backend) {
+  Result<void> restarted = ChangeBackend(backend.name, {{"restart", true}});
+  return restarted ? SetLinks({{BackendLink(backend.name), backend.name, ""}})
+                   : restarted;
+}
+
 const std::string& StandIns::BackendAddress(const std::string& backend) const {
   return backend_addresses_.at(backend);
 }
@@ -193,7 +226,7 @@
 Result<std::vector<LedgerEntry>> StandIns::ReadLedgers() const {
   std::vector<LedgerEntry> entries;
   for (const Host& host : hosts_) {
-    const Result<std::vector<LedgerEntry>> part = ReadLedger(host.ledger_path);
+    Result<std::vector<LedgerEntry>> part = ReadLedger(host.ledger_path);
     if (!part) {
       return part;
     }
