Refuse batches whose numbers no front sends

Cause: a fuzz test over the owner's end of a connection found that a batch with a time left of 2^40 us and more, or with a range that ends before it begins, was submitted; the time is added to a clock and can overflow. Change: FrontLink checks the whole batch before it submits any of it, and closes the connection as it does for other malformed frames. Conclusion: what reaches the owner's queues is within the limits of a service.

--- a/source/common/gateway/front_link.cc
+++ b/source/common/gateway/front_link.cc
@@ -30,6 +30,24 @@
       answer.slots, answer.retry_after.count());
 }
 
+// Far above the longest deadline that a service may have (an hour).
+constexpr std::uint64_t kLongestRemainingUs = 24ULL * 3600 * 1000 * 1000;
+
+// Checked before any of it is submitted.
+bool IsSound(const protocol::BatchRequest& batch) {
+  if (batch.remaining_us() > kLongestRemainingUs) {
+    return false;
+  }
+  if (batch.subqueries() != nullptr) {
+    for (const protocol::Subquery* subquery : *batch.subqueries()) {
+      if (subquery->range_begin() > subquery->range_end()) {
+        return false;
+      }
+    }
+  }
+  return true;
+}
+
 std::shared_ptr<const QueryContext> ReadContext(
     const protocol::BatchRequest& batch) {
   auto query = std::make_shared<QueryContext>();
@@ -65,11 +83,13 @@
     return;
   }
   const auto* message = net::ReadFrame<protocol::QueryFrame>(frame);
-  if (message == nullptr) {
-    connection_->Close();
-  } else if (const auto* batch = message->message_as_BatchRequest()) {
+  const auto* batch =
+      message == nullptr ? nullptr : message->message_as_BatchRequest();
+  const auto* cancel =
+      message == nullptr ? nullptr : message->message_as_CancelRequest();
+  if (batch != nullptr && IsSound(*batch)) {
     OnBatch(*batch);
-  } else if (const auto* cancel = message->message_as_CancelRequest()) {
+  } else if (cancel != nullptr) {
     OnCancel(*cancel);
   } else {
     connection_->Close();
