--- a/source/common/base/json_reader.cc
+++ b/source/common/base/json_reader.cc
@@ -13,30 +13,74 @@
 
 std::string NumberText(double number) { return nlohmann::json(number).dump(); }
 
-// Notes the first object that names a field twice while JSON is parsed.
+// Notes the first field that is named twice in its object, while JSON is
+// parsed.
 class DuplicateFieldFinder {
  public:
   bool operator()(int, nlohmann::json::parse_event_t event,
                   const nlohmann::json& parsed) {
     using Event = nlohmann::json::parse_event_t;
-    if (event == Event::object_start) {
-      open_objects_.emplace_back();
-    } else if (event == Event::object_end) {
-      open_objects_.pop_back();
-    } else if (event == Event::key) {
-      const auto& name = parsed.get_ref<const std::string&>();
-      const bool inserted = open_objects_.back().insert(name).second;
-      if (!inserted && !duplicate) {
-        duplicate = name;
-      }
+    switch (event) {
+      case Event::object_start:
+        open_.push_back({.is_array = false});
+        break;
+      case Event::array_start:
+        open_.push_back({.is_array = true});
+        break;
+      case Event::key:
+        OnKey(parsed.get_ref<const std::string&>());
+        break;
+      case Event::object_end:
+      case Event::array_end:
+        open_.pop_back();
+        OnElementEnd();
+        break;
+      case Event::value:
+        OnElementEnd();
+        break;
     }
     return true;
   }
 
+  // Its path.
   std::optional<std::string> duplicate;
 
  private:
-  std::vector<std::set<std::string>> open_objects_;
+  // An object or array that has begun and not ended.
+  struct Container {
+    bool is_array = false;
+    std::size_t index = 0;             // of the array's current element
+    std::string key = {};              // of the object's current field
+    std::set<std::string> names = {};  // of its fields so far
+  };
+
+  void OnKey(const std::string& name) {
+    open_.back().key = name;
+    const bool inserted = open_.back().names.insert(name).second;
+    if (!inserted && !duplicate) {
+      duplicate = PathHere();
+    }
+  }
+
+  void OnElementEnd() {
+    if (!open_.empty()) {
+      ++open_.back().index;
+    }
+  }
+
+  std::string PathHere() const {
+    std::string path;
+    for (const Container& container : open_) {
+      if (container.is_array) {
+        path += "[" + std::to_string(container.index) + "]";
+      } else {
+        path += (path.empty() ? "" : ".") + container.key;
+      }
+    }
+    return path;
+  }
+
+  std::vector<Container> open_;
 };
 
 }  // namespace
--- a/test/property/resources/api_fuzz_test.cc
+++ b/test/property/resources/api_fuzz_test.cc
@@ -155,6 +155,19 @@
   });
 }
 
+TEST_CASE("two back ends cannot share an endpoint by spelling it differently") {
+  ApiFixture fixture;
+  json body = ValidResources();
+  json other = body["items"][1];
+  other["name"] = "s-2.a";
+  other["spec"]["address"] = "10.0.0.1:09000";
+  body["items"].push_back(other);
+  const net::HttpResponse response = fixture.Call(ApplyCall(body.dump()));
+  CHECK(response.status == 400);
+  CHECK(FieldOf(response) == "items[4].spec.address");
+  CHECK(fixture.Resources().empty());
+}
+
 TEST_CASE("bodies of great depth or size are refused") {
   ApiFixture fixture;
   constexpr std::size_t kDepth = 500'000;
--- a/test/unit/resources/resource_json_test.cc
+++ b/test/unit/resources/resource_json_test.cc
@@ -140,6 +140,10 @@
       {With(kBackend, "/spec/address", nullptr), "spec.address"},
       {With(kBackend, "/spec/address", "host:80"), "spec.address"},
       {With(kBackend, "/spec/address", "10.0.0.1:0"), "spec.address"},
+      {With(kBackend, "/spec/address", "0.0.0.0:80"), "spec.address"},
+      {With(kBackend, "/spec/address", "[::]:80"), "spec.address"},
+      {With(kBackend, "/spec/address", "224.0.0.1:80"), "spec.address"},
+      {With(kMachine, "/spec/address", "[::ffff:10.0.0.1]:80"), "spec.address"},
       {With(kBackend, "/spec/slots", 0), "spec.slots"},
       {With(kBackend, "/spec/slots", 1025), "spec.slots"},
       {With(kBackend, "/spec/slots", nullptr), "spec.slots"},
@@ -168,6 +172,26 @@
   }
 }
 
+TEST_CASE("an endpoint has one spelling, whichever it is given in") {
+  const auto address_of = [](const char* text) {
+    const auto parsed = ParseResource(With(kBackend, "/spec/address", text));
+    REQUIRE(parsed.has_value());
+    return std::get<Backend>(parsed->specification).address;
+  };
+  CHECK(address_of("10.0.0.1:080") == "10.0.0.1:80");
+  CHECK(address_of("[0:0::0001]:80") == "[::1]:80");
+}
+
+TEST_CASE("a field that is given twice is named by its path") {
+  const auto field_of = [](const char* text) {
+    return ParseResources(text).error().field;
+  };
+  CHECK(field_of(R"({"items": [{"a": [1, {"b": {}}], "c": [[], []]}, 7,
+                     {"spec": {"x": [[0], [0, {"y": 1, "y": 2}]]}}]})") ==
+        "items[2].spec.x[1][1].y");
+  CHECK(field_of(R"([{"a": 1}, {"a": {"a": 1}, "a": 2}])") == "[1].a");
+}
+
 TEST_CASE("a text holds one resource or a list of items") {
   const auto one = ParseResources(kBackend.dump());
   REQUIRE(one.has_value());
@@ -200,7 +224,8 @@
     REQUIRE(begin != std::string::npos);
     const std::string section =
         page.str().substr(begin, page.str().find("\n## ", begin) - begin);
-    for (const auto& [field, value] : resource["spec"].items()) {
+    for (const auto& [key, value] : resource["spec"].items()) {
+      const std::string& field = key;
       CAPTURE(field);
       CHECK(section.find("| `" + field + "` |") != std::string::npos);
     }
