Check endpoints to dial in one place

Cause: three places each checked a part of what makes an address dialable. Change: net::ParseRemoteEndpoint, used by resources, members and juniperwayctl. Conclusion: the same address is refused for the same reason everywhere.

--- a/source/common/control/resource_api.cc
+++ b/source/common/control/resource_api.cc
@@ -400,14 +400,10 @@
   if (const auto error = reader.Finish()) {
     return tl::unexpected(NameBody(*error));
   }
-  const auto endpoint = net::ParseEndpoint(member.address, "address");
+  const auto endpoint = net::ParseRemoteEndpoint(member.address, "address");
   if (!endpoint) {
     return tl::unexpected(endpoint.error());
   }
-  if (endpoint->port() == 0) {
-    return MakeError(ErrorCode::kInvalidArgument, "address",
-                     "must have a port");
-  }
   return member;
 }
 
--- a/source/common/net/address.cc
+++ b/source/common/net/address.cc
@@ -54,6 +54,28 @@
   return asio::ip::tcp::endpoint(address, *port);
 }
 
+Result<asio::ip::tcp::endpoint> ParseRemoteEndpoint(std::string_view text,
+                                                    std::string_view field) {
+  auto endpoint = ParseEndpoint(text, field);
+  if (!endpoint) {
+    return endpoint;
+  }
+  const auto refuse = [&](const char* message) {
+    return MakeError(ErrorCode::kInvalidArgument, std::string(field), message);
+  };
+  const asio::ip::address address = endpoint->address();
+  if (endpoint->port() == 0) {
+    return refuse("must have a port");
+  }
+  if (address.is_unspecified() || address.is_multicast()) {
+    return refuse("must be the address of one machine");
+  }
+  if (address.is_v6() && address.to_v6().is_v4_mapped()) {
+    return refuse("must be written as an IPv4 address");
+  }
+  return endpoint;
+}
+
 std::string FormatEndpoint(const asio::ip::tcp::endpoint& endpoint) {
   std::ostringstream text;
   text << endpoint;
--- a/source/common/net/address.h
+++ b/source/common/net/address.h
@@ -16,6 +16,12 @@
 Result<asio::ip::tcp::endpoint> ParseEndpoint(std::string_view text,
                                               std::string_view field);
 
+// As ParseEndpoint, for an endpoint that others are to dial: one machine's,
+// with a port. IPv4-mapped IPv6 addresses are refused, so that FormatEndpoint
+// gives each endpoint one spelling.
+Result<asio::ip::tcp::endpoint> ParseRemoteEndpoint(std::string_view text,
+                                                    std::string_view field);
+
 std::string FormatEndpoint(const asio::ip::tcp::endpoint& endpoint);
 
 // The address that outgoing connections of this process come from, for machines
--- a/source/common/resources/resource_json.cc
+++ b/source/common/resources/resource_json.cc
@@ -49,21 +49,6 @@
   return IsNameCharacter(character) && character != '.' && character != '-';
 }
 
-// What is wrong with an endpoint that daemons are to dial; null: nothing.
-const char* FaultOf(const asio::ip::tcp::endpoint& endpoint) {
-  const asio::ip::address address = endpoint.address();
-  if (endpoint.port() == 0) {
-    return "must have a port";
-  }
-  if (address.is_unspecified() || address.is_multicast()) {
-    return "must be the address of one machine";
-  }
-  if (address.is_v6() && address.to_v6().is_v4_mapped()) {
-    return "must be written as an IPv4 address";
-  }
-  return nullptr;
-}
-
 // ---- One list of fields for each kind, visited to read and to write. --------
 
 // Fills a specification from JSON.
@@ -85,11 +70,10 @@
     if (!given) {
       return;
     }
-    const auto endpoint = net::ParseEndpoint(value, reader_.PathOf(field));
+    const auto endpoint =
+        net::ParseRemoteEndpoint(value, reader_.PathOf(field));
     if (!endpoint) {
       reader_.Fail(endpoint.error());
-    } else if (const char* fault = FaultOf(*endpoint)) {
-      reader_.Fail(field, fault);
     } else {
       // One spelling for one endpoint: addresses are compared as text.
       value = net::FormatEndpoint(*endpoint);
--- a/source/ctl/commands/members.cc
+++ b/source/ctl/commands/members.cc
@@ -112,7 +112,8 @@
   if (!id) {
     return tl::unexpected(id.error());
   }
-  if (auto address = net::ParseEndpoint(arguments[2], "ADDRESS"); !address) {
+  if (auto address = net::ParseRemoteEndpoint(arguments[2], "ADDRESS");
+      !address) {
     return Fail(ExitCode::kUsage, FormatError(address.error()));
   }
   ApiRequest request;
--- a/source/ctl/commands/restore.cc
+++ b/source/ctl/commands/restore.cc
@@ -21,7 +21,7 @@
   if (!options.node_id || *options.node_id == raft::kNoNode) {
     return Fail(ExitCode::kUsage, "--node-id: is required, above 0");
   }
-  if (auto address = net::ParseEndpoint(options.address, "--address");
+  if (auto address = net::ParseRemoteEndpoint(options.address, "--address");
       !address) {
     return Fail(ExitCode::kUsage, FormatError(address.error()));
   }
--- a/source/ctl/settings.cc
+++ b/source/ctl/settings.cc
@@ -1,7 +1,5 @@
 #include "ctl/settings.h"
 
-#include <fmt/format.h>
-
 #include <algorithm>
 #include <utility>
 
@@ -38,14 +36,10 @@
     const std::string& text, const std::string& source) {
   std::vector<asio::ip::tcp::endpoint> servers;
   for (const std::string& part : SplitList(text)) {
-    const auto endpoint = net::ParseEndpoint(part, source);
+    const auto endpoint = net::ParseRemoteEndpoint(part, source);
     if (!endpoint) {
       return Fail(ExitCode::kUsage, FormatError(endpoint.error()));
     }
-    if (endpoint->port() == 0) {
-      return Fail(ExitCode::kUsage,
-                  fmt::format("{}: {} has no port", source, part));
-    }
     servers.push_back(*endpoint);
   }
   return servers;
--- a/test/unit/net/address_test.cc
+++ b/test/unit/net/address_test.cc
@@ -24,4 +24,18 @@
   }
 }
 
+TEST_CASE("an endpoint to dial is one machine's, in one spelling") {
+  for (const char* text : {"127.0.0.1:80", "[::1]:7100"}) {
+    CHECK(FormatEndpoint(ParseRemoteEndpoint(text, "a").value()) == text);
+  }
+  for (const char* text :
+       {"127.0.0.1:0", "0.0.0.0:80", "[::]:80", "224.0.0.1:80", "[ff02::1]:80",
+        "[::ffff:10.0.0.1]:80", "here:80"}) {
+    CAPTURE(text);
+    const auto endpoint = ParseRemoteEndpoint(text, "spec.address");
+    REQUIRE_FALSE(endpoint.has_value());
+    CHECK(endpoint.error().field == "spec.address");
+  }
+}
+
 }  // namespace juniperway::net
