--- a/source/common/gateway/front_link.cc
+++ b/source/common/gateway/front_link.cc
@@ -30,6 +30,24 @@
       answer.slots, answer.retry_after.count());
 }
 
+// Far above the longest deadline that a service may have (an hour).
+constexpr std::uint64_t kLongestRemainingUs = 24ULL * 3600 * 1000 * 1000;
+
+// Checked before any of it is submitted.
+bool IsSound(const protocol::BatchRequest& batch) {
+  if (batch.remaining_us() > kLongestRemainingUs) {
+    return false;
+  }
+  if (batch.subqueries() != nullptr) {
+    for (const protocol::Subquery* subquery : *batch.subqueries()) {
+      if (subquery->range_begin() > subquery->range_end()) {
+        return false;
+      }
+    }
+  }
+  return true;
+}
+
 std::shared_ptr<const QueryContext> ReadContext(
     const protocol::BatchRequest& batch) {
   auto query = std::make_shared<QueryContext>();
@@ -69,7 +87,7 @@
       message == nullptr ? nullptr : message->message_as_BatchRequest();
   const auto* cancel =
       message == nullptr ? nullptr : message->message_as_CancelRequest();
-  if (batch != nullptr) {
+  if (batch != nullptr && IsSound(*batch)) {
     OnBatch(*batch);
   } else if (cancel != nullptr) {
     OnCancel(*cancel);
