--- a/source/common/control/raft_driver.cc
+++ b/source/common/control/raft_driver.cc
@@ -11,9 +11,20 @@
 
 // Bounds how long the timer sleeps when the state machine has no deadline.
 constexpr Duration kMaximumSleep = seconds(1);
+// An entry to be applied at a restart costs about as much as this many bytes of
+// a snapshot to be read.
+constexpr std::size_t kSnapshotBytesAnEntry = 1024;
 
 }  // namespace
 
+bool IsCompactionDue(const CompactionLimits& limits, std::size_t log_bytes,
+                     std::size_t log_entries, std::size_t snapshot_bytes) {
+  return log_entries > 0 &&
+         (log_bytes >= std::max(limits.bytes, snapshot_bytes) ||
+          log_entries >=
+              std::max(limits.entries, snapshot_bytes / kSnapshotBytesAnEntry));
+}
+
 RaftDriver::RaftDriver(asio::io_context& context, const raft::Options& options,
                        raft::InitialState initial,
                        std::unique_ptr<storage::LogStore> store,
@@ -119,6 +130,7 @@
     logging::LogEvent(kSnapshotInstalled,
                       {{"node", id_}, {"index", ready.snapshot->index}});
     callbacks_.install(*ready.snapshot);
+    snapshot_bytes_ = ready.snapshot->data.size();
     applied_ = ready.snapshot->index;
     fsm_.Applied(applied_);
     bytes_since_snapshot_ = 0;
@@ -141,9 +153,8 @@
 }
 
 void RaftDriver::CompactIfLarge() {
-  const bool large = bytes_since_snapshot_ >= limits_.bytes ||
-                     entries_since_snapshot_ >= limits_.entries;
-  if (!large || entries_since_snapshot_ == 0) {
+  if (!IsCompactionDue(limits_, bytes_since_snapshot_, entries_since_snapshot_,
+                       snapshot_bytes_)) {
     return;
   }
   Result<raft::Snapshot> made =
@@ -159,6 +170,7 @@
   logging::LogEvent(kLogCompacted, {{"node", id_},
                                     {"index", snapshot.index},
                                     {"bytes", snapshot.data.size()}});
+  snapshot_bytes_ = snapshot.data.size();
   fsm_.Compacted(std::move(snapshot));
   bytes_since_snapshot_ = 0;
   entries_since_snapshot_ = 0;
--- a/source/common/control/raft_driver.h
+++ b/source/common/control/raft_driver.h
@@ -25,6 +25,12 @@
   raft::Index kept_entries = 0;
 };
 
+// Whether a snapshot is to be taken. A large state is written anew only after
+// as much log has come as it takes itself, so that the work stays in
+// proportion.
+bool IsCompactionDue(const CompactionLimits& limits, std::size_t log_bytes,
+                     std::size_t log_entries, std::size_t snapshot_bytes);
+
 class RaftDriver : public std::enable_shared_from_this<RaftDriver> {
  public:
   struct Callbacks {
@@ -85,6 +91,8 @@
   raft::Index applied_ = 0;
   std::size_t bytes_since_snapshot_ = 0;
   std::size_t entries_since_snapshot_ = 0;
+  // Size of the latest snapshot.
+  std::size_t snapshot_bytes_ = 0;
   bool drain_scheduled_ = false;
   bool stopped_ = false;
 };
