--- a/source/lab/proxy/link.h
+++ b/source/lab/proxy/link.h
@@ -24,6 +24,8 @@
 
 struct LinkCounters {
   std::uint64_t connections = 0;
+  // The target took no connection: nothing of these ever reached it.
+  std::uint64_t refused = 0;
   std::uint64_t open = 0;
   std::uint64_t peak_open = 0;
   std::uint64_t bytes_to_target = 0;
@@ -42,6 +44,9 @@
 
   // Where new connections go; without a target they are reset.
   void SetTarget(const asio::ip::tcp::endpoint& target) { target_ = target; }
+  // Without listening, connections are refused as by a machine whose process
+  // is gone; the port is kept. Throws std::system_error (set-up fault).
+  void SetListening(bool listening);
   // Faults changed: blocked bytes may pass now.
   void Wake();
   // Resets the connections from matching machines. @return how many.
@@ -49,7 +54,7 @@
 
   const std::string& name() const { return name_; }
   const std::string& machine() const { return machine_; }
-  asio::ip::tcp::endpoint endpoint() const;
+  asio::ip::tcp::endpoint endpoint() const { return endpoint_; }
   LinkCounters counters() const;
 
  private:
@@ -64,6 +69,9 @@
   std::string name_;
   std::string machine_;
   asio::ip::tcp::acceptor acceptor_;
+  // Kept, as a closed acceptor knows it no more.
+  asio::ip::tcp::endpoint endpoint_;
+  bool listening_ = true;
   std::optional<asio::ip::tcp::endpoint> target_;
   std::uint64_t next_id_ = 0;
   std::map<std::uint64_t, std::shared_ptr<ProxiedConnection>> connections_;
--- a/source/lab/proxy/proxy.h
+++ b/source/lab/proxy/proxy.h
@@ -1,7 +1,7 @@
 // The fault-injecting TCP proxy: links, topology and its control listener.
 //
 // Calls (JSON): POST /v1/machines, /v1/links, /v1/faults, /v1/reset; GET
-// /v1/proxy. See docs/operations/lab.md.
+// /v1/proxy. See docs/operations/experiments.md.
 #pragma once
 
 #include <asio/io_context.hpp>
@@ -30,8 +30,8 @@
  private:
   void Handle(const net::HttpRequest& request, net::HttpResponder& responder);
   Result<void> Apply(const net::HttpRequest& request);
-  // {"links":[{"name","machine","target"}]}: makes the links that are new, and
-  // sets the targets of all named.
+  // {"links":[{"name","machine","target","listening"}]}: makes the links that
+  // are new, and sets the targets of all named.
   Result<void> SetLinks(const nlohmann::json& json);
   // {"link": name or "*", "from": selector}.
   Result<void> ResetConnections(const nlohmann::json& json);
