Encrypt the fleet's own connections, and serve callers by TLS, where set

Cause: everything went in clear. Change: [tls] in the settings: FrameConnection and its listener speak TLS 1.2 or newer and both sides show a certificate of the fleet's authority; gateway.http_certificate_file and http_key_file: RESTinio's TLS for callers. Certificates for tests are made when they run. Measured: ctest -R 'unit.(daemon|logging|net|session|gateway)|integration.daemon': 16 of 16 passed, among them one process in both roles with [tls]. Seen to fail: with certificates not verified, 2 of the 5 cases of unit.net/tls (a stranger is taken, and a false server). Cost of TLS: not measured. Conclusion: optional, off where not set. Back ends, the platform's list and the resource API stay plain.

--- a/source/common/gateway/front_server.cc
+++ b/source/common/gateway/front_server.cc
@@ -90,6 +90,7 @@
   static net::HttpServerOptions HttpOptions(const FrontOptions& options) {
     net::HttpServerOptions http_options;
     http_options.endpoint = options.http_listen;
+    http_options.tls = options.http_tls;
     http_options.maximum_body_bytes = options.maximum_body_bytes;
     http_options.maximum_connections = options.maximum_caller_connections;
     return http_options;
--- a/source/common/gateway/front_server.h
+++ b/source/common/gateway/front_server.h
@@ -9,9 +9,11 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 
 #include "common/base/time.h"
+#include "common/net/tls.h"
 #include "common/routing/replica_selector.h"
 #include "common/session/control_session.h"
 
@@ -27,6 +29,8 @@
   std::string region;
   // Where callers connect; port 0 lets the kernel choose.
   asio::ip::tcp::endpoint http_listen;
+  // Callers connect by TLS, where set.
+  std::optional<net::TlsFiles> http_tls;
   // Queries in flight beyond which new ones are refused at once (not run).
   std::size_t maximum_concurrent_queries = 4096;
   std::size_t maximum_body_bytes = 1U << 20;
--- a/source/common/net/events.h
+++ b/source/common/net/events.h
@@ -11,5 +11,7 @@
                                                    logging::Severity::kWarning};
 inline constexpr logging::EventType kHttpHandlerFailed{
     1102, "http_handler_failed", logging::Severity::kError};
+inline constexpr logging::EventType kTlsHandshakeFailed{
+    1103, "tls_handshake_failed", logging::Severity::kWarning};
 
 }  // namespace juniperway::net
--- a/source/common/net/frame_connection.cc
+++ b/source/common/net/frame_connection.cc
@@ -5,14 +5,17 @@
 #include <algorithm>
 #include <asio/error.hpp>
 #include <asio/post.hpp>
+#include <asio/ssl/stream.hpp>
 #include <asio/steady_timer.hpp>
 #include <asio/write.hpp>
 #include <cstring>
+#include <optional>
 #include <utility>
 
 #include "common/logging/event_log.h"
 #include "common/net/address.h"
 #include "common/net/events.h"
+#include "common/net/tls.h"
 
 namespace juniperway::net {
 namespace {
@@ -27,6 +30,8 @@
 // scalar is aligned.
 constexpr std::size_t kFrameAlignment = 8;
 constexpr milliseconds kAcceptRetryDelay{100};
+// How long a peer that connected may take over its TLS handshake.
+constexpr seconds kHandshakeTimeout{10};
 
 void SetNoDelay(tcp::socket* socket) {
   std::error_code ignored;
@@ -57,11 +62,16 @@
     std::error_code ignored;
     remote = socket.remote_endpoint(ignored);
     SetNoDelay(&socket);
+    if (InternalTls()) {
+      tls.emplace(socket, *InternalTls());
+    }
   }
 
   std::size_t unread_bytes() const { return read_end - read_begin; }
 
   tcp::socket socket;
+  // Over `socket`, when the fleet's connections are encrypted.
+  std::optional<asio::ssl::stream<tcp::socket&>> tls;
   tcp::endpoint remote;
   FrameHandler on_frame;
   CloseHandler on_close;
@@ -91,9 +101,28 @@
     MakeRoom(&state);
     const auto space = asio::buffer(state.read_buffer.data() + state.read_end,
                                     state.read_buffer.size() - state.read_end);
-    state.socket.async_read_some(
-        space, [self](const std::error_code& error, std::size_t bytes) {
-          OnRead(self, error, bytes);
+    auto on_read = [self](const std::error_code& error, std::size_t bytes) {
+      OnRead(self, error, bytes);
+    };
+    if (state.tls) {
+      state.tls->async_read_some(space, std::move(on_read));
+    } else {
+      state.socket.async_read_some(space, std::move(on_read));
+    }
+  }
+
+  // Runs `done` once; at once where connections are not encrypted.
+  static void Handshake(const Self& self,
+                        asio::ssl::stream_base::handshake_type side,
+                        std::function<void(const std::error_code&)> done) {
+    auto& state = *self->implementation_;
+    if (!state.tls) {
+      done({});
+      return;
+    }
+    state.tls->async_handshake(
+        side, [self, done = std::move(done)](const std::error_code& error) {
+          done(error);
         });
   }
 
@@ -194,18 +223,29 @@
     state.write_running = true;
     state.writing.clear();
     std::swap(state.writing, state.queued);
-    asio::async_write(state.socket, asio::buffer(state.writing),
-                      [self](const std::error_code& error, std::size_t bytes) {
-                        auto& written_state = *self->implementation_;
-                        written_state.write_running = false;
-                        written_state.sent_bytes += bytes;
-                        written_state.writing.clear();
-                        if (error) {
-                          self->Close();
-                          return;
-                        }
-                        Write(self);
-                      });
+    auto on_written = [self](const std::error_code& error, std::size_t bytes) {
+      OnWritten(self, error, bytes);
+    };
+    if (state.tls) {
+      asio::async_write(*state.tls, asio::buffer(state.writing),
+                        std::move(on_written));
+    } else {
+      asio::async_write(state.socket, asio::buffer(state.writing),
+                        std::move(on_written));
+    }
+  }
+
+  static void OnWritten(const Self& self, const std::error_code& error,
+                        std::size_t bytes) {
+    auto& state = *self->implementation_;
+    state.write_running = false;
+    state.sent_bytes += bytes;
+    state.writing.clear();
+    if (error) {
+      self->Close();
+      return;
+    }
+    Write(self);
   }
 };
 
@@ -214,42 +254,87 @@
 
 FrameConnection::~FrameConnection() = default;
 
-void FrameConnection::Connect(
-    asio::io_context& context, const tcp::endpoint& endpoint, Duration timeout,
-    std::function<void(Result<std::shared_ptr<FrameConnection>>)> callback) {
-  struct Attempt {
-    explicit Attempt(asio::io_context& io_context)
-        : socket(io_context), timer(io_context) {}
-    tcp::socket socket;
-    asio::steady_timer timer;
-    bool timed_out = false;
-  };
-  auto attempt = std::make_shared<Attempt>(context);
-  attempt->timer.expires_after(timeout);
-  attempt->timer.async_wait([attempt](const std::error_code& error) {
-    if (!error) {
-      std::error_code ignored;
-      attempt->timed_out = true;
-      attempt->socket.close(ignored);
+namespace {
+
+// One attempt to connect, with its handshake.
+struct ConnectAttempt : std::enable_shared_from_this<ConnectAttempt> {
+  using Callback =
+      std::function<void(Result<std::shared_ptr<FrameConnection>>)>;
+
+  ConnectAttempt(asio::io_context& context, const tcp::endpoint& peer,
+                 Callback on_done)
+      : endpoint(peer),
+        socket(context),
+        timer(context),
+        callback(std::move(on_done)) {}
+
+  void Start(Duration timeout) {
+    timer.expires_after(timeout);
+    timer.async_wait([self = shared_from_this()](const std::error_code& error) {
+      if (!error) {
+        self->timed_out = true;
+        self->Abandon();
+      }
+    });
+    BindToSourceAddress(socket);
+    socket.async_connect(
+        endpoint, [self = shared_from_this()](const std::error_code& error) {
+          self->OnConnected(error);
+        });
+  }
+
+  void Abandon() {
+    std::error_code ignored;
+    socket.close(ignored);
+    if (connection) {
+      connection->Close();
     }
-  });
-  BindToSourceAddress(attempt->socket);
-  attempt->socket.async_connect(endpoint, [attempt, endpoint,
-                                           callback = std::move(callback)](
-                                              const std::error_code& error) {
-    attempt->timer.cancel();
+  }
+
+  void OnConnected(const std::error_code& error) {
+    if (error || timed_out) {
+      Finish(error);
+      return;
+    }
+    connection = std::make_shared<FrameConnection>(std::move(socket));
+    FrameConnectionSteps::Handshake(
+        connection, asio::ssl::stream_base::client,
+        [self = shared_from_this()](const std::error_code& handshake_error) {
+          self->Finish(handshake_error);
+        });
+  }
+
+  void Finish(const std::error_code& error) {
+    timer.cancel();
     const std::string address = FormatEndpoint(endpoint);
-    if (attempt->timed_out) {
+    if (timed_out) {
       callback(MakeError(ErrorCode::kDeadlineExceeded, "",
                          "no connection to " + address + " in time"));
     } else if (error) {
+      Abandon();
       callback(
           MakeError(ErrorCode::kUnavailable, "",
                     "no connection to " + address + ": " + error.message()));
     } else {
-      callback(std::make_shared<FrameConnection>(std::move(attempt->socket)));
+      callback(std::move(connection));
     }
-  });
+  }
+
+  tcp::endpoint endpoint;
+  tcp::socket socket;
+  asio::steady_timer timer;
+  Callback callback;
+  std::shared_ptr<FrameConnection> connection;
+  bool timed_out = false;
+};
+
+}  // namespace
+
+void FrameConnection::Connect(
+    asio::io_context& context, const tcp::endpoint& endpoint, Duration timeout,
+    std::function<void(Result<std::shared_ptr<FrameConnection>>)> callback) {
+  std::make_shared<ConnectAttempt>(context, endpoint, std::move(callback))
+      ->Start(timeout);
 }
 
 void FrameConnection::Start(FrameHandler on_frame, CloseHandler on_close) {
@@ -341,12 +426,48 @@
       AcceptLater();
       return;
     }
-    on_accept(std::make_shared<FrameConnection>(std::move(socket)));
+    Welcome(std::make_shared<FrameConnection>(std::move(socket)));
     if (acceptor.is_open()) {
       Accept();
     }
   }
 
+  // Hands the connection over after its handshake.
+  void Welcome(const std::shared_ptr<FrameConnection>& connection) {
+    if (!InternalTls()) {
+      on_accept(connection);
+      return;
+    }
+    const auto timer =
+        std::make_shared<asio::steady_timer>(acceptor.get_executor());
+    timer->expires_after(kHandshakeTimeout);
+    timer->async_wait([connection](const std::error_code& error) {
+      if (!error) {
+        connection->Close();
+      }
+    });
+    FrameConnectionSteps::Handshake(connection, asio::ssl::stream_base::server,
+                                    [self = shared_from_this(), connection,
+                                     timer](const std::error_code& error) {
+                                      timer->cancel();
+                                      self->OnHandshake(connection, error);
+                                    });
+  }
+
+  void OnHandshake(const std::shared_ptr<FrameConnection>& connection,
+                   const std::error_code& error) {
+    if (error) {
+      const std::string peer = FormatEndpoint(connection->remote_endpoint());
+      logging::LogEvent(kTlsHandshakeFailed,
+                        {{"peer", peer}, {"reason", error.message()}});
+    }
+    if (error || connection->closed() || !acceptor.is_open()) {
+      connection->Close();
+      return;
+    }
+    on_accept(connection);
+  }
+
   // The process is out of descriptors or memory: others must end first.
   void AcceptLater() {
     retry_timer.expires_after(kAcceptRetryDelay);
--- a/source/common/net/http_server.cc
+++ b/source/common/net/http_server.cc
@@ -6,6 +6,7 @@
 #include <cctype>
 #include <exception>
 #include <restinio/all.hpp>
+#include <restinio/tls.hpp>
 #include <unordered_map>
 #include <unordered_set>
 #include <utility>
@@ -334,11 +335,12 @@
   Observer observer_;
 };
 
+template <typename Socket>
 struct ServerTraits
     : public restinio::traits_t<restinio::asio_timer_manager_t,
                                 restinio::null_logger_t,
                                 restinio::default_request_handler_t,
-                                restinio::noop_strand_t, RegisteredSocket> {
+                                restinio::noop_strand_t, Socket> {
   using http_methods_mapper_t = HttpMethods;
   using connection_state_listener_t = ConnectionListener;
   static constexpr bool use_connection_count_limiter = true;
@@ -388,8 +390,6 @@
 }  // namespace
 
 struct HttpServer::Implementation {
-  using Server = restinio::http_server_t<ServerTraits>;
-
   // What connections need, also after the server is gone.
   struct Shared {
     asio::io_context* context = nullptr;
@@ -406,14 +406,27 @@
     shared->context = &context;
     shared->maximum_body_bytes = options.maximum_body_bytes;
     shared->handler = std::move(handler);
-    server = std::make_unique<Server>(restinio::external_io_context(context),
-                                      MakeSettings(options));
+    if (options.tls) {
+      auto settings = MakeSettings<restinio::tls_socket_t>(options);
+      settings.tls_context(MakeTlsContext(*options.tls));
+      Open(std::move(settings));
+    } else {
+      Open(MakeSettings<RegisteredSocket>(options));
+    }
+  }
+
+  template <typename Traits>
+  void Open(restinio::server_settings_t<Traits> settings) {
+    const auto server = std::make_shared<restinio::http_server_t<Traits>>(
+        restinio::external_io_context(io_context), std::move(settings));
     server->open_sync();
+    stop_accepting = [server] { server->close_sync(); };
   }
 
-  restinio::server_settings_t<ServerTraits> MakeSettings(
+  template <typename Socket>
+  restinio::server_settings_t<ServerTraits<Socket>> MakeSettings(
       const HttpServerOptions& options) {
-    restinio::server_settings_t<ServerTraits> settings;
+    restinio::server_settings_t<ServerTraits<Socket>> settings;
     settings.port(options.endpoint.port())
         .protocol(options.endpoint.protocol())
         .address(options.endpoint.address())
@@ -481,7 +494,8 @@
   asio::io_context& io_context;
   std::shared_ptr<Shared> shared = std::make_shared<Shared>();
   tcp::endpoint local_endpoint;
-  std::unique_ptr<Server> server;
+  // Keeps the server.
+  std::function<void()> stop_accepting;
 };
 
 HttpServer::HttpServer(asio::io_context& context,
@@ -504,7 +518,7 @@
   return implementation_->shared->answers->unwritten.use_count() - 1;
 }
 
-void HttpServer::StopAccepting() { implementation_->server->close_sync(); }
+void HttpServer::StopAccepting() { implementation_->stop_accepting(); }
 
 void HttpServer::Close() {
   StopAccepting();
--- a/source/common/net/http_server.h
+++ b/source/common/net/http_server.h
@@ -16,6 +16,7 @@
 #include <vector>
 
 #include "common/base/error.h"
+#include "common/net/tls.h"
 
 namespace juniperway::net {
 
@@ -63,6 +64,9 @@
   // An idle connection is closed after this time. Longer than clients keep
   // theirs, so that a client does not send on a connection that is closing.
   std::chrono::seconds idle_timeout{300};
+  // Served over TLS, where set. Close() then leaves open connections to their
+  // time-outs.
+  std::optional<TlsFiles> tls = std::nullopt;
   // Told of each connection that opens and closes; may be empty.
   std::function<void(const asio::ip::tcp::endpoint& remote, bool open)>
       connection_listener;
--- a/source/daemon/gateway_role.cc
+++ b/source/daemon/gateway_role.cc
@@ -60,6 +60,7 @@
   options.zone = settings.zone;
   options.region = settings.region;
   options.http_listen = settings.gateway->http_listen;
+  options.http_tls = settings.gateway->http_tls;
   options.maximum_concurrent_queries =
       settings.gateway->maximum_concurrent_queries;
   options.quiet_before_drained = settings.gateway->stop_quiet;
--- a/source/daemon/main.cc
+++ b/source/daemon/main.cc
@@ -8,10 +8,12 @@
 #include <exception>
 #include <filesystem>
 #include <iostream>
+#include <memory>
 #include <optional>
 
 #include "common/logging/event_log.h"
 #include "common/net/address.h"
+#include "common/net/tls.h"
 #include "daemon/command_line.h"
 #include "daemon/control_role.h"
 #include "daemon/events.h"
@@ -124,6 +126,10 @@
   if (settings->source_address) {
     net::SetSourceAddress(*settings->source_address);
   }
+  if (settings->tls) {
+    net::SetInternalTls(std::make_shared<asio::ssl::context>(
+        net::MakeTlsContext(*settings->tls)));
+  }
   int status = kExitDone;
   {
     Daemon daemon(*settings);
--- a/source/daemon/settings.cc
+++ b/source/daemon/settings.cc
@@ -122,9 +122,37 @@
   return ToEndpoint(text);
 }
 
+std::filesystem::path ReadPath(TableReader& reader, std::string_view key,
+                               Presence presence) {
+  std::string text;
+  reader.Text(key, presence, CheckFilled, text);
+  return text;
+}
+
+// Of the callers' listener: both files or neither.
+std::optional<net::TlsFiles> ReadCallerTls(TableReader& reader) {
+  const bool wanted =
+      reader.Has("http_certificate_file") || reader.Has("http_key_file");
+  const Presence presence = wanted ? Presence::kRequired : Presence::kOptional;
+  net::TlsFiles files;
+  files.certificate = ReadPath(reader, "http_certificate_file", presence);
+  files.key = ReadPath(reader, "http_key_file", presence);
+  return wanted ? std::optional(files) : std::nullopt;
+}
+
+net::TlsFiles ReadInternalTls(TableReader& reader) {
+  net::TlsFiles files;
+  files.certificate = ReadPath(reader, "certificate_file", Presence::kRequired);
+  files.key = ReadPath(reader, "key_file", Presence::kRequired);
+  files.authority = ReadPath(reader, "authority_file", Presence::kRequired);
+  reader.RefuseUnknownKeys();
+  return files;
+}
+
 GatewaySettings ReadGateway(TableReader& reader) {
   GatewaySettings gateway;
   gateway.http_listen = ReadListener(reader, "http_listen");
+  gateway.http_tls = ReadCallerTls(reader);
   gateway.peer_listen = ReadListener(reader, "peer_listen");
   reader.Text("peer_advertise", Presence::kOptional, CheckDialled,
               gateway.peer_advertise);
@@ -189,9 +217,7 @@
   }
   CheckMembers(reader, control, advertised);
   reader.Boolean("bootstrap", control.bootstrap);
-  std::string token_file;
-  reader.Text("token_file", Presence::kOptional, CheckFilled, token_file);
-  control.token_file = token_file;
+  control.token_file = ReadPath(reader, "token_file", Presence::kOptional);
   reader.Text("platform_url", Presence::kOptional, CheckUrl,
               control.platform_url);
   reader.RefuseUnknownKeys();
@@ -203,12 +229,8 @@
   reader.Text("cluster", Presence::kRequired, CheckName, settings.cluster);
   reader.Text("zone", Presence::kRequired, CheckName, settings.zone);
   reader.Text("region", Presence::kOptional, CheckName, settings.region);
-  std::string folder;
-  reader.Text("data_folder", Presence::kRequired, CheckFilled, folder);
-  settings.data_folder = folder;
-  std::string log_folder;
-  reader.Text("log_folder", Presence::kOptional, CheckFilled, log_folder);
-  settings.log_folder = log_folder;
+  settings.data_folder = ReadPath(reader, "data_folder", Presence::kRequired);
+  settings.log_folder = ReadPath(reader, "log_folder", Presence::kOptional);
   std::string source;
   reader.Text("source_address", Presence::kOptional, CheckAddress, source);
   if (!source.empty()) {
@@ -251,6 +273,10 @@
   reader.Texts("control_peers",
                gateway != nullptr ? Presence::kRequired : Presence::kOptional,
                CheckDialled, settings.control_peers);
+  if (const toml::table* tls = reader.Table("tls")) {
+    TableReader table(*tls, "tls", file, faults);
+    settings.tls = ReadInternalTls(table);
+  }
   if (gateway != nullptr) {
     TableReader table(*gateway, "gateway", file, faults);
     settings.gateway = ReadGateway(table);
--- a/source/daemon/settings.h
+++ b/source/daemon/settings.h
@@ -13,6 +13,7 @@
 #include <vector>
 
 #include "common/base/time.h"
+#include "common/net/tls.h"
 #include "common/raft/types.h"
 #include "daemon/table_reader.h"
 
@@ -20,6 +21,8 @@
 
 struct GatewaySettings {
   asio::ip::tcp::endpoint http_listen;
+  // Callers connect by TLS, where set.
+  std::optional<net::TlsFiles> http_tls;
   asio::ip::tcp::endpoint peer_listen;
   // What other daemons dial; empty: where peer_listen listens.
   std::string peer_advertise;
@@ -53,6 +56,8 @@
   std::optional<asio::ip::address> source_address;
   // Peer addresses of the control machines.
   std::vector<std::string> control_peers;
+  // The fleet's own connections are encrypted, where set.
+  std::optional<net::TlsFiles> tls;
   // A planned stop is over after this at the latest.
   Duration stop_timeout = seconds(30);
   // Roles.
--- a/test/integration/daemon/both_roles_test.cc
+++ b/test/integration/daemon/both_roles_test.cc
@@ -13,6 +13,7 @@
 #include "integration/daemon/fleet_fixture.h"
 #include "lab/fleet/child_process.h"
 #include "lab/wait.h"
+#include "support/certificates.h"
 
 namespace juniperway::test {
 namespace {
@@ -28,7 +29,14 @@
                      pid / 250 % 250, pid % 250 + 1);
 }
 
-std::string Settings(const ScratchFolder& folder) {
+std::string TlsTable(const net::TlsFiles& files) {
+  return fmt::format(
+      "[tls]\ncertificate_file = \"{}\"\nkey_file = \"{}\"\n"
+      "authority_file = \"{}\"\n",
+      files.certificate.string(), files.key.string(), files.authority.string());
+}
+
+std::string Settings(const TemporaryFolder& folder) {
   const std::string peer = OwnPeerAddress();
   return fmt::format(
       "name = \"all\"\ncluster = \"test\"\nzone = \"a\"\n"
@@ -75,7 +83,7 @@
 }  // namespace
 
 TEST_CASE("One process in both roles serves queries and stops") {
-  const ScratchFolder folder;
+  const TemporaryFolder folder;
   auto backend =
       lab::ChildProcess::Start(kBinaries + "/juniperway-lab", {"backend"},
                                (folder.path() / "backend.log").string());
@@ -83,8 +91,14 @@
   auto backend_addresses = backend->WaitUntilReady(kLimit);
   REQUIRE(backend_addresses.has_value());
 
+  std::string text = Settings(folder);
+  SUBCASE("in clear") {}
+  SUBCASE("with TLS inside the fleet") {
+    const CertificateAuthority authority(folder.path(), "fleet");
+    text += TlsTable(authority.Issue("all"));
+  }
   const auto settings = folder.path() / "all.toml";
-  std::ofstream(settings) << Settings(folder);
+  std::ofstream(settings) << text;
   auto daemon = lab::ChildProcess::Start(kBinaries + "/juniperwayd",
                                          {"--settings", settings.string()},
                                          (folder.path() / "all.log").string());
--- a/test/integration/daemon/fleet_fixture.cc
+++ b/test/integration/daemon/fleet_fixture.cc
@@ -1,10 +1,8 @@
 #include "integration/daemon/fleet_fixture.h"
 
 #include <fmt/format.h>
-#include <stdlib.h>
 
 #include <asio/post.hpp>
-#include <cstdlib>
 #include <nlohmann/json.hpp>
 #include <utility>
 
@@ -40,23 +38,6 @@
 
 }  // namespace
 
-ScratchFolder::ScratchFolder() {
-  std::string name =
-      (std::filesystem::temp_directory_path() / "juniperway-test-XXXXXX")
-          .string();
-  REQUIRE(::mkdtemp(name.data()) != nullptr);
-  path_ = name;
-}
-
-ScratchFolder::~ScratchFolder() {
-  // For looking at the processes' logs after a failure.
-  if (std::getenv("JUNIPERWAY_KEEP_FOLDERS") != nullptr) {
-    return;
-  }
-  std::error_code ignored;
-  std::filesystem::remove_all(path_, ignored);
-}
-
 TestFleet::TestFleet(const FleetShape& shape) {
   lab::FleetOptions options;
   options.deployment = MakeDeployment(shape);
--- a/test/integration/daemon/fleet_fixture.h
+++ b/test/integration/daemon/fleet_fixture.h
@@ -5,7 +5,6 @@
 #include <doctest/doctest.h>
 
 #include <cstdint>
-#include <filesystem>
 #include <memory>
 #include <string>
 #include <thread>
@@ -13,25 +12,13 @@
 #include "lab/blocking_http.h"
 #include "lab/caller/load.h"
 #include "lab/fleet/fleet.h"
+#include "support/temporary_folder.h"
 
 namespace juniperway::test {
 
 inline const std::string kService = "search";
 inline constexpr std::uint32_t kShards = 8;
 
-// A folder that goes with the object.
-class ScratchFolder {
- public:
-  ScratchFolder();
-  ~ScratchFolder();
-  ScratchFolder(const ScratchFolder&) = delete;
-  ScratchFolder& operator=(const ScratchFolder&) = delete;
-  const std::filesystem::path& path() const { return path_; }
-
- private:
-  std::filesystem::path path_;
-};
-
 struct FleetShape {
   std::uint32_t control_machines = 1;
   std::uint32_t gateways = 2;
@@ -50,7 +37,7 @@
   // whole, of this index version and right row by row.
   void CheckWholeAnswer(const std::string& gateway);
 
-  ScratchFolder folder;
+  TemporaryFolder folder;
   std::unique_ptr<lab::Fleet> fleet;
   lab::BlockingHttp http;
 };
--- a/test/integration/daemon/restart_test.cc
+++ b/test/integration/daemon/restart_test.cc
@@ -64,7 +64,7 @@
   std::string errors;
 };
 
-Outcome RunDaemon(const ScratchFolder& folder, const std::string& settings) {
+Outcome RunDaemon(const TemporaryFolder& folder, const std::string& settings) {
   const auto file = folder.path() / "daemon.toml";
   const auto log = folder.path() / "daemon.log";
   std::filesystem::remove(log);
@@ -79,7 +79,7 @@
   return outcome;
 }
 
-std::string GatewaySettings(const ScratchFolder& folder,
+std::string GatewaySettings(const TemporaryFolder& folder,
                             const std::string& name) {
   return fmt::format(
       "name = \"{}\"\ncluster = \"test\"\nzone = \"a\"\n"
@@ -89,7 +89,7 @@
       name, (folder.path() / "data").string());
 }
 
-std::string ControlSettings(const ScratchFolder& folder, int node,
+std::string ControlSettings(const TemporaryFolder& folder, int node,
                             bool bootstrap) {
   return fmt::format(
       "name = \"control-1\"\ncluster = \"test\"\nzone = \"a\"\n"
@@ -100,7 +100,7 @@
 }
 
 // Starts juniperwayd, awaits `ready` and ends it by SIGTERM.
-void StartOnce(const ScratchFolder& folder, const std::string& settings) {
+void StartOnce(const TemporaryFolder& folder, const std::string& settings) {
   const auto file = folder.path() / "first.toml";
   std::ofstream(file) << settings;
   auto process = lab::ChildProcess::Start(
@@ -112,7 +112,7 @@
   CHECK(process->Wait(kLimit) == 0);
 }
 
-void CheckFails(const ScratchFolder& folder, const std::string& settings,
+void CheckFails(const TemporaryFolder& folder, const std::string& settings,
                 const std::string& file, const std::string& reason) {
   const Outcome outcome = RunDaemon(folder, settings);
   CAPTURE(outcome.errors);
@@ -179,7 +179,7 @@
 }
 
 TEST_CASE("A gateway refuses a data folder that is damaged or another's") {
-  const ScratchFolder folder;
+  const TemporaryFolder folder;
   const std::string file = "data/gateway/session.json";
   StartOnce(folder, GatewaySettings(folder, "one"));
   CheckFails(folder, GatewaySettings(folder, "two"), file,
@@ -189,7 +189,7 @@
 }
 
 TEST_CASE("A control machine refuses a data folder that is not its own") {
-  const ScratchFolder folder;
+  const TemporaryFolder folder;
   const std::string file = "data/control";
   CheckFails(folder, ControlSettings(folder, 1, false), file, "bootstrap");
   StartOnce(folder, ControlSettings(folder, 1, true));
@@ -203,7 +203,7 @@
 }
 
 TEST_CASE("A data folder that another process uses is refused") {
-  const ScratchFolder folder;
+  const TemporaryFolder folder;
   const auto settings = folder.path() / "running.toml";
   std::ofstream(settings) << GatewaySettings(folder, "one");
   auto running = lab::ChildProcess::Start(
@@ -217,7 +217,7 @@
 }
 
 TEST_CASE("Wrong settings end the daemon with status 2 and name the place") {
-  const ScratchFolder folder;
+  const TemporaryFolder folder;
   const Outcome outcome =
       RunDaemon(folder, GatewaySettings(folder, "one") + "peer_lisen = 1\n");
   CHECK(outcome.status == 2);
--- a/test/support/temporary_folder.h
+++ b/test/support/temporary_folder.h
@@ -20,7 +20,12 @@
     REQUIRE(mkdtemp(path.data()) != nullptr);
     path_ = path;
   }
+  // JUNIPERWAY_KEEP_FOLDERS keeps it, for the logs of processes after a
+  // failure.
   ~TemporaryFolder() {
+    if (std::getenv("JUNIPERWAY_KEEP_FOLDERS") != nullptr) {
+      return;
+    }
     std::error_code ignored;
     std::filesystem::remove_all(path_, ignored);
   }
--- a/test/unit/daemon/operators_pages_test.cc
+++ b/test/unit/daemon/operators_pages_test.cc
@@ -47,7 +47,7 @@
   const auto listed = FindAll(settings, R"re(\n\| `(?:\w+\.)?(\w+)` \|)re");
   const auto read = FindAll(
       ReadFile(kRoot / "source" / "daemon" / "settings.cc"),
-      R"re((?:reader\.(?:Text|Texts|Integer|Boolean)\(|ReadListener\(reader,)\s*"(\w+)")re");
+      R"re((?:reader\.(?:Text|Texts|Integer|Boolean)\(|Read(?:Listener|Path)\(reader,)\s*"(\w+)")re");
   CHECK(read.size() > 15);
   CHECK(listed == read);
 }
