--- a/source/common/net/events.h
+++ b/source/common/net/events.h
@@ -13,5 +13,7 @@
     1102, "http_handler_failed", logging::Severity::kError};
 inline constexpr logging::EventType kPeerTooSlow{1103, "peer_too_slow",
                                                  logging::Severity::kWarning};
+inline constexpr logging::EventType kTlsHandshakeFailed{
+    1104, "tls_handshake_failed", logging::Severity::kWarning};
 
 }  // namespace juniperway::net
