Follow the calls' deadline in the simulated daemon; keep crashed servers

Change: the simulation says whether calls can be sent; a crashed stand-in keeps its closed server. Conclusion: net::HttpServer must outlive its connections; its header should say so.

--- a/source/lab/backend/server.cc
+++ b/source/lab/backend/server.cc
@@ -102,7 +102,7 @@
   // First, so that answers of what is forgotten below reach nobody.
   if (server_) {
     server_->Close();
-    server_.reset();
+    closed_servers_.push_back(std::move(server_));
   }
   for (const auto& [attempt_id, running] : running_) {
     running->timer.cancel();
--- a/source/lab/backend/server.h
+++ b/source/lab/backend/server.h
@@ -10,6 +10,7 @@
 #include <nlohmann/json_fwd.hpp>
 #include <set>
 #include <string>
+#include <vector>
 
 #include "common/net/http_server.h"
 #include "lab/backend/ledger.h"
@@ -64,6 +65,9 @@
   BackendModel model_;
   Ledger* ledger_;
   asio::ip::tcp::endpoint endpoint_;
+  // Of earlier crashes: a server must outlive its connections, which end in
+  // later turns of the event loop.
+  std::vector<std::unique_ptr<net::HttpServer>> closed_servers_;
   std::unique_ptr<net::HttpServer> server_;
   // By attempt id.
   std::map<std::string, std::shared_ptr<Running>> running_;
--- a/source/sim/control/sim_daemon.cc
+++ b/source/sim/control/sim_daemon.cc
@@ -135,7 +135,8 @@
 
 void SimDaemon::ArmTimer() {
   const MonotonicTime deadline =
-      std::max(std::min(state_->NextDeadline(), operations_->NextDeadline()),
+      std::max(std::min(state_->NextDeadline(),
+                        operations_->NextDeadline(state_->connected())),
                Now() + milliseconds(1));
   if (deadline == MonotonicTime::max()) {
     return;
