Take a single shed for chance, not for overload

Cause: the limit of running queries fell at each query that ended short by a shed; just below capacity sheds come now and then, and the limit refused queries that the back ends could have taken. Change: it falls at the third such query of the last fifty.

--- a/source/common/routing/admission_limit.cc
+++ b/source/common/routing/admission_limit.cc
@@ -13,20 +13,28 @@
 void AdmissionLimit::OnEnd(End end, MonotonicTime began, MonotonicTime now) {
   const auto running = static_cast<double>(running_);
   --running_;
-  switch (end) {
-    case End::kServed:
-      if (running >= kUsedShare * limit_) {
-        limit_ = std::min(limit_ + 1 / limit_, kHighest);
-      }
-      return;
-    case End::kOverloaded:
-      if (began >= last_decrease_) {
-        limit_ = std::max(std::min(limit_, running) * kDecrease, kLowest);
-        last_decrease_ = now;
-      }
-      return;
-    case End::kOther:
-      return;
+  if (end == End::kOther) {
+    return;
+  }
+  if (end == End::kServed && running >= kUsedShare * limit_) {
+    limit_ = std::min(limit_ + 1 / limit_, kHighest);
+  }
+  if (began >= last_decrease_) {
+    Count(end, running, now);
+  }
+}
+
+void AdmissionLimit::Count(End end, double running, MonotonicTime now) {
+  ++ended_;
+  overloaded_ += end == End::kOverloaded ? 1 : 0;
+  const bool overload = overloaded_ >= kOverloadedToFall;
+  if (overload) {
+    limit_ = std::max(std::min(limit_, running) * kDecrease, kLowest);
+    last_decrease_ = now;
+  }
+  if (overload || ended_ >= kWindow) {
+    ended_ = 0;
+    overloaded_ = 0;
   }
 }
 
--- a/source/common/routing/admission_limit.h
+++ b/source/common/routing/admission_limit.h
@@ -2,9 +2,10 @@
 // overload makes each shard shed other queries' parts, and hardly any query
 // ends whole although every back end is busy. Pure.
 //
-// The limit falls by a fixed share when a query ended short because busy back
-// ends shed its parts, and grows by one for each limit's worth of queries that
-// did not. Queries that began before the last fall say nothing new.
+// The limit falls by a fixed share when several of the last queries ended short
+// because busy back ends shed their parts, and grows by one for each limit's
+// worth of queries that did not. Queries that began before the last fall say
+// nothing new. A single shed now and then is chance, not overload.
 #pragma once
 
 #include <cstddef>
@@ -20,6 +21,9 @@
   // Until the first overload, and the most it grows to.
   static constexpr double kHighest = 4096;
   static constexpr double kDecrease = 0.8;
+  // It falls when this many of so many queries were overloaded.
+  static constexpr int kOverloadedToFall = 3;
+  static constexpr int kWindow = 50;
 
   bool HasRoom() const { return static_cast<double>(running_) < limit_; }
   void OnBegin() { ++running_; }
@@ -36,9 +40,14 @@
   std::size_t running() const { return running_; }
 
  private:
+  void Count(End end, double running, MonotonicTime now);
+
   double limit_ = kHighest;
   std::size_t running_ = 0;
   MonotonicTime last_decrease_{};
+  // Since the last fall or the last full window.
+  int ended_ = 0;
+  int overloaded_ = 0;
 };
 
 }  // namespace juniperway::routing
