--- a/test/unit/gateway/refusal_path_test.cc
+++ b/test/unit/gateway/refusal_path_test.cc
@@ -157,6 +157,7 @@
   // Far more than the four slots and the two waiting places.
   constexpr int kBurst = 40;
   std::vector<std::shared_ptr<Exchange>> exchanges;
+  exchanges.reserve(kBurst);
   for (int i = 0; i < kBurst; ++i) {
     exchanges.push_back(fleet.Start(LongRequest()));
   }
