--- a/source/lab/bench/command.cc
+++ b/source/lab/bench/command.cc
@@ -3,7 +3,9 @@
 #include <map>
 #include <string>
 
+#include "lab/bench/control.h"
 #include "lab/bench/fairness.h"
+#include "lab/bench/owner.h"
 #include "lab/bench/query.h"
 #include "lab/bench/raft.h"
 #include "lab/bench/state.h"
@@ -19,16 +21,19 @@
   return RunFairnessBench(std::cout);
 }
 
+int RunOwner(int /*argc*/, const char** /*argv*/) {
+  return RunOwnerBench(std::cout);
+}
+
 int RunState(int /*argc*/, const char** /*argv*/) {
   return RunStateBench(std::cout);
 }
 
 const std::map<std::string, Benchmark>& Benchmarks() {
   static const std::map<std::string, Benchmark> benchmarks = {
-      {"query", RunQueryBench},
-      {"raft", RunRaftBench},
-      {"fairness", RunFairness},
-      {"state", RunState},
+      {"control", RunControlBench}, {"fairness", RunFairness},
+      {"owner", RunOwner},          {"query", RunQueryBench},
+      {"raft", RunRaftBench},       {"state", RunState},
   };
   return benchmarks;
 }
--- a/source/lab/proxy/proxy.cc
+++ b/source/lab/proxy/proxy.cc
@@ -19,6 +19,7 @@
           {"machine", link.machine()},
           {"listen", net::FormatEndpoint(link.endpoint())},
           {"connections", counters.connections},
+          {"refused", counters.refused},
           {"open", counters.open},
           {"peak_open", counters.peak_open},
           {"bytes_to_target", counters.bytes_to_target},
@@ -88,10 +89,12 @@
     std::string name;
     std::string machine;
     std::string target;
+    bool listening = true;
     JsonReader item_reader(item, "link.");
     item_reader.Required("name", name)
         .Required("machine", machine)
-        .Optional("target", target);
+        .Optional("target", target)
+        .Optional("listening", listening);
     if (Result<void> finished = item_reader.Finish(); !finished) {
       return finished;
     }
@@ -99,6 +102,7 @@
     if (!link) {
       link = std::make_unique<Link>(context_, state_, name, machine);
     }
+    link->SetListening(listening);
     if (target.empty()) {
       continue;
     }
