--- a/source/sim/control/sim_daemon.cc
+++ b/source/sim/control/sim_daemon.cc
@@ -134,9 +134,10 @@
 }
 
 void SimDaemon::ArmTimer() {
-  const MonotonicTime deadline =
-      std::max(std::min(state_->NextDeadline(), operations_->NextDeadline()),
-               Now() + milliseconds(1));
+  const bool can_send = connection_ && state_->connected();
+  const MonotonicTime deadline = std::max(
+      std::min(state_->NextDeadline(), operations_->NextDeadline(can_send)),
+      Now() + milliseconds(1));
   if (deadline == MonotonicTime::max()) {
     return;
   }
