Test the end of an owner's lease at a stand-in back end

Cause: the cut-off at the lease's end was shown under virtual time only. Change: one case: at its end the running search is lost and its connection closed, the waiting one is refused unrun, nothing starts; with the next lease the back end is used again. Conclusion: an owner without a lease leaves nothing at a back end.

--- a/test/integration/gateway/owner_limits_test.cc
+++ b/test/integration/gateway/owner_limits_test.cc
@@ -117,6 +117,28 @@
         server.model().settings().maximum_connections);
 }
 
+TEST_CASE("Without a lease all is cut off; with the next it starts anew") {
+  OwnerFixture fixture;
+  lab::BackendServer& server = fixture.Add(StandIn("b", 1, seconds(1000)));
+  fixture.Start();
+  const auto running = fixture.Ask("b", seconds(2000));
+  const auto queued = fixture.Ask("b", seconds(2000));
+  REQUIRE(fixture.RunUntil([&] {
+    return server.model().running() == 1 && fixture.owner->in_flight() == 2;
+  }));
+  fixture.session.SetLease(false);
+  CHECK(fixture.OutcomeOf(running) == SubqueryOutcome::kLost);
+  CHECK(fixture.OutcomeOf(queued) == SubqueryOutcome::kNotOwner);
+  CHECK(fixture.RunUntil([&] { return server.model().running() == 0; }));
+  CHECK(fixture.OutcomeOf(fixture.Ask("b")) == SubqueryOutcome::kNotOwner);
+  CHECK(server.model().counters().arrived == 1);
+  fixture.session.SetLease(true);
+  REQUIRE(fixture.RunUntil(
+      [&] { return fixture.Metric("juniperway_owner_backend_owned") == 1; }));
+  fixture.Ask("b", seconds(2000));
+  CHECK(fixture.RunUntil([&] { return server.model().running() == 1; }));
+}
+
 TEST_CASE("A cold back end gets its slots one after the other") {
   lab::BackendSettings settings = StandIn("b", 4, milliseconds(2));
   settings.cold_start = seconds(1000);
