--- a/source/common/control/resource_api.cc
+++ b/source/common/control/resource_api.cc
@@ -375,10 +375,17 @@
       return;
     }
     const protocol::OperationResultT& result = *results->front();
-    logging::LogEvent(result.error ? kChangeRefused : kChangeAccepted,
-                      {{"change", change_id},
-                       {"revision", result.revision},
-                       {"resent", result.resent}});
+    if (result.error) {
+      logging::LogEvent(
+          kChangeRefused,
+          {{"change", change_id},
+           {"error", FormatError(session::DecodeError(*result.error))},
+           {"resent", result.resent}});
+    } else {
+      logging::LogEvent(kChangeAccepted, {{"change", change_id},
+                                          {"revision", result.revision},
+                                          {"resent", result.resent}});
+    }
     answer(ChangeAnswer(change_id, result));
   });
 }
@@ -400,14 +407,10 @@
   if (const auto error = reader.Finish()) {
     return tl::unexpected(NameBody(*error));
   }
-  const auto endpoint = net::ParseEndpoint(member.address, "address");
+  const auto endpoint = net::ParseRemoteEndpoint(member.address, "address");
   if (!endpoint) {
     return tl::unexpected(endpoint.error());
   }
-  if (endpoint->port() == 0) {
-    return MakeError(ErrorCode::kInvalidArgument, "address",
-                     "must have a port");
-  }
   return member;
 }
 
--- a/source/lab/bench/command.cc
+++ b/source/lab/bench/command.cc
@@ -3,6 +3,7 @@
 #include <map>
 #include <string>
 
+#include "lab/bench/control.h"
 #include "lab/bench/fairness.h"
 #include "lab/bench/owner.h"
 #include "lab/bench/query.h"
@@ -30,9 +31,9 @@
 
 const std::map<std::string, Benchmark>& Benchmarks() {
   static const std::map<std::string, Benchmark> benchmarks = {
-      {"query", RunQueryBench},  {"raft", RunRaftBench},
-      {"fairness", RunFairness}, {"owner", RunOwner},
-      {"state", RunState},
+      {"control", RunControlBench}, {"fairness", RunFairness},
+      {"owner", RunOwner},          {"query", RunQueryBench},
+      {"raft", RunRaftBench},       {"state", RunState},
   };
   return benchmarks;
 }
--- a/source/lab/experiment/faults/backends.cc
+++ b/source/lab/experiment/faults/backends.cc
@@ -1,5 +1,6 @@
 // Back ends that are slow, lost, cold or lie about themselves.
 #include <algorithm>
+#include <memory>
 
 #include "lab/experiment/faults/faults.h"
 #include "lab/experiment/run.h"
@@ -11,20 +12,29 @@
 constexpr std::size_t kBackendsPerStraggler = 20;
 constexpr double kStragglerFactor = 20;
 constexpr std::size_t kFewServices = 6;
+constexpr int kLateOnTheWayMs = 300;
 
 constexpr const char* kStragglerNote = "straggler";
-constexpr const char* kLostNote = "replica-loss";
 constexpr const char* kLyingNote = "lying-health";
 constexpr const char* kLateNote = "late-answers";
 
 Result<void> CrashAll(ExperimentRun& run,
-                      const std::vector<std::string>& backends,
-                      const char* change) {
-  for (const std::string& backend : backends) {
-    Result<void> changed =
-        run.fleet().stand_ins().ChangeBackend(backend, {{change, true}});
-    if (!changed) {
-      return changed;
+                      const std::vector<BackendPlan>& backends) {
+  for (const BackendPlan& backend : backends) {
+    Result<void> crashed = run.fleet().stand_ins().CrashBackend(backend);
+    if (!crashed) {
+      return crashed;
+    }
+  }
+  return {};
+}
+
+Result<void> RestartAll(ExperimentRun& run,
+                        const std::vector<BackendPlan>& backends) {
+  for (const BackendPlan& backend : backends) {
+    Result<void> restarted = run.fleet().stand_ins().RestartBackend(backend);
+    if (!restarted) {
+      return restarted;
     }
   }
   return {};
@@ -62,14 +72,12 @@
 }
 
 Disturbance ReplicaLoss() {
-  return {[](ExperimentRun& run) {
-            run.notes()[kLostNote] =
-                NamesOf(SpareBackends(run.fleet().layout(), run.random()));
-            return CrashAll(run, run.notes()[kLostNote], "crash");
+  const auto lost = std::make_shared<std::vector<BackendPlan>>();
+  return {[lost](ExperimentRun& run) {
+            *lost = SpareBackends(run.fleet().layout(), run.random());
+            return CrashAll(run, *lost);
           },
-          [](ExperimentRun& run) {
-            return CrashAll(run, run.notes()[kLostNote], "restart");
-          }};
+          [lost](ExperimentRun& run) { return RestartAll(run, *lost); }};
 }
 
 Disturbance LyingHealth() {
@@ -99,29 +107,39 @@
   return {[](ExperimentRun& run) -> Result<void> {
             // Restarted at once, so that all the warm ones are few.
             const auto backends =
-                NamesOf(SpareBackends(run.fleet().layout(), run.random()));
-            Result<void> done = CrashAll(run, backends, "crash");
-            return done ? CrashAll(run, backends, "restart") : done;
+                SpareBackends(run.fleet().layout(), run.random());
+            Result<void> done = CrashAll(run, backends);
+            return done ? RestartAll(run, backends) : done;
           },
           [](ExperimentRun&) { return Result<void>(); }};
 }
 
 Disturbance LateAnswers() {
   return {[](ExperimentRun& run) {
-            run.notes()[kLateNote] = NamesOf(SpareBackendOfServices(
+            const auto backends = NamesOf(SpareBackendOfServices(
                 run.fleet().layout(), kFewServices, run.random()));
-            return SetBehaviour(run, run.notes()[kLateNote],
-                                {{"ignore_cancel", true},
-                                 {"ignore_deadline", true},
-                                 {"stall_probability", 0.2},
-                                 {"stall_ms", 1500}});
+            run.notes()[kLateNote] = backends;
+            // Late on the way, from half of them.
+            nlohmann::json faults = nlohmann::json::array();
+            for (std::size_t index = 0; index < backends.size(); index += 2) {
+              faults.push_back({{"from", "machine:" + backends[index]},
+                                {"extra_delay_ms", kLateOnTheWayMs}});
+            }
+            Result<void> done = run.SetNetworkFaults(kLateNote, faults);
+            return done ? SetBehaviour(run, backends,
+                                       {{"ignore_deadline", true},
+                                        {"stall_probability", 0.2},
+                                        {"stall_ms", 1500}})
+                        : done;
           },
           [](ExperimentRun& run) {
-            return SetBehaviour(run, run.notes()[kLateNote],
-                                {{"ignore_cancel", false},
-                                 {"ignore_deadline", false},
-                                 {"stall_probability", 0},
-                                 {"stall_ms", 0}});
+            Result<void> done =
+                run.SetNetworkFaults(kLateNote, nlohmann::json::array());
+            return done ? SetBehaviour(run, run.notes()[kLateNote],
+                                       {{"ignore_deadline", false},
+                                        {"stall_probability", 0},
+                                        {"stall_ms", 0}})
+                        : done;
           }};
 }
 
