Send a leader's appends before its sync in the control simulation

Cause: raft::Ready has gained appends, which this driver dropped: no leader could commit, and the simulation ran for ever.

Change: they leave before the sync, as in RaftDriver.

Conclusion: the simulation follows the driver again.

--- a/source/sim/control/control_machine.cc
+++ b/source/sim/control/control_machine.cc
@@ -175,6 +175,7 @@
     if (ready.empty()) {
       return;
     }
+    SendConsensus(std::exchange(ready.appends, {}));
     const bool to_sync =
         ready.hard_state || ready.snapshot || !ready.entries.empty();
     if (!to_sync) {
