Simulate the whole tier: queries while owners, drains and versions change

Cause: query runs, back-end gates and control were simulated apart; the promises to callers rest on all of them at once.

Change: each daemon of the control simulation gets a gateway with the product's BackendGate and QueryRun; back ends, callers and index versions come with it.

--- a/source/sim/control/control_sim.cc
+++ b/source/sim/control/control_sim.cc
@@ -13,6 +13,7 @@
 constexpr Duration kStart = seconds(100);
 constexpr Duration kStep = milliseconds(20);
 constexpr Duration kLongestFreeze = seconds(4);
+constexpr Duration kResend = milliseconds(500);
 constexpr Duration kRecoveryTime = seconds(30);
 // A request id is claimed by several daemons, as a caller's resends would.
 constexpr std::uint64_t kOpenRequests = 4;
@@ -98,24 +99,49 @@
     backend.service = "search";
     backend.address = "10.0.0." + std::to_string(i + 1) + ":80";
     backend.zone = "zone-" + std::to_string(i % options_.zones);
-    backend.shards = {"shard"};
+    backend.slots = kBackendSlots;
+    backend.maximum_connections = 2 * kBackendSlots;
+    backend.shards = ShardsOf(i);
     add(resources::Kind::kBackend, "backend-" + std::to_string(i),
         std::move(backend));
   }
   control::Operations operations;
   operations.push_back(std::make_unique<protocol::OperationItemT>(
       session::MakeOperation(std::move(apply))));
-  // Sent again until it is answered, as by an operator.
-  const auto declared = std::make_shared<bool>(false);
-  while (!*declared) {
-    machines_.front()->Submit(
-        operations, [declared](const Result<control::OperationResults>& done) {
-          *declared = *declared || (done && !done->front()->error);
-        });
-    RunFor(milliseconds(500));
+  Declare(operations);
+  while (FindLeader() == nullptr || FindLeader()->state().revision() == 0) {
+    RunFor(kStep);
+  }
+}
+
+void ControlSim::Declare(const control::Operations& operations) {
+  const auto copy = std::make_shared<control::Operations>();
+  for (const auto& item : operations) {
+    copy->push_back(std::make_unique<protocol::OperationItemT>(*item));
   }
+  const auto declared = std::make_shared<bool>(false);
+  const auto send = std::make_shared<std::function<void()>>();
+  // Holds itself only through the timeline, until it is answered.
+  *send = [this, copy, declared, weak = std::weak_ptr(send)] {
+    if (*declared) {
+      return;
+    }
+    ControlMachine& machine =
+        *machines_.at(surroundings_.Pick(machines_.size()));
+    machine.Deliver([&machine, copy, declared] {
+      machine.Submit(*copy,
+                     [declared](const Result<control::OperationResults>& done) {
+                       *declared = *declared || (done && !done->front()->error);
+                     });
+    });
+    surroundings_.timeline.After(kResend,
+                                 [again = weak.lock()] { (*again)(); });
+  };
+  (*send)();
 }
 
+std::vector<SimDaemon*> ControlSim::daemons() { return PointersTo(daemons_); }
+
 const ControlMachine* ControlSim::FindLeader() const {
   for (const auto& machine : machines_) {
     if (machine->IsLeading()) {
@@ -135,6 +161,20 @@
   return terms;
 }
 
+std::string ShardName(int layout, int part) {
+  return std::to_string(layout) + "-" + std::to_string(part);
+}
+
+std::set<std::string> ShardsOf(int backend) {
+  std::set<std::string> shards;
+  for (int layout = kSmallestLayout; layout <= kLargestLayout; ++layout) {
+    for (int copy = 0; copy < 2; ++copy) {
+      shards.insert(ShardName(layout, (backend + copy) % layout));
+    }
+  }
+  return shards;
+}
+
 // --- Faults ------------------------------------------------------------------
 
 void ControlSim::RunFaults() {
--- a/source/sim/control/control_sim.h
+++ b/source/sim/control/control_sim.h
@@ -5,6 +5,7 @@
 
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -17,6 +18,14 @@
 
 namespace juniperway::sim {
 
+// Partition maps have so many equal parts; the shard of each has this name.
+inline constexpr int kSmallestLayout = 3;
+inline constexpr int kLargestLayout = 4;
+inline constexpr std::uint32_t kBackendSlots = 3;
+std::string ShardName(int layout, int part);
+// Shards that the back end of this number holds: two of each layout.
+std::set<std::string> ShardsOf(int backend);
+
 class ControlSim {
  public:
   explicit ControlSim(const ControlSimOptions& options);
@@ -24,6 +33,11 @@
   // Runs everything: start, faults, recovery. Ends early at a violation.
   void Run();
 
+  // Sends operations to any machine until they are answered without an error.
+  void Declare(const control::Operations& operations);
+
+  Surroundings& surroundings() { return surroundings_; }
+  std::vector<SimDaemon*> daemons();
   const ControlChecker& checker() const { return checker_; }
   // What did not recover within a bounded time after the faults; empty: all.
   const std::optional<std::string>& unrecovered() const { return unrecovered_; }
--- a/source/sim/control/options.h
+++ b/source/sim/control/options.h
@@ -28,6 +28,8 @@
   int zones = 2;
   int operators = 3;
   int backends = 4;  // each in one of the zones
+  // Operators change slots as well as drains.
+  bool change_slots = true;
   NetworkOptions network;
   // Machines' and daemons' clocks run at rates within 1 ± half of this.
   double clock_drift = 0.008;
--- a/source/sim/control/sim_daemon.cc
+++ b/source/sim/control/sim_daemon.cc
@@ -12,6 +12,7 @@
 constexpr Duration kMaximumKeep = milliseconds(6);
 constexpr Duration kCallRetryDelay = milliseconds(50);
 constexpr Duration kClaimTimeout = milliseconds(1500);
+constexpr Duration kReportTimeout = seconds(5);
 constexpr Duration kLeaveTimeout = seconds(2);
 constexpr Duration kDrainTime = milliseconds(300);
 // Unix time; within the service's maximum_expiry of the machines' clocks, and
@@ -82,6 +83,9 @@
   owned_.clear();
   letting_go_.clear();
   running_requests_.clear();
+  if (work_ != nullptr) {
+    work_->OnStart();
+  }
   state_->Start(Now());
   Pump();
   PollLease();
@@ -92,6 +96,9 @@
   DropConnection();
   running_requests_.clear();
   EndRunning();
+  if (work_ != nullptr) {
+    work_->OnEnd();
+  }
 }
 
 void SimDaemon::Leave() {
@@ -328,6 +335,9 @@
   }
   checker_.ObserveTaken(id_, view->revision, HashView(*view));
   const owner::OwnershipTracker::Change change = tracker_->OnView(view);
+  if (work_ != nullptr) {
+    work_->OnView(view);
+  }
   owned_.insert(change.gained.begin(), change.gained.end());
   for (const std::string& backend : change.lost) {
     owned_.erase(backend);
@@ -341,30 +351,56 @@
 
 // --- Claims ------------------------------------------------------------------
 
-void SimDaemon::Claim(const std::string& request_id) {
+std::string SimDaemon::Claimant() const {
   const std::uint64_t start =
       options_.Has(ControlDefect::kReusesClaimant) ? 0 : incarnation_;
+  return id_ + "/" + std::to_string(start);
+}
+
+void SimDaemon::Claim(const std::string& request_id,
+                      session::OperationQueue::Callback callback) {
   protocol::ClaimRequestT claim;
   claim.service = "search";
   claim.request_id = request_id;
   claim.expiry_us = kClaimExpiry.count();
-  claim.claimant = id_ + "/" + std::to_string(start);
+  claim.claimant = Claimant();
   claim.attempt = ++last_attempt_;
   const std::string attempt = claim.claimant + "#" +
                               std::to_string(claim.attempt) + " of start " +
                               std::to_string(incarnation_);
   operations_->Add(
       session::MakeOperation(std::move(claim)), Now() + kClaimTimeout,
-      [this, request_id,
-       attempt](const Result<protocol::OperationResultT>& result) {
+      [this, request_id, attempt, callback = std::move(callback)](
+          const Result<protocol::OperationResultT>& result) {
         const bool granted =
             result && result->claim &&
             result->claim->decision == protocol::ClaimDecisionCode::kGranted;
         if (granted) {
           checker_.ObserveGranted(request_id, attempt);
         }
+        callback(result);
       });
   Pump();
 }
 
+void SimDaemon::RecordOutcome(const std::string& request_id,
+                              ExecutionState outcome) {
+  protocol::RecordOutcomeT record;
+  record.service = "search";
+  record.request_id = request_id;
+  record.claimant = Claimant();
+  record.outcome = static_cast<std::uint8_t>(outcome);
+  operations_->Add(session::MakeOperation(std::move(record)),
+                   Now() + kReportTimeout, [](const auto&) {});
+}
+
+void SimDaemon::ReportBackend(const std::string& backend,
+                              const session::BackendReport& report) {
+  protocol::ReportBackendsT operation;
+  operation.reports.push_back(std::make_unique<protocol::BackendReportRecordT>(
+      session::EncodeReport(backend, report)));
+  operations_->Add(session::MakeOperation(std::move(operation)),
+                   Now() + kReportTimeout, [](const auto&) {});
+}
+
 }  // namespace juniperway::sim
--- a/source/sim/control/sim_daemon.h
+++ b/source/sim/control/sim_daemon.h
@@ -17,6 +17,7 @@
 #include "common/session/session_state.h"
 #include "sim/control/control_checker.h"
 #include "sim/control/control_machine.h"
+#include "sim/control/daemon_work.h"
 #include "sim/control/options.h"
 #include "sim/control/process.h"
 
@@ -28,6 +29,8 @@
             Network& network, ControlChecker& checker, ProcessNumber number,
             std::vector<ControlMachine*> machines);
   void SetPeers(std::vector<SimDaemon*> daemons);
+  // In place of made-up requests. Must outlive the run.
+  void SetWork(DaemonWork* work) { work_ = work; }
 
   void Start();
   void Crash();
@@ -46,7 +49,26 @@
   void OnConnectionClosed(const ConnectionPointer& connection);
 
   // Claims a request for this daemon, as a caller's submission would.
-  void Claim(const std::string& request_id);
+  void Claim(const std::string& request_id) {
+    Claim(request_id, [](const Result<protocol::OperationResultT>&) {});
+  }
+  void Claim(const std::string& request_id,
+             session::OperationQueue::Callback callback);
+  void RecordOutcome(const std::string& request_id, ExecutionState outcome);
+  void ReportBackend(const std::string& backend,
+                     const session::BackendReport& report);
+  owner::GateAccess AccessTo(const std::string& backend) const {
+    return tracker_->AccessTo(backend);
+  }
+  // Tells the checker that this daemon sends something to the back end.
+  void NoteUse(const std::string& backend);
+  // Ends of requests at back ends may let them go.
+  void LetGoOfIdle();
+  // Later, on this start of the process only.
+  void RunAfter(Duration delay, std::function<void()> run) {
+    After(delay, std::move(run));
+  }
+  std::uint64_t incarnation() const { return incarnation_; }
 
   const std::string& id() const { return id_; }
   const std::string& zone() const { return zone_; }
@@ -75,6 +97,7 @@
   void UseBackends();
   void BeginRequest(const std::string& backend);
   void LetGo(const std::string& backend);
+  std::string Claimant() const;
   void FinishLeaving();
   const session::FleetViewPointer& newest() const {
     return staged_ ? staged_ : view_;
@@ -85,6 +108,7 @@
   ControlChecker& checker_;
   std::vector<ControlMachine*> machines_;
   std::vector<SimDaemon*> daemons_;
+  DaemonWork* work_ = nullptr;
   std::string id_;
   std::string zone_;
 
--- a/source/sim/control/sim_daemon_backends.cc
+++ b/source/sim/control/sim_daemon_backends.cc
@@ -11,8 +11,9 @@
 }  // namespace
 
 void SimDaemon::LetGo(const std::string& backend) {
-  const bool busy = running_requests_[backend] > 0 &&
-                    !options_.Has(ControlDefect::kReleasesWhileInUse);
+  const bool idle = work_ != nullptr ? work_->IsIdle(backend)
+                                     : running_requests_[backend] == 0;
+  const bool busy = !idle && !options_.Has(ControlDefect::kReleasesWhileInUse);
   if (busy || letting_go_.erase(backend) == 0) {
     return;
   }
@@ -20,6 +21,12 @@
   ReportReleased();
 }
 
+void SimDaemon::LetGoOfIdle() {
+  for (const std::string& backend : std::set<std::string>(letting_go_)) {
+    LetGo(backend);
+  }
+}
+
 void SimDaemon::ReportReleased() { state_->OnReleased(tracker_->released()); }
 
 void SimDaemon::CheckLease() {
@@ -31,6 +38,9 @@
     } else if (!options_.Has(ControlDefect::kIgnoresLeaseEnd)) {
       ++cut_offs_;
       running_requests_.clear();
+      if (work_ != nullptr) {
+        work_->OnLeaseLost();
+      }
       letting_go_.clear();
       tracker_->OnLeaseLost();
     }
@@ -43,6 +53,10 @@
 
 void SimDaemon::PollLease() {
   CheckLease();
+  if (work_ != nullptr) {
+    work_->OnAccess();
+    LetGoOfIdle();
+  }
   ReportReleased();
   After(options_.lease_poll, [this] { PollLease(); });
 }
@@ -61,6 +75,9 @@
 }
 
 void SimDaemon::UseBackends() {
+  if (work_ != nullptr) {
+    return;
+  }
   CheckLease();
   for (const std::string& backend : OpenBackends()) {
     if (surroundings_.Chance(0.7)) {
@@ -71,7 +88,7 @@
         [this] { UseBackends(); });
 }
 
-void SimDaemon::BeginRequest(const std::string& backend) {
+void SimDaemon::NoteUse(const std::string& backend) {
   std::set<std::string> others;
   for (const SimDaemon* daemon : daemons_) {
     if (daemon != this && daemon->IsUsing(backend)) {
@@ -79,6 +96,10 @@
     }
   }
   checker_.ObserveUse(backend, id_, others);
+}
+
+void SimDaemon::BeginRequest(const std::string& backend) {
+  NoteUse(backend);
   ++running_requests_[backend];
   After(surroundings_.Between(milliseconds(1), kLongestRequest),
         [this, backend, cut_offs = cut_offs_] {
@@ -91,10 +112,14 @@
 }
 
 bool SimDaemon::IsUsing(const std::string& backend) const {
+  if (!running() || (IsFrozen() && !HasLease())) {
+    return false;
+  }
+  if (work_ != nullptr) {
+    return !work_->IsIdle(backend);
+  }
   const auto requests = running_requests_.find(backend);
-  const bool frozen_past_lease = IsFrozen() && !HasLease();
-  return running() && requests != running_requests_.end() &&
-         requests->second > 0 && !frozen_past_lease;
+  return requests != running_requests_.end() && requests->second > 0;
 }
 
 }  // namespace juniperway::sim
--- a/source/sim/control/sim_operator.cc
+++ b/source/sim/control/sim_operator.cc
@@ -57,7 +57,9 @@
   }
   change_ = *current;
   auto& backend = std::get<resources::Backend>(change_.specification);
-  backend.slots = 1 + static_cast<std::uint32_t>(surroundings_.Pick(50));
+  if (options_.change_slots) {
+    backend.slots = 1 + static_cast<std::uint32_t>(surroundings_.Pick(50));
+  }
   backend.drain = surroundings_.Chance(0.2);
   change_id_ =
       "change-" + std::to_string(number()) + "-" + std::to_string(++changes_);
--- a/test/property/sim/control_test.cc
+++ b/test/property/sim/control_test.cc
@@ -4,14 +4,11 @@
 // JUNIPERWAY_SIM_SEED=n runs only the seed n.
 #include <doctest/doctest.h>
 
-#include <atomic>
-#include <cstdlib>
 #include <map>
 #include <mutex>
 #include <string>
-#include <thread>
-#include <vector>
 
+#include "property/sim/seeds.h"
 #include "sim/control/control_sim.h"
 #include "sim/control/quiet_log.h"
 
@@ -19,12 +16,10 @@
 namespace {
 
 constexpr std::uint64_t kSeeds = 1000;
-constexpr int kThreads = 4;
 constexpr std::size_t kPromises = 10;
 
 struct Totals {
   std::mutex mutex;
-  std::map<std::uint64_t, std::string> failures;
   std::map<ControlPromise, std::uint64_t> checks;
   std::uint64_t runs = 0;
   std::uint64_t faults = 0;
@@ -41,14 +36,13 @@
   return sim.unrecovered() ? "not recovered: " + *sim.unrecovered() : "";
 }
 
-void RunSeed(ControlSimOptions options, std::uint64_t seed, Totals& totals) {
+// @return what failed, or nothing.
+std::string RunSeed(ControlSimOptions options, std::uint64_t seed,
+                    Totals& totals) {
   options.seed = seed;
   ControlSim sim(options);
   sim.Run();
   const std::lock_guard lock(totals.mutex);
-  if (const std::string failure = Describe(sim); !failure.empty()) {
-    totals.failures[seed] = failure;
-  }
   for (const auto& [promise, count] : sim.checker().checks()) {
     totals.checks[promise] += count;
   }
@@ -57,35 +51,16 @@
   totals.accepted += sim.checker().accepted();
   totals.granted += sim.checker().granted();
   totals.terms += sim.terms();
-}
-
-// Runs the seeds 1 to `seeds`, or the one that the environment names.
-void RunSeeds(const ControlSimOptions& options, std::uint64_t seeds,
-              Totals& totals) {
-  if (const char* only = std::getenv("JUNIPERWAY_SIM_SEED")) {
-    RunSeed(options, std::stoull(only), totals);
-    return;
-  }
-  std::atomic<std::uint64_t> next = 1;
-  std::vector<std::thread> threads;
-  threads.reserve(kThreads);
-  for (int i = 0; i < kThreads; ++i) {
-    threads.emplace_back([&] {
-      for (std::uint64_t seed = next++; seed <= seeds; seed = next++) {
-        RunSeed(options, seed, totals);
-      }
-    });
-  }
-  for (std::thread& thread : threads) {
-    thread.join();
-  }
+  return Describe(sim);
 }
 
 void CheckAllSeeds(const ControlSimOptions& options, std::uint64_t seeds) {
   const QuietLog quiet;
   Totals totals;
-  RunSeeds(options, seeds, totals);
-  for (const auto& [seed, failure] : totals.failures) {
+  const auto failures = RunSeeds(seeds, [&](std::uint64_t seed) {
+    return RunSeed(options, seed, totals);
+  });
+  for (const auto& [seed, failure] : failures) {
     FAIL_CHECK("JUNIPERWAY_SIM_SEED=" << seed << ": " << failure);
   }
   MESSAGE(totals.runs << " runs, " << totals.faults << " faults, "
