--- a/source/common/session/control_session_client.cc
+++ b/source/common/session/control_session_client.cc
@@ -15,6 +15,7 @@
 #include "common/session/events.h"
 #include "common/session/fleet_codec.h"
 #include "common/session/operation_queue.h"
+#include "common/session/session_link.h"
 #include "common/session/view_keeper.h"
 
 namespace juniperway::session {
@@ -54,8 +55,11 @@
       throw std::runtime_error("control: at least one address is needed");
     }
     keeper_ = std::make_shared<ViewKeeper>(
-        context, options,
-        [this](const FleetViewPointer& view) { OnTaken(view); });
+        context, options, [this](const FleetViewPointer& view) {
+          const auto alive = shared_from_this();
+          OnTaken(view);
+        });
+    link_ = std::make_shared<SessionLink>(context, LinkPorts());
     state_ = std::make_unique<SessionState>(options.timing, endpoints_.size(),
                                             keeper_->record().revision,
                                             DrawSeed(options.seed));
@@ -71,6 +75,7 @@
     closed_ = true;
     timer_.cancel();
     DropConnection();
+    link_->Close();
     view_listener_ = nullptr;
     progress_listener_ = nullptr;
     keeper_->Close();
@@ -78,8 +83,8 @@
 
   void Goodbye(Duration timeout, std::function<void()> done) {
     goodbye_said_ = true;
-    if (connection_ && state_->connected()) {
-      SendMessage(*connection_, protocol::SessionGoodbyeT{});
+    if (link_->connection() && state_->connected()) {
+      SendMessage(*link_->connection(), protocol::SessionGoodbyeT{});
     }
     WaitUntilSent(Now() + timeout, std::move(done));
   }
@@ -94,10 +99,8 @@
   const Counters& counters() const { return counters_; }
   Counters TotalCounters() const {
     Counters total = counters_;
-    if (connection_) {
-      total.sent_bytes += connection_->sent_bytes();
-      total.received_bytes += connection_->received_bytes();
-    }
+    total.sent_bytes = link_->sent_bytes();
+    total.received_bytes = link_->received_bytes();
     return total;
   }
 
@@ -159,6 +162,30 @@
  private:
   static MonotonicTime Now() { return ReadMonotonicClock(); }
 
+  // Each keeps this object alive while it runs: what it calls may let go of it.
+  SessionLink::Ports LinkPorts() {
+    return {.on_connected =
+                [this] {
+                  const auto alive = shared_from_this();
+                  OnConnected();
+                },
+            .on_connect_failed =
+                [this] {
+                  const auto alive = shared_from_this();
+                  OnConnectFailed();
+                },
+            .on_frame =
+                [this](net::FrameBytes frame) {
+                  const auto alive = shared_from_this();
+                  OnFrame(frame);
+                },
+            .on_closed =
+                [this] {
+                  const auto alive = shared_from_this();
+                  OnConnectionClosed();
+                }};
+  }
+
   // --- Event loop ------------------------------------------------------------
 
   // Runs Pump once in a later turn of the loop, so that what is said in one
@@ -225,53 +252,25 @@
 
   void Connect(std::size_t endpoint) {
     DropConnection();
-    const std::uint64_t attempt = ++connection_number_;
     ++counters_.connects;
-    net::FrameConnection::Connect(
-        context_, endpoints_[endpoint], options_.timing.connect_timeout,
-        [weak = weak_from_this(),
-         attempt](Result<std::shared_ptr<net::FrameConnection>> result) {
-          auto self = weak.lock();
-          if (!self || self->closed_ || attempt != self->connection_number_) {
-            if (result) {
-              (*result)->Close();
-            }
-            return;
-          }
-          self->OnConnectResult(std::move(result), attempt);
-        });
+    link_->Connect(endpoints_[endpoint], options_.timing.connect_timeout);
   }
 
-  void OnConnectResult(Result<std::shared_ptr<net::FrameConnection>> result,
-                       std::uint64_t attempt) {
-    if (!result) {
-      state_->OnDisconnected(Now());
-      SchedulePump();
-      return;
-    }
-    connection_ = std::move(*result);
-    connection_->Start(
-        [weak = weak_from_this(), attempt](net::FrameBytes frame) {
-          auto self = weak.lock();
-          if (self && attempt == self->connection_number_) {
-            self->OnFrame(frame);
-          }
-        },
-        [weak = weak_from_this(), attempt] {
-          auto self = weak.lock();
-          if (self && !self->closed_ && attempt == self->connection_number_) {
-            self->OnConnectionClosed();
-          }
-        });
-    LogEvent(
-        kSessionConnected,
-        {{"daemon", options_.daemon_id},
-         {"control", net::FormatEndpoint(connection_->remote_endpoint())}});
+  void OnConnected() {
+    LogEvent(kSessionConnected,
+             {{"daemon", options_.daemon_id},
+              {"control",
+               net::FormatEndpoint(link_->connection()->remote_endpoint())}});
     SendHello();
     state_->OnConnected(Now());
     SchedulePump();
   }
 
+  void OnConnectFailed() {
+    state_->OnDisconnected(Now());
+    SchedulePump();
+  }
+
   void SendHello() {
     protocol::SessionHelloT hello;
     hello.cluster = options_.cluster;
@@ -285,7 +284,7 @@
     hello.member->leaving = leaving_;
     hello.view_revision = keeper_->newest()->revision;
     hello.minimum_revision = state_->minimum_revision();
-    SendMessage(*connection_, std::move(hello));
+    SendMessage(*link_->connection(), std::move(hello));
   }
 
   void OnConnectionClosed() {
@@ -297,19 +296,12 @@
   }
 
   void DropConnection() {
-    ++connection_number_;
     operations_.OnDisconnected();
-    if (!connection_) {
-      return;
-    }
-    counters_.sent_bytes += connection_->sent_bytes();
-    counters_.received_bytes += connection_->received_bytes();
-    connection_->Close();
-    connection_.reset();
+    link_->Drop();
   }
 
   void SendHeartbeat(const HeartbeatContent& content) {
-    if (!connection_) {
+    if (!link_->connection()) {
       return;
     }
     protocol::HeartbeatT heartbeat;
@@ -320,7 +312,7 @@
     heartbeat.holds_lease = content.holds_lease;
     heartbeat.in_force_revision = content.in_force;
     heartbeat.zone_released_revision = content.zone_released;
-    SendMessage(*connection_, heartbeat);
+    SendMessage(*link_->connection(), heartbeat);
   }
 
   // --- Frames ----------------------------------------------------------------
@@ -402,11 +394,11 @@
   }
 
   void SendCalls(MonotonicTime now) {
-    if (!connection_ || !state_->connected()) {
+    if (!link_->connection() || !state_->connected()) {
       return;
     }
     while (auto call = operations_.TakeCall(now)) {
-      SendMessage(*connection_, std::move(*call));
+      SendMessage(*link_->connection(), std::move(*call));
     }
   }
 
@@ -462,8 +454,9 @@
   }
 
   void WaitUntilSent(MonotonicTime deadline, std::function<void()> done) {
-    const bool sent = !connection_ || connection_->closed() ||
-                      connection_->queued_bytes() == 0;
+    const net::FrameConnection* connection = link_->connection();
+    const bool sent = connection == nullptr || connection->closed() ||
+                      connection->queued_bytes() == 0;
     if (sent || Now() >= deadline) {
       done();
       return;
@@ -482,9 +475,7 @@
   std::shared_ptr<ViewKeeper> keeper_;
   std::unique_ptr<SessionState> state_;
   OperationQueue operations_;
-  std::shared_ptr<net::FrameConnection> connection_;
-  // Tells callbacks of connections that were given up.
-  std::uint64_t connection_number_ = 0;
+  std::shared_ptr<SessionLink> link_;
   bool pump_scheduled_ = false;
   bool closed_ = false;
   bool goodbye_said_ = false;
