Move heartbeat records and address parsing out of the session class

Cause and change: encoding belongs beside the other codecs; no behaviour change. Measured: ctest -R 'session|unit|daemon': all passed. Conclusion: the class only decides what to send when.

--- a/source/common/session/control_session_client.cc
+++ b/source/common/session/control_session_client.cc
@@ -14,6 +14,7 @@
 #include "common/session/control_frames.h"
 #include "common/session/events.h"
 #include "common/session/fleet_codec.h"
+#include "common/session/heartbeat_codec.h"
 #include "common/session/operation_queue.h"
 #include "common/session/session_link.h"
 #include "common/session/view_keeper.h"
@@ -37,23 +38,33 @@
   return seed != 0 ? seed : std::random_device()();
 }
 
+// Throws std::runtime_error when one is malformed or there is none.
+std::vector<asio::ip::tcp::endpoint> ParseEndpoints(
+    const std::vector<std::string>& texts) {
+  std::vector<asio::ip::tcp::endpoint> endpoints;
+  for (const std::string& text : texts) {
+    auto endpoint = net::ParseEndpoint(text, "control");
+    if (!endpoint) {
+      throw std::runtime_error(FormatError(endpoint.error()));
+    }
+    endpoints.push_back(*endpoint);
+  }
+  if (endpoints.empty()) {
+    throw std::runtime_error("control: at least one address is needed");
+  }
+  return endpoints;
+}
+
 }  // namespace
 
 class ControlSessionClient::Implementation
     : public std::enable_shared_from_this<Implementation> {
  public:
   Implementation(asio::io_context& context, const SessionOptions& options)
-      : context_(context), options_(options), timer_(context) {
-    for (const std::string& text : options.control_endpoints) {
-      auto endpoint = net::ParseEndpoint(text, "control");
-      if (!endpoint) {
-        throw std::runtime_error(FormatError(endpoint.error()));
-      }
-      endpoints_.push_back(*endpoint);
-    }
-    if (endpoints_.empty()) {
-      throw std::runtime_error("control: at least one address is needed");
-    }
+      : context_(context),
+        options_(options),
+        timer_(context),
+        endpoints_(ParseEndpoints(options.control_endpoints)) {
     keeper_ = std::make_shared<ViewKeeper>(
         context, options, [this](const FleetViewPointer& view) {
           const auto alive = shared_from_this();
@@ -301,18 +312,9 @@
   }
 
   void SendHeartbeat(const HeartbeatContent& content) {
-    if (!link_->connection()) {
-      return;
+    if (link_->connection()) {
+      SendMessage(*link_->connection(), EncodeHeartbeat(content));
     }
-    protocol::HeartbeatT heartbeat;
-    heartbeat.sequence = content.sequence;
-    heartbeat.confirmed_revision = content.confirmed;
-    heartbeat.released_revision = content.released;
-    heartbeat.term = content.term;
-    heartbeat.holds_lease = content.holds_lease;
-    heartbeat.in_force_revision = content.in_force;
-    heartbeat.zone_released_revision = content.zone_released;
-    SendMessage(*link_->connection(), heartbeat);
   }
 
   // --- Frames ----------------------------------------------------------------
@@ -328,7 +330,7 @@
     if (const auto* update = message.AsFleetUpdate()) {
       OnUpdate(*update);
     } else if (const auto* reply = message.AsHeartbeatReply()) {
-      OnHeartbeatReply(*reply);
+      state_->OnHeartbeatReply(DecodeHeartbeatAnswer(*reply), Now());
     } else if (const auto* progress = message.AsSessionProgress()) {
       state_->OnProgress(progress->in_force_revision,
                          progress->zone_released_revision);
@@ -341,18 +343,6 @@
     SchedulePump();
   }
 
-  void OnHeartbeatReply(const protocol::HeartbeatReplyT& reply) {
-    HeartbeatAnswer answer;
-    answer.sequence = reply.sequence;
-    answer.granted = reply.outcome == protocol::HeartbeatOutcome::kGranted;
-    answer.new_term = reply.outcome == protocol::HeartbeatOutcome::kNewTerm;
-    answer.lease = Duration(reply.granted_us);
-    answer.term = reply.term;
-    answer.in_force = reply.in_force_revision;
-    answer.zone_released = reply.zone_released_revision;
-    state_->OnHeartbeatReply(answer, Now());
-  }
-
   // --- Views -----------------------------------------------------------------
 
   void OnUpdate(const protocol::FleetUpdateT& update) {
