--- a/test/unit/session/session_state_test.cc
+++ b/test/unit/session/session_state_test.cc
@@ -92,9 +92,7 @@
       answer.content.term = 1;
     } else if (machine_ == lost_ && fate_ == Fate::kFrozen) {
       return;
-    } else if (machine_ == lost_) {
-      answer.due = now_ + kNoLeaderDelay;
-    } else if (now_ < lost_at_ + kElection) {
+    } else if (machine_ == lost_ || now_ < lost_at_ + kElection) {
       answer.due = now_ + kNoLeaderDelay;
     } else {
       const bool known = heartbeat.term == 2;
