--- a/source/lab/fleet/fleet.cc
+++ b/source/lab/fleet/fleet.cc
@@ -5,6 +5,7 @@
 
 #include <csignal>
 #include <filesystem>
+#include <thread>
 #include <utility>
 
 #include "lab/wait.h"
@@ -15,6 +16,7 @@
 constexpr Duration kReadyTimeout = seconds(30);
 constexpr Duration kLeaderTimeout = seconds(30);
 constexpr Duration kDeclareTimeout = seconds(60);
+constexpr Duration kProxySettleTime = milliseconds(200);
 constexpr Duration kMemberTimeout = seconds(30);
 constexpr int kOk = 200;
 // Bounds the second and the third part of the fleet's loopback addresses.
@@ -157,7 +159,7 @@
   }
   for (const ServiceLayout& service : layout_.services) {
     for (const BackendPlan& backend : service.backends) {
-      links.push_back({LinkName("backend", backend.name), backend.name,
+      links.push_back({StandIns::BackendLink(backend.name), backend.name,
                        stand_ins_->BackendAddress(backend.name)});
     }
   }
@@ -286,8 +288,17 @@
   return {};
 }
 
-void Fleet::Kill(const std::string& daemon) {
+Result<void> Fleet::Kill(const std::string& daemon) {
   daemons_.at(daemon).process->Kill();
+  return SetListening(daemon, false);
+}
+
+Result<void> Fleet::SetListening(const std::string& name, bool listening) {
+  std::vector<ProxyLink> links;
+  for (const std::string& listener : ListenersOf(daemons_.at(name).settings)) {
+    links.push_back({LinkName(name, listener), name, "", listening});
+  }
+  return stand_ins_->SetLinks(links);
 }
 
 void Fleet::Freeze(const std::string& daemon) {
@@ -300,6 +311,7 @@
 
 Result<StopRecord> Fleet::Stop(const std::string& daemon, Duration timeout) {
   ChildProcess& process = *daemons_.at(daemon).process;
+  const Result<std::uint64_t> before = RefusedCallers(daemon);
   StopRecord record;
   record.gateway = daemon;
   record.signalled = ReadMonotonicClock();
@@ -311,9 +323,25 @@
   }
   record.exited = ReadMonotonicClock();
   record.exit_status = *status;
+  if (Result<void> refused = SetListening(daemon, false); !refused) {
+    return tl::unexpected<Error>(refused.error());
+  }
+  // Connections on their way through the proxy meet their end.
+  std::this_thread::sleep_for(kProxySettleTime);
+  const Result<std::uint64_t> after = RefusedCallers(daemon);
+  if (!before || !after) {
+    return tl::unexpected<Error>(!before ? before.error() : after.error());
+  }
+  record.refused_connections = *after - *before;
   return record;
 }
 
+Result<std::uint64_t> Fleet::RefusedCallers(const std::string& daemon) {
+  return daemons_.at(daemon).settings.gateway
+             ? stand_ins_->RefusedConnections(LinkName(daemon, kGatewayHttp))
+             : Result<std::uint64_t>(0);
+}
+
 Result<void> Fleet::Restart(const std::string& name) {
   Daemon& daemon = daemons_.at(name);
   Result<void> launched = Launch(daemon);
@@ -443,7 +471,7 @@
 }
 
 std::string Fleet::BackendResourceAddress(const std::string& backend) const {
-  return stand_ins_->LinkAddress(LinkName("backend", backend));
+  return stand_ins_->LinkAddress(StandIns::BackendLink(backend));
 }
 
 }  // namespace juniperway::lab
