Model a leader's appends that leave before its own sync

Cause: Ready::appends are sent before the leader has synced its entries; the model took an entry to be synced when it is appended, and model.md said so.

Change: each node has a synced length; a leader's own copy counts when it is synced, and a crash loses the rest. A mutation counts unsynced copies.

--- a/spec/replication.pml
+++ b/spec/replication.pml
@@ -5,7 +5,8 @@
  * or never. What leaders sent is kept per term (sent_*); an answer takes effect
  * whenever the step that needs it is taken.
  * Storage: a node's change is synced before its answer leaves, so both are one
- * step. A crash loses the role and the commit index.
+ * step. A leader's appends leave before its own sync. A crash loses the role,
+ * the commit index and what is not synced.
  *
  * Bounds: NODES, TERMS and ENTRIES, which the list of steps at the end spells
  * out. Mutations: see spec/check.
@@ -40,6 +41,9 @@
 byte granted[NODES]; /* bit set of the voters of a candidate */
 byte commit[NODES];
 byte length[NODES];
+/* How much of the log is synced: less than all only for a leader's own appends,
+ * which leave before its own sync. */
+byte synced[NODES];
 
 /* Terms of the entries; an entry is known by its index and term. */
 typedef Log { byte entry[ENTRIES] };
@@ -113,6 +117,7 @@
     (role[n] != LEADER && term[n] < TERMS && (n == 0 || term[0] > 0)) -> \
     ENTER_TERM(n, term[n] + 1); \
     voted_for[n] = n; \
+    synced[n] = length[n]; \
     role[n] = CANDIDATE; \
     granted[n] = BIT(n); \
   }
@@ -135,6 +140,7 @@
     :: (voted_for[voter] == NOBODY || voted_for[voter] == candidate) && \
        MAY_WIN(candidate, voter) -> \
          voted_for[voter] = candidate; \
+         synced[voter] = length[voter]; \
          granted[candidate] = granted[candidate] | BIT(voter) \
     :: else \
     fi; \
@@ -303,6 +309,7 @@
                 assert(log_matching || !CHECKED(LOG_MATCHING))
            :: else
            fi;
+           synced[to] = length[to];
            z = after + carries;
            y = (tells < COMMIT_LIMIT(to, z) -> tells : COMMIT_LIMIT(to, z));
            if
@@ -323,17 +330,29 @@
   }
 }
 
+/* Fsm::Persisted: the leader's own entries are synced. */
+#define SYNC(n) \
+  d_step { \
+    synced[n] < length[n] -> \
+    synced[n] = length[n]; \
+  }
+
 /* Fsm::CommitByQuorum: the leader commits `index`. */
 #ifdef MUTATION_COMMITS_EARLIER_TERM
 #define OWN_TERM(n, index) true
 #else
 #define OWN_TERM(n, index) (log[n].entry[(index) - 1] == term[n])
 #endif
+#ifdef MUTATION_COUNTS_UNSYNCED
+#define OWN_COPY(n) length[n]
+#else
+#define OWN_COPY(n) synced[n]
+#endif
 #define COMMIT(n, at) \
   d_step { \
     (role[n] == LEADER && length[n] >= (at) && commit[n] < (at) && \
      OWN_TERM(n, at) && \
-     1 + (n != 0 && match[n].index[0] >= (at)) + \
+     (OWN_COPY(n) >= (at)) + (n != 0 && match[n].index[0] >= (at)) + \
      (n != 1 && match[n].index[1] >= (at)) + \
      (n != 2 && match[n].index[2] >= (at)) >= QUORUM) -> \
     commit[n] = at; \
@@ -348,7 +367,10 @@
 #ifdef MUTATION_LOSES_SYNCED_TAIL
 #define LOSE_AT_CRASH(n) \
   if \
-  :: length[n] > 0 -> length[n]--; log[n].entry[length[n]] = 0 \
+  :: length[n] > 0 -> \
+       length[n]--; \
+       log[n].entry[length[n]] = 0; \
+       synced[n] = length[n] \
   :: else \
   fi
 #else
@@ -357,9 +379,16 @@
 #endif
 #define CRASH(n) \
   d_step { \
-    (role[n] != FOLLOWER || commit[n] > 0) -> \
+    (role[n] != FOLLOWER || commit[n] > 0 || synced[n] < length[n]) -> \
     STOP(n); \
     commit[n] = 0; \
+    x = synced[n]; \
+    do \
+    :: x < length[n] -> log[n].entry[x] = 0; x++ \
+    :: else -> break \
+    od; \
+    x = 0; \
+    length[n] = synced[n]; \
     LOSE_AT_CRASH(n); \
   }
 
@@ -375,6 +404,7 @@
   VOTES
   EACH_NODE(BECOME_LEADER)
   EACH_NODE(PROPOSE)
+  EACH_NODE(SYNC)
   EACH_NODE(CRASH)
   COMMITS(0)
   COMMITS(1)
