--- a/source/common/gateway/front_server.h
+++ b/source/common/gateway/front_server.h
@@ -9,9 +9,11 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 
 #include "common/base/time.h"
+#include "common/net/tls.h"
 #include "common/routing/replica_selector.h"
 #include "common/session/control_session.h"
 
@@ -27,12 +29,17 @@
   std::string region;
   // Where callers connect; port 0 lets the kernel choose.
   asio::ip::tcp::endpoint http_listen;
+  // Callers connect by TLS, where set.
+  std::optional<net::TlsFiles> http_tls;
   // Queries in flight beyond which new ones are refused at once (not run).
   std::size_t maximum_concurrent_queries = 4096;
   std::size_t maximum_body_bytes = 1U << 20;
   std::size_t maximum_caller_connections = 4096;
   // How long one attempt to connect to an owner may take.
   Duration peer_connect_timeout = milliseconds(1000);
+  // A planned stop goes on refusing until no query has come for this long, so
+  // that callers and load balancers have turned away before the listener goes.
+  Duration quiet_before_drained = milliseconds(500);
   // Of replica choice, jitter and made-up request ids.
   std::uint64_t random_seed = 1;
   routing::ReplicaPolicy replica_policy =
@@ -57,9 +64,14 @@
   void OnView(const session::FleetViewPointer& view);
 
   // Planned stop: /v1/ready turns 503 and new queries are refused (not run).
-  // `drained` runs once, when every query in flight has been answered.
+  // `drained` runs once, when every query in flight has been answered and
+  // callers have turned away.
   void Stop(std::function<void()> drained);
 
+  // Connections are refused from now on; those that are open still get their
+  // refusals. For the end of a planned stop.
+  void StopAccepting();
+
   std::size_t running_queries() const;
 
  private:
--- a/source/common/net/http_server.cc
+++ b/source/common/net/http_server.cc
@@ -6,13 +6,15 @@
 #include <cctype>
 #include <exception>
 #include <restinio/all.hpp>
+#include <restinio/tls.hpp>
 #include <unordered_map>
-#include <unordered_set>
 #include <utility>
 
 #include "common/base/execution_state.h"
 #include "common/logging/event_log.h"
 #include "common/net/events.h"
+#include "common/net/http_sockets.h"
+#include "common/net/http_status.h"
 
 namespace juniperway::net {
 namespace {
@@ -27,63 +29,6 @@
 constexpr std::chrono::hours kHandlerTimeout{24};
 constexpr std::chrono::seconds kWriteTimeout{60};
 
-// Sockets of the servers on one io_context, so that a server can close its
-// connections: RESTinio has no way to enumerate them.
-class SocketRegistry : public asio::execution_context::service {
- public:
-  static asio::execution_context::id id;
-
-  explicit SocketRegistry(asio::execution_context& context)
-      : asio::execution_context::service(context) {}
-
-  void Add(tcp::socket* socket) { sockets_.insert(socket); }
-  void Remove(tcp::socket* socket) { sockets_.erase(socket); }
-
-  // Shuts down the connections that `listener` accepted. RESTinio then reads
-  // end of file and closes them.
-  void ShutDown(const tcp::endpoint& listener) {
-    for (tcp::socket* socket : sockets_) {
-      std::error_code error;
-      const tcp::endpoint local = socket->local_endpoint(error);
-      const bool accepted_here = !error && local.port() == listener.port() &&
-                                 (listener.address().is_unspecified() ||
-                                  local.address() == listener.address());
-      if (accepted_here) {
-        socket->shutdown(tcp::socket::shutdown_both, error);
-      }
-    }
-  }
-
- private:
-  void shutdown() override {}
-
-  std::unordered_set<tcp::socket*> sockets_;
-};
-
-asio::execution_context::id SocketRegistry::id;
-
-// A TCP socket that is listed in its context's SocketRegistry.
-class RegisteredSocket : public tcp::socket {
- public:
-  explicit RegisteredSocket(asio::io_context& context)
-      : tcp::socket(context),
-        registry_(&asio::use_service<SocketRegistry>(context)) {
-    registry_->Add(this);
-  }
-  RegisteredSocket(RegisteredSocket&& other) noexcept
-      : tcp::socket(std::move(static_cast<tcp::socket&>(other))),
-        registry_(other.registry_) {
-    registry_->Add(this);
-  }
-  RegisteredSocket(const RegisteredSocket&) = delete;
-  RegisteredSocket& operator=(const RegisteredSocket&) = delete;
-  RegisteredSocket& operator=(RegisteredSocket&&) = delete;
-  ~RegisteredSocket() { registry_->Remove(this); }
-
- private:
-  SocketRegistry* registry_;
-};
-
 // Marks the server's own instance of RESTinio's parser settings (see
 // create_parser_settings below).
 struct HttpMethods : public restinio::default_http_methods_t {};
@@ -135,45 +80,6 @@
   return lower;
 }
 
-std::string_view ReasonPhrase(int status) {
-  switch (status) {
-    case 200:
-      return "OK";
-    case 204:
-      return "No Content";
-    case 206:
-      return "Partial Content";
-    case 400:
-      return "Bad Request";
-    case 401:
-      return "Unauthorized";
-    case 403:
-      return "Forbidden";
-    case 404:
-      return "Not Found";
-    case 405:
-      return "Method Not Allowed";
-    case 409:
-      return "Conflict";
-    case 410:
-      return "Gone";
-    case 413:
-      return "Payload Too Large";
-    case 429:
-      return "Too Many Requests";
-    case 499:
-      return "Client Closed Request";
-    case 500:
-      return "Internal Server Error";
-    case 503:
-      return "Service Unavailable";
-    case 504:
-      return "Gateway Timeout";
-    default:
-      return "Status";
-  }
-}
-
 HttpResponse Refusal(ErrorCode code, std::string field, std::string message) {
   return ErrorResponse(HttpStatusOf(code),
                        Error{code, std::move(field), std::move(message)},
@@ -334,11 +240,12 @@
   Observer observer_;
 };
 
+template <typename Socket>
 struct ServerTraits
     : public restinio::traits_t<restinio::asio_timer_manager_t,
                                 restinio::null_logger_t,
                                 restinio::default_request_handler_t,
-                                restinio::noop_strand_t, RegisteredSocket> {
+                                restinio::noop_strand_t, Socket> {
   using http_methods_mapper_t = HttpMethods;
   using connection_state_listener_t = ConnectionListener;
   static constexpr bool use_connection_count_limiter = true;
@@ -388,8 +295,6 @@
 }  // namespace
 
 struct HttpServer::Implementation {
-  using Server = restinio::http_server_t<ServerTraits>;
-
   // What connections need, also after the server is gone.
   struct Shared {
     asio::io_context* context = nullptr;
@@ -406,14 +311,27 @@
     shared->context = &context;
     shared->maximum_body_bytes = options.maximum_body_bytes;
     shared->handler = std::move(handler);
-    server = std::make_unique<Server>(restinio::external_io_context(context),
-                                      MakeSettings(options));
+    if (options.tls) {
+      auto settings = MakeSettings<restinio::tls_socket_t>(options);
+      settings.tls_context(MakeTlsContext(*options.tls));
+      Open(std::move(settings));
+    } else {
+      Open(MakeSettings<RegisteredSocket>(options));
+    }
+  }
+
+  template <typename Traits>
+  void Open(restinio::server_settings_t<Traits> settings) {
+    const auto server = std::make_shared<restinio::http_server_t<Traits>>(
+        restinio::external_io_context(io_context), std::move(settings));
     server->open_sync();
+    stop_accepting = [server] { server->close_sync(); };
   }
 
-  restinio::server_settings_t<ServerTraits> MakeSettings(
+  template <typename Socket>
+  restinio::server_settings_t<ServerTraits<Socket>> MakeSettings(
       const HttpServerOptions& options) {
-    restinio::server_settings_t<ServerTraits> settings;
+    restinio::server_settings_t<ServerTraits<Socket>> settings;
     settings.port(options.endpoint.port())
         .protocol(options.endpoint.protocol())
         .address(options.endpoint.address())
@@ -481,7 +399,8 @@
   asio::io_context& io_context;
   std::shared_ptr<Shared> shared = std::make_shared<Shared>();
   tcp::endpoint local_endpoint;
-  std::unique_ptr<Server> server;
+  // Keeps the server.
+  std::function<void()> stop_accepting;
 };
 
 HttpServer::HttpServer(asio::io_context& context,
@@ -504,7 +423,7 @@
   return implementation_->shared->answers->unwritten.use_count() - 1;
 }
 
-void HttpServer::StopAccepting() { implementation_->server->close_sync(); }
+void HttpServer::StopAccepting() { implementation_->stop_accepting(); }
 
 void HttpServer::Close() {
   StopAccepting();
--- a/source/common/resources/resource_json.cc
+++ b/source/common/resources/resource_json.cc
@@ -70,11 +70,13 @@
     if (!given) {
       return;
     }
-    const auto endpoint = net::ParseEndpoint(value, reader_.PathOf(field));
+    const auto endpoint =
+        net::ParseRemoteEndpoint(value, reader_.PathOf(field));
     if (!endpoint) {
       reader_.Fail(endpoint.error());
-    } else if (endpoint->port() == 0) {
-      reader_.Fail(field, "must have a port");
+    } else {
+      // One spelling for one endpoint: addresses are compared as text.
+      value = net::FormatEndpoint(*endpoint);
     }
   }
   void Boolean(const char* field, bool& value) {
--- a/source/common/session/control_session_client.cc
+++ b/source/common/session/control_session_client.cc
@@ -3,7 +3,6 @@
 #include <algorithm>
 #include <asio/post.hpp>
 #include <asio/steady_timer.hpp>
-#include <asio/thread_pool.hpp>
 #include <random>
 #include <stdexcept>
 #include <utility>
@@ -11,11 +10,14 @@
 #include "common/logging/event_log.h"
 #include "common/net/address.h"
 #include "common/net/frame_connection.h"
+#include "common/session/claim_codec.h"
 #include "common/session/control_frames.h"
 #include "common/session/events.h"
 #include "common/session/fleet_codec.h"
+#include "common/session/heartbeat_codec.h"
 #include "common/session/operation_queue.h"
-#include "common/session/session_file.h"
+#include "common/session/session_link.h"
+#include "common/session/view_keeper.h"
 
 namespace juniperway::session {
 namespace {
@@ -29,7 +31,6 @@
 constexpr std::size_t kMaximumQueuedOperations = 100000;
 // Pause before a call that control could not take is sent again.
 constexpr Duration kCallRetryDelay = milliseconds(100);
-constexpr Duration kPersistRetryDelay = seconds(1);
 // A goodbye is small: once the socket took it the kernel delivers it.
 constexpr Duration kGoodbyePollInterval = milliseconds(5);
 
@@ -37,8 +38,21 @@
   return seed != 0 ? seed : std::random_device()();
 }
 
-Error ToError(std::string message) {
-  return {ErrorCode::kIo, "", std::move(message)};
+// Throws std::runtime_error when one is malformed or there is none.
+std::vector<asio::ip::tcp::endpoint> ParseEndpoints(
+    const std::vector<std::string>& texts) {
+  std::vector<asio::ip::tcp::endpoint> endpoints;
+  for (const std::string& text : texts) {
+    auto endpoint = net::ParseEndpoint(text, "control");
+    if (!endpoint) {
+      throw std::runtime_error(FormatError(endpoint.error()));
+    }
+    endpoints.push_back(*endpoint);
+  }
+  if (endpoints.empty()) {
+    throw std::runtime_error("control: at least one address is needed");
+  }
+  return endpoints;
 }
 
 }  // namespace
@@ -50,20 +64,15 @@
       : context_(context),
         options_(options),
         timer_(context),
-        view_(std::make_shared<FleetView>()) {
-    for (const std::string& text : options.control_endpoints) {
-      auto endpoint = net::ParseEndpoint(text, "control");
-      if (!endpoint) {
-        throw std::runtime_error(FormatError(endpoint.error()));
-      }
-      endpoints_.push_back(*endpoint);
-    }
-    if (endpoints_.empty()) {
-      throw std::runtime_error("control: at least one address is needed");
-    }
-    OpenFile();
+        endpoints_(ParseEndpoints(options.control_endpoints)) {
+    keeper_ = std::make_shared<ViewKeeper>(
+        context, options, [this](const FleetViewPointer& view) {
+          const auto alive = shared_from_this();
+          OnTaken(view);
+        });
+    link_ = std::make_shared<SessionLink>(context, LinkPorts());
     state_ = std::make_unique<SessionState>(options.timing, endpoints_.size(),
-                                            record_.revision,
+                                            keeper_->record().revision,
                                             DrawSeed(options.seed));
   }
 
@@ -77,17 +86,16 @@
     closed_ = true;
     timer_.cancel();
     DropConnection();
+    link_->Close();
     view_listener_ = nullptr;
     progress_listener_ = nullptr;
-    if (writer_) {
-      writer_->join();
-    }
+    keeper_->Close();
   }
 
   void Goodbye(Duration timeout, std::function<void()> done) {
     goodbye_said_ = true;
-    if (connection_ && state_->connected()) {
-      SendMessage(*connection_, protocol::SessionGoodbyeT{});
+    if (link_->connection() && state_->connected()) {
+      SendMessage(*link_->connection(), protocol::SessionGoodbyeT{});
     }
     WaitUntilSent(Now() + timeout, std::move(done));
   }
@@ -96,16 +104,14 @@
     options_.peer_address = address;
   }
 
-  std::uint64_t incarnation() const { return record_.incarnation; }
-  FleetViewPointer view() const { return view_; }
+  std::uint64_t incarnation() const { return keeper_->record().incarnation; }
+  FleetViewPointer view() const { return keeper_->view(); }
   const SessionState& state() const { return *state_; }
   const Counters& counters() const { return counters_; }
   Counters TotalCounters() const {
     Counters total = counters_;
-    if (connection_) {
-      total.sent_bytes += connection_->sent_bytes();
-      total.received_bytes += connection_->received_bytes();
-    }
+    total.sent_bytes = link_->sent_bytes();
+    total.received_bytes = link_->received_bytes();
     return total;
   }
 
@@ -158,7 +164,7 @@
     leaving_ = true;
     protocol::LeaveMemberT leave;
     leave.daemon_id = options_.daemon_id;
-    leave.incarnation = record_.incarnation;
+    leave.incarnation = keeper_->record().incarnation;
     Enqueue(MakeOperation(std::move(leave)), timeout,
             [done = std::move(done)](
                 const Result<protocol::OperationResultT>&) { done(); });
@@ -167,27 +173,28 @@
  private:
   static MonotonicTime Now() { return ReadMonotonicClock(); }
 
-  // --- Set-up ----------------------------------------------------------------
-
-  void OpenFile() {
-    const auto started = ReadWallClock().time_since_epoch().count();
-    if (options_.data_folder.empty()) {
-      record_.incarnation = static_cast<std::uint64_t>(started);
-      return;
-    }
-    auto file = SessionFile::Open(options_.data_folder, options_.cluster,
-                                  options_.daemon_id);
-    if (!file) {
-      throw std::runtime_error(FormatError(file.error()));
-    }
-    file_ = std::move(*file);
-    record_ = file_->record();
-    record_.incarnation =
-        std::max(record_.incarnation + 1, static_cast<std::uint64_t>(started));
-    if (auto written = file_->Write(record_); !written) {
-      throw std::runtime_error(FormatError(written.error()));
-    }
-    writer_ = std::make_unique<asio::thread_pool>(1);
+  // Each keeps this object alive while it runs: what it calls may let go of it.
+  SessionLink::Ports LinkPorts() {
+    return {.on_connected =
+                [this] {
+                  const auto alive = shared_from_this();
+                  OnConnected();
+                },
+            .on_connect_failed =
+                [this] {
+                  const auto alive = shared_from_this();
+                  OnConnectFailed();
+                },
+            .on_frame =
+                [this](net::FrameBytes frame) {
+                  const auto alive = shared_from_this();
+                  OnFrame(frame);
+                },
+            .on_closed =
+                [this] {
+                  const auto alive = shared_from_this();
+                  OnConnectionClosed();
+                }};
   }
 
   // --- Event loop ------------------------------------------------------------
@@ -223,15 +230,17 @@
   }
 
   void ArmTimer(MonotonicTime now) {
+    const bool can_send = connection_ && state_->connected();
     MonotonicTime deadline =
-        std::min(state_->NextDeadline(), operations_.NextDeadline());
+        std::min(state_->NextDeadline(), operations_.NextDeadline(can_send));
     if (had_lease_) {
       deadline = std::min(deadline, now + options_.timing.heartbeat_interval);
     }
-    // Never spins: a deadline in the past means the very next moment.
-    const Duration delay =
-        std::clamp(Duration(deadline - now), Duration(milliseconds(1)),
-                   Duration(seconds(60)));
+    // Never spins: a deadline in the past means the very next moment. It may be
+    // the earliest time there is, from which nothing can be taken away.
+    const MonotonicTime bounded =
+        std::clamp(deadline, now + milliseconds(1), now + seconds(60));
+    const Duration delay = bounded - now;
     timer_.expires_after(delay);
     timer_.async_wait([self = shared_from_this()](const asio::error_code& e) {
       if (!e) {
@@ -256,67 +265,39 @@
 
   void Connect(std::size_t endpoint) {
     DropConnection();
-    const std::uint64_t attempt = ++connection_number_;
     ++counters_.connects;
-    net::FrameConnection::Connect(
-        context_, endpoints_[endpoint], options_.timing.connect_timeout,
-        [weak = weak_from_this(),
-         attempt](Result<std::shared_ptr<net::FrameConnection>> result) {
-          auto self = weak.lock();
-          if (!self || self->closed_ || attempt != self->connection_number_) {
-            if (result) {
-              (*result)->Close();
-            }
-            return;
-          }
-          self->OnConnectResult(std::move(result), attempt);
-        });
+    link_->Connect(endpoints_[endpoint], options_.timing.connect_timeout);
   }
 
-  void OnConnectResult(Result<std::shared_ptr<net::FrameConnection>> result,
-                       std::uint64_t attempt) {
-    if (!result) {
-      state_->OnDisconnected(Now());
-      SchedulePump();
-      return;
-    }
-    connection_ = std::move(*result);
-    connection_->Start(
-        [weak = weak_from_this(), attempt](net::FrameBytes frame) {
-          auto self = weak.lock();
-          if (self && attempt == self->connection_number_) {
-            self->OnFrame(frame);
-          }
-        },
-        [weak = weak_from_this(), attempt] {
-          auto self = weak.lock();
-          if (self && !self->closed_ && attempt == self->connection_number_) {
-            self->OnConnectionClosed();
-          }
-        });
-    LogEvent(
-        kSessionConnected,
-        {{"daemon", options_.daemon_id},
-         {"control", net::FormatEndpoint(connection_->remote_endpoint())}});
+  void OnConnected() {
+    LogEvent(kSessionConnected,
+             {{"daemon", options_.daemon_id},
+              {"control",
+               net::FormatEndpoint(link_->connection()->remote_endpoint())}});
     SendHello();
     state_->OnConnected(Now());
     SchedulePump();
   }
 
+  void OnConnectFailed() {
+    state_->OnDisconnected(Now());
+    SchedulePump();
+  }
+
   void SendHello() {
     protocol::SessionHelloT hello;
     hello.cluster = options_.cluster;
     hello.member = std::make_unique<protocol::FleetMemberT>();
     hello.member->daemon_id = options_.daemon_id;
-    hello.member->incarnation = record_.incarnation;
+    hello.member->incarnation = keeper_->record().incarnation;
     hello.member->zone = options_.zone;
     hello.member->region = options_.region;
     hello.member->peer_address = options_.peer_address;
     hello.member->gateway = options_.gateway;
     hello.member->leaving = leaving_;
-    hello.view_revision = newest()->revision;
+    hello.view_revision = keeper_->newest()->revision;
     hello.minimum_revision = state_->minimum_revision();
-    SendMessage(*connection_, std::move(hello));
+    SendMessage(*link_->connection(), std::move(hello));
   }
 
   void OnConnectionClosed() {
@@ -328,30 +309,14 @@
   }
 
   void DropConnection() {
-    ++connection_number_;
     operations_.OnDisconnected();
-    if (!connection_) {
-      return;
-    }
-    counters_.sent_bytes += connection_->sent_bytes();
-    counters_.received_bytes += connection_->received_bytes();
-    connection_->Close();
-    connection_.reset();
+    link_->Drop();
   }
 
   void SendHeartbeat(const HeartbeatContent& content) {
-    if (!connection_) {
-      return;
+    if (link_->connection()) {
+      SendMessage(*link_->connection(), EncodeHeartbeat(content));
     }
-    protocol::HeartbeatT heartbeat;
-    heartbeat.sequence = content.sequence;
-    heartbeat.confirmed_revision = content.confirmed;
-    heartbeat.released_revision = content.released;
-    heartbeat.term = content.term;
-    heartbeat.holds_lease = content.holds_lease;
-    heartbeat.in_force_revision = content.in_force;
-    heartbeat.zone_released_revision = content.zone_released;
-    SendMessage(*connection_, heartbeat);
   }
 
   // --- Frames ----------------------------------------------------------------
@@ -367,7 +332,7 @@
     if (const auto* update = message.AsFleetUpdate()) {
       OnUpdate(*update);
     } else if (const auto* reply = message.AsHeartbeatReply()) {
-      OnHeartbeatReply(*reply);
+      state_->OnHeartbeatReply(DecodeHeartbeatAnswer(*reply), Now());
     } else if (const auto* progress = message.AsSessionProgress()) {
       state_->OnProgress(progress->in_force_revision,
                          progress->zone_released_revision);
@@ -380,25 +345,10 @@
     SchedulePump();
   }
 
-  void OnHeartbeatReply(const protocol::HeartbeatReplyT& reply) {
-    HeartbeatAnswer answer;
-    answer.sequence = reply.sequence;
-    answer.granted = reply.outcome == protocol::HeartbeatOutcome::kGranted;
-    answer.new_term = reply.outcome == protocol::HeartbeatOutcome::kNewTerm;
-    answer.lease = Duration(reply.granted_us);
-    answer.term = reply.term;
-    answer.in_force = reply.in_force_revision;
-    answer.zone_released = reply.zone_released_revision;
-    state_->OnHeartbeatReply(answer, Now());
-  }
-
   // --- Views -----------------------------------------------------------------
 
-  // The newest view, though it may not be kept and in use yet.
-  const FleetViewPointer& newest() const { return staged_ ? staged_ : view_; }
-
   void OnUpdate(const protocol::FleetUpdateT& update) {
-    const FleetViewPointer base = newest();
+    const FleetViewPointer base = keeper_->newest();
     if (!IsApplicable(update, base->revision) ||
         !state_->MayTake(update.to_revision)) {
       LogEvent(kUpdateRefused, {{"daemon", options_.daemon_id},
@@ -416,68 +366,14 @@
     }
     ++counters_.updates;
     counters_.full_updates += update.from_revision == 0 ? 1 : 0;
-    staged_ = std::move(*view);
-    KeepStaged();
-  }
-
-  // A revision is written down before it is used, so that a restart cannot take
-  // the daemon back behind it. The sync runs beside the event loop.
-  void KeepStaged() {
-    if (keeping_ || !staged_) {
-      return;
-    }
-    if (!file_) {
-      TakeStaged(staged_);
-      return;
-    }
-    keeping_ = true;
-    SessionRecord record = record_;
-    record.revision = staged_->revision;
-    asio::post(*writer_, [this, record, staged = staged_,
-                          self = shared_from_this()]() mutable {
-      Result<void> written = file_->Write(record);
-      asio::post(context_, [self = std::move(self), staged = std::move(staged),
-                            written = std::move(written)] {
-        self->OnKept(staged, written);
-      });
-    });
-  }
-
-  void OnKept(const FleetViewPointer& kept, const Result<void>& written) {
-    keeping_ = false;
-    if (closed_) {
-      return;
-    }
-    if (!written) {
-      LogEvent(kRevisionNotKept, {{"daemon", options_.daemon_id},
-                                  {"error", FormatError(written.error())}});
-      RetryKeep();
-      return;
-    }
-    record_.revision = kept->revision;
-    TakeStaged(kept);
-    KeepStaged();
+    keeper_->Stage(std::move(*view));
   }
 
-  void RetryKeep() {
-    auto timer = std::make_shared<asio::steady_timer>(context_);
-    timer->expires_after(kPersistRetryDelay);
-    timer->async_wait([timer, weak = weak_from_this()](const auto&) {
-      if (auto self = weak.lock(); self && !self->closed_) {
-        self->KeepStaged();
-      }
-    });
-  }
-
-  void TakeStaged(const FleetViewPointer& view) {
-    view_ = view;
-    if (staged_ == view) {
-      staged_.reset();
-    }
+  void OnTaken(const FleetViewPointer& view) {
     if (view_listener_) {
-      view_listener_(view_);
+      view_listener_(view);
     }
-    state_->OnTaken(view_->revision);
+    state_->OnTaken(view->revision);
     SchedulePump();
   }
 
@@ -490,11 +386,11 @@
   }
 
   void SendCalls(MonotonicTime now) {
-    if (!connection_ || !state_->connected()) {
+    if (!link_->connection() || !state_->connected()) {
       return;
     }
     while (auto call = operations_.TakeCall(now)) {
-      SendMessage(*connection_, std::move(*call));
+      SendMessage(*link_->connection(), std::move(*call));
     }
   }
 
@@ -522,34 +418,8 @@
   }
 
   std::string Claimant() const {
-    return options_.daemon_id + "/" + std::to_string(record_.incarnation);
-  }
-
-  static Result<ClaimReply> DecodeClaim(
-      const Result<protocol::OperationResultT>& result) {
-    if (!result) {
-      return tl::unexpected(result.error());
-    }
-    if (!result->claim) {
-      return tl::unexpected(ToError("the answer holds no claim"));
-    }
-    ClaimReply reply;
-    switch (result->claim->decision) {
-      case protocol::ClaimDecisionCode::kGranted:
-        reply.decision = ClaimDecision::kGranted;
-        break;
-      case protocol::ClaimDecisionCode::kAlreadyClaimed:
-        reply.decision = ClaimDecision::kAlreadyClaimed;
-        break;
-      case protocol::ClaimDecisionCode::kExpired:
-        reply.decision = ClaimDecision::kExpired;
-        break;
-    }
-    if (result->claim->has_outcome) {
-      reply.recorded_outcome =
-          static_cast<ExecutionState>(result->claim->outcome);
-    }
-    return reply;
+    return options_.daemon_id + "/" +
+           std::to_string(keeper_->record().incarnation);
   }
 
   // --- Notices ---------------------------------------------------------------
@@ -559,7 +429,8 @@
     if (has_lease != had_lease_) {
       had_lease_ = has_lease;
       LogEvent(has_lease ? kLeaseGained : kLeaseLost,
-               {{"daemon", options_.daemon_id}, {"revision", view_->revision}});
+               {{"daemon", options_.daemon_id},
+                {"revision", keeper_->view()->revision}});
     }
   }
 
@@ -575,8 +446,9 @@
   }
 
   void WaitUntilSent(MonotonicTime deadline, std::function<void()> done) {
-    const bool sent = !connection_ || connection_->closed() ||
-                      connection_->queued_bytes() == 0;
+    const net::FrameConnection* connection = link_->connection();
+    const bool sent = connection == nullptr || connection->closed() ||
+                      connection->queued_bytes() == 0;
     if (sent || Now() >= deadline) {
       done();
       return;
@@ -592,25 +464,16 @@
   SessionOptions options_;
   asio::steady_timer timer_;
   std::vector<asio::ip::tcp::endpoint> endpoints_;
-  std::unique_ptr<SessionFile> file_;
-  // Syncs the file; joined before the file goes.
-  std::unique_ptr<asio::thread_pool> writer_;
-  SessionRecord record_;
+  std::shared_ptr<ViewKeeper> keeper_;
   std::unique_ptr<SessionState> state_;
   OperationQueue operations_;
-  std::shared_ptr<net::FrameConnection> connection_;
-  // Tells callbacks of connections that were given up.
-  std::uint64_t connection_number_ = 0;
+  std::shared_ptr<SessionLink> link_;
   bool pump_scheduled_ = false;
   bool closed_ = false;
   bool goodbye_said_ = false;
   bool leaving_ = false;
   bool had_lease_ = false;
 
-  FleetViewPointer view_;
-  // Decoded, but not kept yet; null: none.
-  FleetViewPointer staged_;
-  bool keeping_ = false;
   std::map<std::string, protocol::BackendReportRecordT> reports_;
   bool report_under_way_ = false;
   std::uint64_t last_attempt_ = 0;
--- a/source/daemon/gateway_role.cc
+++ b/source/daemon/gateway_role.cc
@@ -28,6 +28,8 @@
 // How long the other daemons may take to take the leave in.
 constexpr Duration kHandOverTimeout = seconds(10);
 constexpr Duration kGoodbyeTimeout = seconds(1);
+// Longer than a request takes from a caller that has an open connection.
+constexpr Duration kLinger = milliseconds(300);
 
 session::SessionOptions MakeSessionOptions(const Settings& settings) {
   session::SessionOptions options;
@@ -60,8 +62,10 @@
   options.zone = settings.zone;
   options.region = settings.region;
   options.http_listen = settings.gateway->http_listen;
+  options.http_tls = settings.gateway->http_tls;
   options.maximum_concurrent_queries =
       settings.gateway->maximum_concurrent_queries;
+  options.quiet_before_drained = settings.gateway->stop_quiet;
   options.random_seed = seed;
   return options;
 }
@@ -134,8 +138,15 @@
       return;
     }
     session.Leave(kLeaveTimeout, [this] {
-      Step("left");
       left = true;
+      if (!session.HasLease(ReadMonotonicClock())) {
+        // Cut off from control: the fleet learns of it when the lease has run
+        // out, and that is over.
+        LogEvent(kStopIncomplete, {{"step", "leave"}});
+        StopOwner();
+        return;
+      }
+      Step("left");
       hand_over_timer.expires_after(kHandOverTimeout);
       hand_over_timer.async_wait([this](const asio::error_code& error) {
         if (!error) {
@@ -179,7 +190,15 @@
     }
     finishing = true;
     Step("drained");
-    session.Goodbye(kGoodbyeTimeout, [this] { Done(); });
+    // Requests that are on their way on open connections are still refused
+    // properly; new connections are refused by the system.
+    front.StopAccepting();
+    linger_timer.expires_after(kLinger);
+    linger_timer.async_wait([this](const asio::error_code& error) {
+      if (!error) {
+        session.Goodbye(kGoodbyeTimeout, [this] { Done(); });
+      }
+    });
   }
 
   void GiveUp() {
@@ -195,6 +214,7 @@
   void Done() {
     stop_timer.cancel();
     hand_over_timer.cancel();
+    linger_timer.cancel();
     if (stop_done) {
       std::exchange(stop_done, nullptr)();
     }
@@ -220,6 +240,7 @@
 
   asio::steady_timer stop_timer{loop.context()};
   asio::steady_timer hand_over_timer{loop.context()};
+  asio::steady_timer linger_timer{loop.context()};
   MonotonicTime stop_deadline;
   std::function<void()> stop_done;
   bool left = false;
