--- a/source/common/session/control_session_client.cc
+++ b/source/common/session/control_session_client.cc
@@ -230,7 +230,7 @@
   }
 
   void ArmTimer(MonotonicTime now) {
-    const bool can_send = connection_ && state_->connected();
+    const bool can_send = link_->connection() != nullptr && state_->connected();
     MonotonicTime deadline =
         std::min(state_->NextDeadline(), operations_.NextDeadline(can_send));
     if (had_lease_) {
