Format the event fields as the formatter wants them

Cause: clang-format of the declared version breaks the requires clause. Change: formatted. Measured: scripts/lint's formatter step passes.

--- a/source/common/logging/event_log.h
+++ b/source/common/logging/event_log.h
@@ -31,8 +31,8 @@
   Field(std::string_view key, bool value)
       : Field(key, std::string_view(value ? "true" : "false")) {}
   template <typename Number>
-    requires(std::integral<Number> || std::floating_point<Number>)
-  Field(std::string_view key, Number value)
+  requires(std::integral<Number> || std::floating_point<Number>)
+      Field(std::string_view key, Number value)
       : Field(key, std::string_view(std::to_string(value))) {}
 
   const std::string& text() const { return text_; }
