Pass views and voters as the linter asks

Cause: clang-tidy found a needless copy and two parameters copied in vain. Change: the kept view is taken by value, test voters by reference.

--- a/source/common/session/view_keeper.cc
+++ b/source/common/session/view_keeper.cc
@@ -99,14 +99,12 @@
   });
 }
 
-void ViewKeeper::Take(const FleetViewPointer& taken) {
-  // A copy: `taken` may be staged_ itself.
-  const FleetViewPointer view = taken;
-  view_ = view;
+void ViewKeeper::Take(FleetViewPointer view) {
   if (staged_ == view) {
     staged_.reset();
   }
-  on_taken_(view);
+  view_ = std::move(view);
+  on_taken_(view_);
 }
 
 void ViewKeeper::Close() {
--- a/source/common/session/view_keeper.h
+++ b/source/common/session/view_keeper.h
@@ -39,7 +39,8 @@
   void KeepStaged();
   void OnKept(const FleetViewPointer& kept, const Result<void>& written);
   void RetryKeep();
-  void Take(const FleetViewPointer& view);
+  // By value: the argument may be staged_ itself.
+  void Take(FleetViewPointer view);
 
   asio::io_context& context_;
   std::string daemon_id_;
--- a/test/unit/raft/group.h
+++ b/test/unit/raft/group.h
@@ -22,7 +22,7 @@
   return Member{id, "127.0.0.1:" + std::to_string(7000 + id)};
 }
 
-inline Configuration MakeConfiguration(std::vector<NodeId> voters) {
+inline Configuration MakeConfiguration(const std::vector<NodeId>& voters) {
   Configuration configuration;
   for (const NodeId id : voters) {
     configuration.voters.push_back(MakeMember(id));
@@ -38,7 +38,7 @@
     std::vector<std::string> applied;
   };
 
-  explicit Group(std::vector<NodeId> voters, Options options = {})
+  explicit Group(const std::vector<NodeId>& voters, const Options& options = {})
       : options_(options) {
     for (const NodeId id : voters) {
       nodes[id].disk.snapshot.configuration = MakeConfiguration(voters);
