--- a/source/lab/backend/server.cc
+++ b/source/lab/backend/server.cc
@@ -133,8 +133,9 @@
   model_.SetConnections(connections_.size());
 }
 
-void BackendServer::Handle(const net::HttpRequest& request,
-                           std::shared_ptr<net::HttpResponder> responder) {
+void BackendServer::Handle(
+    const net::HttpRequest& request,
+    const std::shared_ptr<net::HttpResponder>& responder) {
   if (request.method == "POST" && request.path == "/v1/search") {
     HandleSearch(request, responder);
   } else if (request.method == "POST" && request.path == "/v1/cancel") {
--- a/source/lab/backend/server.h
+++ b/source/lab/backend/server.h
@@ -44,7 +44,7 @@
   void Listen(const asio::ip::tcp::endpoint& endpoint);
   void HandleConnection(const asio::ip::tcp::endpoint& remote, bool open);
   void Handle(const net::HttpRequest& request,
-              std::shared_ptr<net::HttpResponder> responder);
+              const std::shared_ptr<net::HttpResponder>& responder);
   void HandleSearch(const net::HttpRequest& request,
                     const std::shared_ptr<net::HttpResponder>& responder);
   void HandleCancel(const net::HttpRequest& request,
