--- a/source/lab/backend/server.cc
+++ b/source/lab/backend/server.cc
@@ -92,8 +92,8 @@
   server_ = std::make_unique<net::HttpServer>(
       context_, options,
       [this](const net::HttpRequest& request,
-             std::shared_ptr<net::HttpResponder> responder) {
-        Handle(request, std::move(responder));
+             const std::shared_ptr<net::HttpResponder>& responder) {
+        Handle(request, responder);
       });
   endpoint_ = server_->local_endpoint();
 }
