--- a/source/lab/commands.h
+++ b/source/lab/commands.h
@@ -12,7 +12,6 @@
 int RunPlatformCommand(int argc, const char** argv);
 int RunProxyCommand(int argc, const char** argv);
 int RunCallerCommand(int argc, const char** argv);
-int RunFleetCommand(int argc, const char** argv);
 int RunExperimentCommand(int argc, const char** argv);
 int RunDemoCommand(int argc, const char** argv);
 int RunBenchCommand(int argc, const char** argv);
