Keep a session with the nearest control machine

Each change of a large table then crosses regions once a router.

Change: control machines tell each other their zone and region when they connect, and daemons with the list of members. EndpointPreference (pure) sends a session that is well to a nearer machine; a trial that is not granted within 0.4 s leads back, and doubles the pause to the next (5 s to 60 s). Locality and Place move from routing to base; the simulation's daemons have a machine of their zone.

Ruled out: a zone in the replicated membership (a new format on disk for what only live machines need); measuring the way (a session knows one machine only).

--- a/source/common/control/control_node_setup.cc
+++ b/source/common/control/control_node_setup.cc
@@ -124,8 +124,9 @@
 
 void ControlNode::MakePeers() {
   peers_ = std::make_shared<PeerNetwork>(
-      context_, options_.cluster, options_.node_id, seed_,
-      [this](raft::NodeId from, const protocol::ControlFrameT& frame) {
+      context_,
+      PeerNetwork::Identity{options_.cluster, options_.node_id, options_.place},
+      seed_, [this](raft::NodeId from, const protocol::ControlFrameT& frame) {
         OnPeerFrame(from, frame);
       });
 }
@@ -135,8 +136,11 @@
       context_, options_.peer_listen, options_.cluster, options_.node_id,
       PeerListener::Ports{
           .adopt_peer =
-              [this](raft::NodeId from, PeerListener::Connection connection) {
-                peers_->Adopt(from, std::move(connection));
+              [this](const protocol::PeerHelloT& hello,
+                     PeerListener::Connection connection) {
+                peers_->Adopt(hello.node_id, std::move(connection));
+                sessions_->SetControlPlace(hello.node_id,
+                                           {hello.zone, hello.region});
               },
           .on_peer_frame =
               [this](raft::NodeId from, net::FrameBytes bytes,
@@ -256,6 +260,7 @@
                     ReadMonotonicClock() + options_.call_timeout,
                     std::move(callback));
               }});
+  sessions_->SetControlPlace(options_.node_id, options_.place);
 }
 
 void ControlNode::MakeApi() {
--- a/source/common/control/control_server.h
+++ b/source/common/control/control_server.h
@@ -15,6 +15,7 @@
 #include <vector>
 
 #include "common/base/error.h"
+#include "common/base/locality.h"
 #include "common/base/time.h"
 #include "common/raft/types.h"
 #include "common/storage/log_store.h"
@@ -28,6 +29,8 @@
   // Identity of the fleet; peers and daemons of another one are refused.
   std::string cluster;
   raft::NodeId node_id = raft::kNoNode;
+  // Where this machine stands; daemons prefer the nearest one.
+  Place place;
   // Resource API. Port 0: chosen by the kernel (see http_endpoint()).
   asio::ip::tcp::endpoint http_listen;
   // Consensus and daemon sessions. Port 0: chosen by the kernel.
--- a/source/common/control/peer_listener.cc
+++ b/source/common/control/peer_listener.cc
@@ -78,7 +78,7 @@
         (hello->receiver_id == raft::kNoNode || hello->receiver_id == node_id_);
     if (valid) {
       inbound.peer = hello->node_id;
-      ports_.adopt_peer(inbound.peer, inbound.connection);
+      ports_.adopt_peer(*hello, inbound.connection);
       return true;
     }
   }
--- a/source/common/control/peer_listener.h
+++ b/source/common/control/peer_listener.h
@@ -23,7 +23,7 @@
 
   struct Ports {
     // A control machine's connection, and its frames.
-    std::function<void(raft::NodeId, Connection)> adopt_peer;
+    std::function<void(const protocol::PeerHelloT&, Connection)> adopt_peer;
     std::function<void(raft::NodeId, net::FrameBytes, const Connection&)>
         on_peer_frame;
     // A daemon's session; 0: refused. Then its frames and its end.
--- a/source/common/control/peer_network.cc
+++ b/source/common/control/peer_network.cc
@@ -19,12 +19,10 @@
 
 }  // namespace
 
-PeerNetwork::PeerNetwork(asio::io_context& context, std::string cluster,
-                         raft::NodeId node_id, std::uint64_t seed,
-                         FrameHandler on_frame)
+PeerNetwork::PeerNetwork(asio::io_context& context, Identity identity,
+                         std::uint64_t seed, FrameHandler on_frame)
     : context_(context),
-      cluster_(std::move(cluster)),
-      node_id_(node_id),
+      identity_(std::move(identity)),
       random_(seed),
       on_frame_(std::move(on_frame)) {}
 
@@ -33,7 +31,7 @@
     peer.wanted = false;
   }
   for (const raft::Member& member : members) {
-    if (member.id == node_id_) {
+    if (member.id == identity_.node_id) {
       continue;
     }
     Peer& peer = peers_[member.id];
@@ -171,9 +169,11 @@
       },
       [] {});
   protocol::PeerHelloT hello;
-  hello.cluster = cluster_;
-  hello.node_id = node_id_;
+  hello.cluster = identity_.cluster;
+  hello.node_id = identity_.node_id;
   hello.receiver_id = id;
+  hello.zone = identity_.place.zone;
+  hello.region = identity_.place.region;
   session::SendMessage(*peer.outgoing, std::move(hello));
 }
 
--- a/source/common/control/peer_network.h
+++ b/source/common/control/peer_network.h
@@ -11,6 +11,7 @@
 #include <string>
 #include <vector>
 
+#include "common/base/locality.h"
 #include "common/net/frame_connection.h"
 #include "common/protocol/control_generated.h"
 #include "common/raft/types.h"
@@ -23,8 +24,15 @@
   using FrameHandler =
       std::function<void(raft::NodeId from, protocol::ControlFrameT frame)>;
 
-  PeerNetwork(asio::io_context& context, std::string cluster,
-              raft::NodeId node_id, std::uint64_t seed, FrameHandler on_frame);
+  // What this machine says of itself to the others.
+  struct Identity {
+    std::string cluster;
+    raft::NodeId node_id = raft::kNoNode;
+    Place place;
+  };
+
+  PeerNetwork(asio::io_context& context, Identity identity, std::uint64_t seed,
+              FrameHandler on_frame);
 
   // The machines to keep a connection to; this node itself is passed over.
   void SetPeers(const std::vector<raft::Member>& members);
@@ -75,8 +83,7 @@
   void Drop(Peer& peer);
 
   asio::io_context& context_;
-  std::string cluster_;
-  raft::NodeId node_id_;
+  Identity identity_;
   std::mt19937_64 random_;
   FrameHandler on_frame_;
   std::map<raft::NodeId, Peer> peers_;
--- a/source/common/control/session_server.cc
+++ b/source/common/control/session_server.cc
@@ -204,21 +204,40 @@
 
 void SessionServer::SetControlMembers(
     const std::vector<raft::Member>& members) {
-  control_addresses_.clear();
-  for (const raft::Member& member : members) {
-    control_addresses_.push_back(member.address);
+  control_members_ = members;
+  AnnounceControlMembers();
+}
+
+void SessionServer::SetControlPlace(raft::NodeId node, const Place& place) {
+  Place& known = control_places_[node];
+  if (known != place) {
+    known = place;
+    AnnounceControlMembers();
   }
+}
+
+void SessionServer::AnnounceControlMembers() {
   for (const auto& [number, session] : sessions_) {
     SendControlMembers(session);
   }
 }
 
 void SessionServer::SendControlMembers(const Session& session) const {
-  if (control_addresses_.empty()) {
+  if (control_members_.empty()) {
     return;
   }
   protocol::ControlMembersT message;
-  message.addresses = control_addresses_;
+  for (const raft::Member& member : control_members_) {
+    message.addresses.push_back(member.address);
+    const auto place = control_places_.find(member.id);
+    if (place != control_places_.end()) {
+      auto record = std::make_unique<protocol::ControlPlaceT>();
+      record->address = member.address;
+      record->zone = place->second.zone;
+      record->region = place->second.region;
+      message.places.push_back(std::move(record));
+    }
+  }
   session::SendMessage(*session.connection, std::move(message));
 }
 
--- a/source/common/control/session_server.h
+++ b/source/common/control/session_server.h
@@ -12,6 +12,7 @@
 #include <string>
 #include <vector>
 
+#include "common/base/locality.h"
 #include "common/control/command_pipeline.h"
 #include "common/control/control_state.h"
 #include "common/control/lease_table.h"
@@ -67,6 +68,8 @@
                   const std::map<std::string, resources::Revision>& zones);
   // The control machines: every daemon is told how to reach them.
   void SetControlMembers(const std::vector<raft::Member>& members);
+  // Where one of them stands, also one that is not a member yet.
+  void SetControlPlace(raft::NodeId node, const Place& place);
   // The state's revision grew.
   void OnStateChanged();
 
@@ -103,6 +106,8 @@
   void OnGoodbye(Session& session);
   void Join(std::uint64_t number, Session& session);
   void FlushHeartbeats();
+  // Tells every daemon how to reach the control machines.
+  void AnnounceControlMembers();
   void SendControlMembers(const Session& session) const;
   void SendNoLeader(Session& session, std::uint64_t sequence);
   // An update is to be sent, and none is on its way.
@@ -128,7 +133,8 @@
   std::map<std::uint64_t, Session> sessions_;
   std::map<std::string, std::uint64_t> sessions_by_daemon_;
   Heartbeats queued_heartbeats_;
-  std::vector<std::string> control_addresses_;
+  std::vector<raft::Member> control_members_;
+  std::map<raft::NodeId, Place> control_places_;
   // Callbacks that outlive this object find it gone.
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
--- a/source/common/protocol/control_generated.h
+++ b/source/common/protocol/control_generated.h
@@ -118,6 +118,10 @@
 struct SessionProgressBuilder;
 struct SessionProgressT;
 
+struct ControlPlace;
+struct ControlPlaceBuilder;
+struct ControlPlaceT;
+
 struct ControlMembers;
 struct ControlMembersBuilder;
 struct ControlMembersT;
@@ -635,6 +639,8 @@
   std::string cluster{};
   uint64_t node_id = 0;
   uint64_t receiver_id = 0;
+  std::string zone{};
+  std::string region{};
 };
 
 struct PeerHello FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -644,7 +650,9 @@
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
     VT_CLUSTER = 4,
     VT_NODE_ID = 6,
-    VT_RECEIVER_ID = 8
+    VT_RECEIVER_ID = 8,
+    VT_ZONE = 10,
+    VT_REGION = 12
   };
   const flatbuffers::String *cluster() const {
     return GetPointer<const flatbuffers::String *>(VT_CLUSTER);
@@ -655,12 +663,22 @@
   uint64_t receiver_id() const {
     return GetField<uint64_t>(VT_RECEIVER_ID, 0);
   }
+  const flatbuffers::String *zone() const {
+    return GetPointer<const flatbuffers::String *>(VT_ZONE);
+  }
+  const flatbuffers::String *region() const {
+    return GetPointer<const flatbuffers::String *>(VT_REGION);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_CLUSTER) &&
            verifier.VerifyString(cluster()) &&
            VerifyField<uint64_t>(verifier, VT_NODE_ID, 8) &&
            VerifyField<uint64_t>(verifier, VT_RECEIVER_ID, 8) &&
+           VerifyOffset(verifier, VT_ZONE) &&
+           verifier.VerifyString(zone()) &&
+           VerifyOffset(verifier, VT_REGION) &&
+           verifier.VerifyString(region()) &&
            verifier.EndTable();
   }
   PeerHelloT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -681,6 +699,12 @@
   void add_receiver_id(uint64_t receiver_id) {
     fbb_.AddElement<uint64_t>(PeerHello::VT_RECEIVER_ID, receiver_id, 0);
   }
+  void add_zone(flatbuffers::Offset<flatbuffers::String> zone) {
+    fbb_.AddOffset(PeerHello::VT_ZONE, zone);
+  }
+  void add_region(flatbuffers::Offset<flatbuffers::String> region) {
+    fbb_.AddOffset(PeerHello::VT_REGION, region);
+  }
   explicit PeerHelloBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -696,10 +720,14 @@
     flatbuffers::FlatBufferBuilder &_fbb,
     flatbuffers::Offset<flatbuffers::String> cluster = 0,
     uint64_t node_id = 0,
-    uint64_t receiver_id = 0) {
+    uint64_t receiver_id = 0,
+    flatbuffers::Offset<flatbuffers::String> zone = 0,
+    flatbuffers::Offset<flatbuffers::String> region = 0) {
   PeerHelloBuilder builder_(_fbb);
   builder_.add_receiver_id(receiver_id);
   builder_.add_node_id(node_id);
+  builder_.add_region(region);
+  builder_.add_zone(zone);
   builder_.add_cluster(cluster);
   return builder_.Finish();
 }
@@ -713,13 +741,19 @@
     flatbuffers::FlatBufferBuilder &_fbb,
     const char *cluster = nullptr,
     uint64_t node_id = 0,
-    uint64_t receiver_id = 0) {
+    uint64_t receiver_id = 0,
+    const char *zone = nullptr,
+    const char *region = nullptr) {
   auto cluster__ = cluster ? _fbb.CreateString(cluster) : 0;
+  auto zone__ = zone ? _fbb.CreateString(zone) : 0;
+  auto region__ = region ? _fbb.CreateString(region) : 0;
   return juniperway::protocol::CreatePeerHello(
       _fbb,
       cluster__,
       node_id,
-      receiver_id);
+      receiver_id,
+      zone__,
+      region__);
 }
 
 flatbuffers::Offset<PeerHello> CreatePeerHello(flatbuffers::FlatBufferBuilder &_fbb, const PeerHelloT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -3139,9 +3173,112 @@
 
 flatbuffers::Offset<SessionProgress> CreateSessionProgress(flatbuffers::FlatBufferBuilder &_fbb, const SessionProgressT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
 
+struct ControlPlaceT : public flatbuffers::NativeTable {
+  typedef ControlPlace TableType;
+  std::string address{};
+  std::string zone{};
+  std::string region{};
+};
+
+struct ControlPlace FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef ControlPlaceT NativeTableType;
+  typedef ControlPlaceBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_ADDRESS = 4,
+    VT_ZONE = 6,
+    VT_REGION = 8
+  };
+  const flatbuffers::String *address() const {
+    return GetPointer<const flatbuffers::String *>(VT_ADDRESS);
+  }
+  const flatbuffers::String *zone() const {
+    return GetPointer<const flatbuffers::String *>(VT_ZONE);
+  }
+  const flatbuffers::String *region() const {
+    return GetPointer<const flatbuffers::String *>(VT_REGION);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_ADDRESS) &&
+           verifier.VerifyString(address()) &&
+           VerifyOffset(verifier, VT_ZONE) &&
+           verifier.VerifyString(zone()) &&
+           VerifyOffset(verifier, VT_REGION) &&
+           verifier.VerifyString(region()) &&
+           verifier.EndTable();
+  }
+  ControlPlaceT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(ControlPlaceT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<ControlPlace> Pack(flatbuffers::FlatBufferBuilder &_fbb, const ControlPlaceT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct ControlPlaceBuilder {
+  typedef ControlPlace Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_address(flatbuffers::Offset<flatbuffers::String> address) {
+    fbb_.AddOffset(ControlPlace::VT_ADDRESS, address);
+  }
+  void add_zone(flatbuffers::Offset<flatbuffers::String> zone) {
+    fbb_.AddOffset(ControlPlace::VT_ZONE, zone);
+  }
+  void add_region(flatbuffers::Offset<flatbuffers::String> region) {
+    fbb_.AddOffset(ControlPlace::VT_REGION, region);
+  }
+  explicit ControlPlaceBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<ControlPlace> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<ControlPlace>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<ControlPlace> CreateControlPlace(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::String> address = 0,
+    flatbuffers::Offset<flatbuffers::String> zone = 0,
+    flatbuffers::Offset<flatbuffers::String> region = 0) {
+  ControlPlaceBuilder builder_(_fbb);
+  builder_.add_region(region);
+  builder_.add_zone(zone);
+  builder_.add_address(address);
+  return builder_.Finish();
+}
+
+struct ControlPlace::Traits {
+  using type = ControlPlace;
+  static auto constexpr Create = CreateControlPlace;
+};
+
+inline flatbuffers::Offset<ControlPlace> CreateControlPlaceDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const char *address = nullptr,
+    const char *zone = nullptr,
+    const char *region = nullptr) {
+  auto address__ = address ? _fbb.CreateString(address) : 0;
+  auto zone__ = zone ? _fbb.CreateString(zone) : 0;
+  auto region__ = region ? _fbb.CreateString(region) : 0;
+  return juniperway::protocol::CreateControlPlace(
+      _fbb,
+      address__,
+      zone__,
+      region__);
+}
+
+flatbuffers::Offset<ControlPlace> CreateControlPlace(flatbuffers::FlatBufferBuilder &_fbb, const ControlPlaceT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
 struct ControlMembersT : public flatbuffers::NativeTable {
   typedef ControlMembers TableType;
   std::vector<std::string> addresses{};
+  std::vector<std::unique_ptr<juniperway::protocol::ControlPlaceT>> places{};
+  ControlMembersT() = default;
+  ControlMembersT(const ControlMembersT &o);
+  ControlMembersT(ControlMembersT&&) FLATBUFFERS_NOEXCEPT = default;
+  ControlMembersT &operator=(ControlMembersT o) FLATBUFFERS_NOEXCEPT;
 };
 
 struct ControlMembers FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -3149,16 +3286,23 @@
   typedef ControlMembersBuilder Builder;
   struct Traits;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
-    VT_ADDRESSES = 4
+    VT_ADDRESSES = 4,
+    VT_PLACES = 6
   };
   const flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>> *addresses() const {
     return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>> *>(VT_ADDRESSES);
   }
+  const flatbuffers::Vector<flatbuffers::Offset<juniperway::protocol::ControlPlace>> *places() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<juniperway::protocol::ControlPlace>> *>(VT_PLACES);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_ADDRESSES) &&
            verifier.VerifyVector(addresses()) &&
            verifier.VerifyVectorOfStrings(addresses()) &&
+           VerifyOffset(verifier, VT_PLACES) &&
+           verifier.VerifyVector(places()) &&
+           verifier.VerifyVectorOfTables(places()) &&
            verifier.EndTable();
   }
   ControlMembersT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -3173,6 +3317,9 @@
   void add_addresses(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> addresses) {
     fbb_.AddOffset(ControlMembers::VT_ADDRESSES, addresses);
   }
+  void add_places(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<juniperway::protocol::ControlPlace>>> places) {
+    fbb_.AddOffset(ControlMembers::VT_PLACES, places);
+  }
   explicit ControlMembersBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -3186,8 +3333,10 @@
 
 inline flatbuffers::Offset<ControlMembers> CreateControlMembers(
     flatbuffers::FlatBufferBuilder &_fbb,
-    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> addresses = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> addresses = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<juniperway::protocol::ControlPlace>>> places = 0) {
   ControlMembersBuilder builder_(_fbb);
+  builder_.add_places(places);
   builder_.add_addresses(addresses);
   return builder_.Finish();
 }
@@ -3199,11 +3348,14 @@
 
 inline flatbuffers::Offset<ControlMembers> CreateControlMembersDirect(
     flatbuffers::FlatBufferBuilder &_fbb,
-    const std::vector<flatbuffers::Offset<flatbuffers::String>> *addresses = nullptr) {
+    const std::vector<flatbuffers::Offset<flatbuffers::String>> *addresses = nullptr,
+    const std::vector<flatbuffers::Offset<juniperway::protocol::ControlPlace>> *places = nullptr) {
   auto addresses__ = addresses ? _fbb.CreateVector<flatbuffers::Offset<flatbuffers::String>>(*addresses) : 0;
+  auto places__ = places ? _fbb.CreateVector<flatbuffers::Offset<juniperway::protocol::ControlPlace>>(*places) : 0;
   return juniperway::protocol::CreateControlMembers(
       _fbb,
-      addresses__);
+      addresses__,
+      places__);
 }
 
 flatbuffers::Offset<ControlMembers> CreateControlMembers(flatbuffers::FlatBufferBuilder &_fbb, const ControlMembersT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -3662,6 +3814,8 @@
   { auto _e = cluster(); if (_e) _o->cluster = _e->str(); }
   { auto _e = node_id(); _o->node_id = _e; }
   { auto _e = receiver_id(); _o->receiver_id = _e; }
+  { auto _e = zone(); if (_e) _o->zone = _e->str(); }
+  { auto _e = region(); if (_e) _o->region = _e->str(); }
 }
 
 inline flatbuffers::Offset<PeerHello> PeerHello::Pack(flatbuffers::FlatBufferBuilder &_fbb, const PeerHelloT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -3675,11 +3829,15 @@
   auto _cluster = _o->cluster.empty() ? 0 : _fbb.CreateString(_o->cluster);
   auto _node_id = _o->node_id;
   auto _receiver_id = _o->receiver_id;
+  auto _zone = _o->zone.empty() ? 0 : _fbb.CreateString(_o->zone);
+  auto _region = _o->region.empty() ? 0 : _fbb.CreateString(_o->region);
   return juniperway::protocol::CreatePeerHello(
       _fbb,
       _cluster,
       _node_id,
-      _receiver_id);
+      _receiver_id,
+      _zone,
+      _region);
 }
 
 inline NodeRecordT *NodeRecord::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
@@ -4705,6 +4863,50 @@
       _zone_released_revision);
 }
 
+inline ControlPlaceT *ControlPlace::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<ControlPlaceT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void ControlPlace::UnPackTo(ControlPlaceT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = address(); if (_e) _o->address = _e->str(); }
+  { auto _e = zone(); if (_e) _o->zone = _e->str(); }
+  { auto _e = region(); if (_e) _o->region = _e->str(); }
+}
+
+inline flatbuffers::Offset<ControlPlace> ControlPlace::Pack(flatbuffers::FlatBufferBuilder &_fbb, const ControlPlaceT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateControlPlace(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<ControlPlace> CreateControlPlace(flatbuffers::FlatBufferBuilder &_fbb, const ControlPlaceT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const ControlPlaceT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _address = _o->address.empty() ? 0 : _fbb.CreateString(_o->address);
+  auto _zone = _o->zone.empty() ? 0 : _fbb.CreateString(_o->zone);
+  auto _region = _o->region.empty() ? 0 : _fbb.CreateString(_o->region);
+  return juniperway::protocol::CreateControlPlace(
+      _fbb,
+      _address,
+      _zone,
+      _region);
+}
+
+inline ControlMembersT::ControlMembersT(const ControlMembersT &o)
+      : addresses(o.addresses) {
+  places.reserve(o.places.size());
+  for (const auto &places_ : o.places) { places.emplace_back((places_) ? new juniperway::protocol::ControlPlaceT(*places_) : nullptr); }
+}
+
+inline ControlMembersT &ControlMembersT::operator=(ControlMembersT o) FLATBUFFERS_NOEXCEPT {
+  std::swap(addresses, o.addresses);
+  std::swap(places, o.places);
+  return *this;
+}
+
 inline ControlMembersT *ControlMembers::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
   auto _o = std::make_unique<ControlMembersT>();
   UnPackTo(_o.get(), _resolver);
@@ -4715,6 +4917,7 @@
   (void)_o;
   (void)_resolver;
   { auto _e = addresses(); if (_e) { _o->addresses.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->addresses[_i] = _e->Get(_i)->str(); } } }
+  { auto _e = places(); if (_e) { _o->places.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->places[_i] = std::unique_ptr<juniperway::protocol::ControlPlaceT>(_e->Get(_i)->UnPack(_resolver)); } } }
 }
 
 inline flatbuffers::Offset<ControlMembers> ControlMembers::Pack(flatbuffers::FlatBufferBuilder &_fbb, const ControlMembersT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -4726,9 +4929,11 @@
   (void)_o;
   struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const ControlMembersT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
   auto _addresses = _o->addresses.size() ? _fbb.CreateVectorOfStrings(_o->addresses) : 0;
+  auto _places = _o->places.size() ? _fbb.CreateVector<flatbuffers::Offset<juniperway::protocol::ControlPlace>> (_o->places.size(), [](size_t i, _VectorArgs *__va) { return CreateControlPlace(*__va->__fbb, __va->__o->places[i].get(), __va->__rehasher); }, &_va ) : 0;
   return juniperway::protocol::CreateControlMembers(
       _fbb,
-      _addresses);
+      _addresses,
+      _places);
 }
 
 inline SessionCallT::SessionCallT(const SessionCallT &o)
--- a/source/common/routing/routing_table.cc
+++ b/source/common/routing/routing_table.cc
@@ -200,11 +200,7 @@
 }
 
 Locality RoutingTable::LocalityOf(const session::Member& owner) const {
-  if (owner.zone == place_.zone) {
-    return Locality::kSameZone;
-  }
-  return owner.region == place_.region ? Locality::kSameRegion
-                                       : Locality::kOtherRegion;
+  return LocalityBetween(place_, {owner.zone, owner.region});
 }
 
 const session::Member* RoutingTable::Owner(OwnerId owner) const {
--- a/source/common/routing/routing_table.h
+++ b/source/common/routing/routing_table.h
@@ -13,21 +13,13 @@
 #include <vector>
 
 #include "common/base/key_range.h"
+#include "common/base/locality.h"
 #include "common/routing/name_table.h"
 #include "common/routing/ownership.h"
 #include "common/session/fleet_view.h"
 
 namespace juniperway::routing {
 
-// How far a back end is from this gateway.
-enum class Locality : std::uint8_t { kSameZone, kSameRegion, kOtherRegion };
-
-// Where this gateway stands.
-struct Place {
-  std::string zone;
-  std::string region;
-};
-
 // A back end that may serve a partition, and whom to ask for it.
 struct ReplicaRoute {
   BackendId backend = 0;
--- a/source/common/session/control_session_client.cc
+++ b/source/common/session/control_session_client.cc
@@ -111,6 +111,22 @@
     }
   }
 
+  // Of machines that are known.
+  void SetControlPlaces(
+      const std::vector<std::unique_ptr<protocol::ControlPlaceT>>& places) {
+    const Place own{options_.zone, options_.region};
+    for (const auto& place : places) {
+      const auto endpoint = net::ParseEndpoint(place->address, "control");
+      const auto known = endpoint ? std::ranges::find(endpoints_, *endpoint)
+                                  : endpoints_.end();
+      if (known != endpoints_.end()) {
+        state_->SetLocality(
+            static_cast<std::size_t>(known - endpoints_.begin()),
+            LocalityBetween(own, {place->zone, place->region}), Now());
+      }
+    }
+  }
+
   void SetPeerAddress(const std::string& address) {
     options_.peer_address = address;
   }
@@ -118,7 +134,12 @@
   std::uint64_t incarnation() const { return keeper_->record().incarnation; }
   FleetViewPointer view() const { return keeper_->view(); }
   const SessionState& state() const { return *state_; }
-  const Counters& counters() const { return counters_; }
+  std::string ControlAddress() const {
+    const net::FrameConnection* connection = link_->connection();
+    return connection == nullptr || !state_->connected()
+               ? ""
+               : net::FormatEndpoint(connection->remote_endpoint());
+  }
   Counters TotalCounters() const {
     Counters total = counters_;
     total.sent_bytes = link_->sent_bytes();
@@ -262,6 +283,12 @@
 
   void CarryOut(const SessionAction& action) {
     if (const auto* connect = std::get_if<ConnectAction>(&action)) {
+      if (connect->trial) {
+        LogEvent(
+            kNearerControlTried,
+            {{"daemon", options_.daemon_id},
+             {"control", net::FormatEndpoint(endpoints_[connect->endpoint])}});
+      }
       Connect(connect->endpoint);
     } else if (const auto* beat = std::get_if<HeartbeatAction>(&action)) {
       SendHeartbeat(beat->heartbeat);
@@ -352,6 +379,7 @@
       operations_.OnReply(*call, Now() + kCallRetryDelay);
     } else if (const auto* members = message.AsControlMembers()) {
       AddControlEndpoints(members->addresses);
+      SetControlPlaces(members->places);
     } else if (const auto* refused = message.AsSessionRefused()) {
       LogEvent(kSessionRefused,
                {{"daemon", options_.daemon_id}, {"message", refused->message}});
@@ -570,6 +598,10 @@
   implementation_->Leave(timeout, std::move(done));
 }
 
+std::string ControlSessionClient::ControlAddress() const {
+  return implementation_->ControlAddress();
+}
+
 ControlSessionClient::Counters ControlSessionClient::GetCounters() const {
   return implementation_->TotalCounters();
 }
--- a/source/common/session/control_session_client.h
+++ b/source/common/session/control_session_client.h
@@ -87,6 +87,9 @@
   void RecordOutcome(const ClaimKey& key, ExecutionState outcome) override;
   void Leave(Duration timeout, std::function<void()> done) override;
 
+  // Peer endpoint of the control machine that the session is with; empty: none.
+  std::string ControlAddress() const;
+
   // Totals over all connections since the start, for docs/CAPACITY.md.
   struct Counters {
     std::uint64_t sent_bytes = 0;
--- /dev/null
+++ b/source/common/session/endpoint_preference.cc
@@ -0,0 +1,87 @@
+#include "common/session/endpoint_preference.h"
+
+#include <algorithm>
+#include <numeric>
+#include <utility>
+
+namespace juniperway::session {
+
+EndpointPreference::EndpointPreference(const PreferenceTiming& timing,
+                                       std::size_t count, std::uint64_t seed)
+    : timing_(timing),
+      random_(seed),
+      localities_(count, Locality::kOtherRegion),
+      order_(count),
+      pause_(timing.first_pause) {
+  std::iota(order_.begin(), order_.end(), std::size_t{0});
+  std::ranges::shuffle(order_, random_);
+}
+
+void EndpointPreference::Add() {
+  order_.push_back(localities_.size());
+  localities_.push_back(Locality::kOtherRegion);
+}
+
+void EndpointPreference::SetLocality(std::size_t endpoint, Locality locality,
+                                     MonotonicTime now) {
+  if (localities_.at(endpoint) == locality) {
+    return;
+  }
+  localities_.at(endpoint) = locality;
+  const std::size_t kept = current();
+  std::ranges::stable_sort(
+      order_, {}, [this](std::size_t index) { return localities_[index]; });
+  MoveTo(kept);
+  if (next_trial_ <= now) {
+    next_trial_ = now + Draw(Duration(0), timing_.settle);
+  }
+}
+
+void EndpointPreference::OnFailed(MonotonicTime now) {
+  if (had_) {
+    MoveTo(*std::exchange(had_, std::nullopt));
+    pause_ = std::min(pause_ * 2, timing_.longest_pause);
+  } else {
+    position_ = (position_ + 1) % order_.size();
+  }
+  next_trial_ = now + Draw(pause_ / 2, pause_);
+}
+
+void EndpointPreference::OnGranted() {
+  if (had_) {
+    had_.reset();
+    pause_ = timing_.first_pause;
+  }
+}
+
+bool EndpointPreference::IsTrialDue(MonotonicTime now) const {
+  return !had_ && now >= next_trial_ && !NearerOnes().empty();
+}
+
+void EndpointPreference::BeginTrial() {
+  const std::vector<std::size_t> nearer = NearerOnes();
+  had_ = current();
+  MoveTo(nearer[trials_++ % nearer.size()]);
+}
+
+std::vector<std::size_t> EndpointPreference::NearerOnes() const {
+  const Locality now_at = localities_[current()];
+  std::vector<std::size_t> nearer;
+  std::ranges::copy_if(
+      order_, std::back_inserter(nearer),
+      [&](std::size_t index) { return localities_[index] < now_at; });
+  return nearer;
+}
+
+void EndpointPreference::MoveTo(std::size_t endpoint) {
+  const auto found = std::ranges::find(order_, endpoint);
+  position_ = static_cast<std::size_t>(found - order_.begin());
+}
+
+Duration EndpointPreference::Draw(Duration shortest, Duration longest) {
+  std::uniform_int_distribution<Duration::rep> delay(shortest.count(),
+                                                     longest.count());
+  return Duration(delay(random_));
+}
+
+}  // namespace juniperway::session
--- a/source/common/session/events.h
+++ b/source/common/session/events.h
@@ -12,6 +12,9 @@
                                              Severity::kInfo};
 inline constexpr EventType kSessionLost{2301, "session_lost",
                                         Severity::kWarning};
+// The session leaves a control machine that is well for a nearer one.
+inline constexpr EventType kNearerControlTried{2308, "nearer_control_tried",
+                                               Severity::kInfo};
 inline constexpr EventType kSessionRefused{2302, "session_refused",
                                            Severity::kError};
 inline constexpr EventType kLeaseGained{2303, "lease_gained", Severity::kInfo};
--- a/source/common/session/session_state.cc
+++ b/source/common/session/session_state.cc
@@ -1,7 +1,6 @@
 #include "common/session/session_state.h"
 
 #include <algorithm>
-#include <numeric>
 #include <utility>
 
 namespace juniperway::session {
@@ -17,12 +16,9 @@
                            resources::Revision minimum_revision,
                            std::uint64_t seed)
     : timing_(timing),
-      endpoints_(endpoint_count),
+      preference_(timing.preference, endpoint_count, seed),
       random_(seed),
-      minimum_revision_(minimum_revision) {
-  std::iota(endpoints_.begin(), endpoints_.end(), std::size_t{0});
-  std::ranges::shuffle(endpoints_, random_);
-}
+      minimum_revision_(minimum_revision) {}
 
 void SessionState::Start(MonotonicTime now) { ScheduleConnect(now); }
 
@@ -32,9 +28,7 @@
       return;
     case Phase::kWaiting:
       if (now >= phase_deadline_) {
-        phase_ = Phase::kConnecting;
-        phase_deadline_ = now + timing_.connect_timeout;
-        actions_.emplace_back(ConnectAction{endpoints_[next_endpoint_]});
+        ConnectNow(now);
       }
       return;
     case Phase::kConnecting:
@@ -47,8 +41,11 @@
   }
   const bool silent = now - OldestUnanswered(now) >= timing_.silence_timeout;
   const bool ungranted = now - last_grant_ >= timing_.ungranted_timeout;
-  if (silent || ungranted) {
+  const bool granted_now = std::exchange(granted_now_, false);
+  if (silent || ungranted || HasTrialFailed(now)) {
     Abandon(now);
+  } else if (granted_now && preference_.IsTrialDue(now)) {
+    BeginTrial(now);
   } else if (heartbeat_wanted_ || now >= NextHeartbeat(now)) {
     SendHeartbeat(now);
   }
@@ -56,6 +53,7 @@
 
 void SessionState::OnConnected(MonotonicTime now) {
   phase_ = Phase::kConnected;
+  phase_deadline_ = now + timing_.trial_timeout;
   unanswered_.clear();
   last_grant_ = now;
   last_answer_refused_ = false;
@@ -64,7 +62,7 @@
 
 void SessionState::OnDisconnected(MonotonicTime now) {
   if (phase_ == Phase::kConnecting || phase_ == Phase::kConnected) {
-    next_endpoint_ = (next_endpoint_ + 1) % endpoints_.size();
+    preference_.OnFailed(now);
     ScheduleConnect(now);
   }
 }
@@ -85,6 +83,8 @@
     lease_end_ = std::max(lease_end_, sent_at + answer.lease);
     last_grant_ = now;
     failed_attempts_ = 0;
+    granted_now_ = true;
+    preference_.OnGranted();
   }
   const bool first_of_term = answer.term != term_;
   if (answer.granted || answer.new_term) {
@@ -135,7 +135,9 @@
       OldestUnanswered(last_heartbeat_ + timing_.heartbeat_interval) +
       timing_.silence_timeout;
   const MonotonicTime ungranted = last_grant_ + timing_.ungranted_timeout;
-  return std::min({NextHeartbeat(last_heartbeat_), silence, ungranted});
+  const MonotonicTime trial =
+      preference_.in_trial() ? phase_deadline_ : MonotonicTime::max();
+  return std::min({NextHeartbeat(last_heartbeat_), silence, ungranted, trial});
 }
 
 void SessionState::SendHeartbeat(MonotonicTime now) {
@@ -166,6 +168,26 @@
   phase_deadline_ = now + Duration(delay(random_));
 }
 
+void SessionState::ConnectNow(MonotonicTime now) {
+  const bool trial = preference_.in_trial();
+  phase_ = Phase::kConnecting;
+  phase_deadline_ =
+      now + (trial ? std::min(timing_.trial_timeout, timing_.connect_timeout)
+                   : timing_.connect_timeout);
+  actions_.emplace_back(ConnectAction{preference_.current(), trial});
+}
+
+void SessionState::BeginTrial(MonotonicTime now) {
+  preference_.BeginTrial();
+  unanswered_.clear();
+  ConnectNow(now);
+}
+
+bool SessionState::HasTrialFailed(MonotonicTime now) const {
+  return preference_.in_trial() &&
+         (last_answer_refused_ || now >= phase_deadline_);
+}
+
 void SessionState::Abandon(MonotonicTime now) {
   actions_.emplace_back(DisconnectAction{});
   OnDisconnected(now);
--- a/source/common/session/session_state.h
+++ b/source/common/session/session_state.h
@@ -15,6 +15,7 @@
 
 #include "common/base/time.h"
 #include "common/resources/resource.h"
+#include "common/session/endpoint_preference.h"
 
 namespace juniperway::session {
 
@@ -37,6 +38,10 @@
   // Reconnect delays are drawn from [0, min(maximum, minimum x 2^attempts)].
   Duration reconnect_minimum = milliseconds(50);
   Duration reconnect_maximum = seconds(2);
+  // When a nearer control machine is tried, and how long it may take to accept
+  // the connection, and then to renew the lease, before the session goes back.
+  PreferenceTiming preference;
+  Duration trial_timeout = milliseconds(400);
 };
 
 // What a heartbeat says; see protocol::Heartbeat.
@@ -62,9 +67,12 @@
   resources::Revision zone_released = 0;
 };
 
-// Open a connection to this control machine (index into the settings' list).
+// Open a connection to this control machine (index into the settings' list),
+// and close the one that there is.
 struct ConnectAction {
   std::size_t endpoint = 0;
+  // The session leaves a machine that is well for a nearer one.
+  bool trial = false;
 };
 // Close the connection, or give up the attempt to connect.
 struct DisconnectAction {};
@@ -83,7 +91,11 @@
 
   // One more control machine is known: its index is the number of those known
   // before.
-  void AddEndpoint() { endpoints_.push_back(endpoints_.size()); }
+  void AddEndpoint() { preference_.Add(); }
+  // How far this control machine is from the daemon.
+  void SetLocality(std::size_t endpoint, Locality locality, MonotonicTime now) {
+    preference_.SetLocality(endpoint, locality, now);
+  }
 
   // Begins to connect.
   void Start(MonotonicTime now);
@@ -123,18 +135,25 @@
   void ScheduleConnect(MonotonicTime now);
   // Leaves the current control machine for the next one.
   void Abandon(MonotonicTime now);
+  // Leaves it for a nearer one, for the time being.
+  void BeginTrial(MonotonicTime now);
+  // Of a trial: the machine has not shown that it can renew the lease.
+  bool HasTrialFailed(MonotonicTime now) const;
+  void ConnectNow(MonotonicTime now);
   MonotonicTime NextHeartbeat(MonotonicTime now) const;
   // Since when the machine owes an answer; `now` when it owes none.
   MonotonicTime OldestUnanswered(MonotonicTime otherwise) const;
 
   SessionTiming timing_;
-  std::vector<std::size_t> endpoints_;  // shuffled order of preference
-  std::size_t next_endpoint_ = 0;
+  EndpointPreference preference_;
   std::mt19937_64 random_;
   Phase phase_ = Phase::kStopped;
   std::uint32_t failed_attempts_ = 0;
-  // kWaiting: when to connect. kConnecting: when to give up.
+  // kWaiting: when to connect. kConnecting, and kConnected in a trial: when to
+  // give up.
   MonotonicTime phase_deadline_;
+  // The lease was renewed since the last Tick.
+  bool granted_now_ = false;
 
   // Something must be said before the next heartbeat is due.
   bool heartbeat_wanted_ = false;
--- a/source/daemon/control_role.cc
+++ b/source/daemon/control_role.cc
@@ -91,6 +91,7 @@
   options.registry = std::move(registry);
   options.cluster = settings.cluster;
   options.node_id = node.id;
+  options.place = {settings.zone, settings.region};
   options.http_listen = settings.control->http_listen;
   options.peer_listen = settings.control->peer_listen;
   options.initial_members = settings.control->initial_members;
--- a/source/sim/control/sim_daemon.cc
+++ b/source/sim/control/sim_daemon.cc
@@ -73,6 +73,9 @@
   leaving_ = false;
   state_ = std::make_unique<session::SessionState>(
       Timing(), machines_.size(), kept_revision_, surroundings_.random());
+  // One of the machines stands in its zone.
+  state_->SetLocality(number() % options_.zones % machines_.size(),
+                      Locality::kSameZone, Now());
   operations_ = std::make_unique<session::OperationQueue>();
   tracker_ = std::make_unique<owner::OwnershipTracker>(id_);
   view_ = std::make_shared<session::FleetView>();
--- a/source/sim/tier/sim_gateway.cc
+++ b/source/sim/tier/sim_gateway.cc
@@ -30,7 +30,7 @@
 
 void SimGateway::OnStart() {
   front_ = std::make_unique<routing::FrontState>(
-      routing::Place{daemon_.zone(), "region"}, surroundings_.random());
+      Place{daemon_.zone(), "region"}, surroundings_.random());
   queries_.clear();
   uses_.clear();
   ReportHeld();
--- a/test/integration/control/control_server_test.cc
+++ b/test/integration/control/control_server_test.cc
@@ -88,5 +88,39 @@
   }));
 }
 
+TEST_CASE("A daemon's session goes to the control machine of its zone") {
+  asio::io_context context(1);
+  ControlGroup group(context, 3, [](control::ControlServerOptions& options) {
+    options.place = {"zone-" + std::to_string(options.node_id), "region"};
+  });
+  REQUIRE(group.WaitForLeader(0) < group.size());
+  std::vector<std::unique_ptr<session::ControlSessionClient>> clients;
+  for (std::size_t zone = 1; zone <= group.size(); ++zone) {
+    const std::string name = std::to_string(zone);
+    clients.push_back(group.MakeClient("gateway-" + name, "zone-" + name));
+    clients.back()->Start();
+  }
+  const auto all_near = [&] {
+    for (std::size_t position = 0; position < group.size(); ++position) {
+      const auto& client = *clients[position];
+      if (client.ControlAddress() != group.Address(position) ||
+          !client.HasLease(ReadMonotonicClock())) {
+        return false;
+      }
+    }
+    return true;
+  };
+  REQUIRE(RunUntil(context, all_near));
+  // Lost, it is left for another one; back, it gets its daemons again.
+  group.Crash(1);
+  REQUIRE(RunUntil(context, [&] {
+    return !clients[1]->ControlAddress().empty() &&
+           clients[1]->ControlAddress() != group.Address(1) &&
+           clients[1]->HasLease(ReadMonotonicClock());
+  }));
+  group.Restart(1);
+  CHECK(RunUntil(context, all_near));
+}
+
 }  // namespace
 }  // namespace juniperway
--- a/test/unit/control/peer_network_test.cc
+++ b/test/unit/control/peer_network_test.cc
@@ -26,7 +26,7 @@
                           [&] { ++closed; });
       });
   const auto peers = std::make_shared<PeerNetwork>(
-      context, "test", 1, /*seed=*/1,
+      context, PeerNetwork::Identity{"test", 1, {}}, /*seed=*/1,
       [](raft::NodeId, const protocol::ControlFrameT&) {});
   peers->SetPeers({{2, net::FormatEndpoint(listener.local_endpoint())}});
   const MonotonicTime start = ReadMonotonicClock();
--- a/test/unit/session/session_state_test.cc
+++ b/test/unit/session/session_state_test.cc
@@ -32,12 +32,17 @@
 // it and the next one is there after kElection.
 class LeaderLoss {
  public:
+  // @param near the machine in the daemon's zone; kMachines: none is known.
   LeaderLoss(std::uint64_t seed, MonotonicTime lost_at, std::size_t lost,
-             Fate fate)
+             Fate fate, std::size_t near)
       : state_(SessionTiming{}, kMachines, 0, seed),
         lost_at_(lost_at),
         lost_(lost),
-        fate_(fate) {}
+        fate_(fate) {
+    if (near < kMachines) {
+      state_.SetLocality(near, Locality::kSameZone, now_);
+    }
+  }
 
   // @return when the daemon was first without a lease after it had one; max()
   // when it never was.
@@ -60,6 +65,8 @@
     return MonotonicTime::max();
   }
 
+  std::size_t machine() const { return machine_; }
+
  private:
   struct Answer {
     MonotonicTime due;
@@ -133,8 +140,12 @@
     for (Duration phase{}; phase < seconds(1); phase += milliseconds(50)) {
       for (std::size_t lost = 0; lost < kMachines; ++lost) {
         for (const Fate fate : {Fate::kFrozen, Fate::kCutOff}) {
-          LeaderLoss loss(seed, MonotonicTime(seconds(10) + phase), lost, fate);
-          lost_leases += loss.Run() != MonotonicTime::max() ? 1 : 0;
+          // The machine of the zone is lost, or another one, or none is known.
+          for (const std::size_t near : {std::size_t{0}, kMachines}) {
+            LeaderLoss loss(seed, MonotonicTime(seconds(10) + phase), lost,
+                            fate, near);
+            lost_leases += loss.Run() != MonotonicTime::max() ? 1 : 0;
+          }
         }
       }
     }
@@ -142,5 +153,57 @@
   CHECK(lost_leases == 0);
 }
 
+TEST_CASE(
+    "A session goes to the machine of its zone, and leaves it when lost") {
+  constexpr std::size_t kNear = 1;
+  constexpr std::size_t kOther = 2;
+  for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+    const MonotonicTime lost_at(seconds(10));
+    LeaderLoss elsewhere(seed, lost_at, kOther, Fate::kFrozen, kNear);
+    elsewhere.Run();
+    CHECK(elsewhere.machine() == kNear);
+    LeaderLoss near(seed, lost_at, kNear, Fate::kFrozen, kNear);
+    near.Run();
+    CHECK(near.machine() != kNear);
+  }
+}
+
+TEST_CASE("A machine of the zone without a quorum is tried for a moment only") {
+  const SessionTiming timing;
+  SessionState state(timing, 2, 0, /*seed=*/1);
+  state.SetLocality(1, Locality::kSameZone, MonotonicTime(seconds(1)));
+  MonotonicTime now(seconds(1));
+  std::size_t machine = 0;
+  Duration without_answer{};
+  bool connected = false;
+  state.Start(now);
+  for (int step = 0; step < 12000; ++step) {
+    now += kStep;
+    state.Tick(now);
+    for (const SessionAction& action : state.TakeActions()) {
+      if (const auto* connect = std::get_if<ConnectAction>(&action)) {
+        machine = connect->endpoint;
+        connected = true;
+        state.OnConnected(now);
+      } else if (const auto* beat = std::get_if<HeartbeatAction>(&action)) {
+        if (machine == 0) {
+          state.OnHeartbeatReply({.sequence = beat->heartbeat.sequence,
+                                  .granted = true,
+                                  .lease = kLease,
+                                  .term = 1},
+                                 now);
+        }
+      } else {
+        connected = false;
+      }
+    }
+    // What OnConnected asks for is carried out in the next step.
+    without_answer += connected && machine == 0 ? Duration(0) : kStep;
+  }
+  // Two minutes: at most a trial every 30 s in the end, some more before.
+  CHECK(without_answer > Duration(0));
+  CHECK(without_answer < 8 * (timing.trial_timeout + timing.reconnect_minimum));
+}
+
 }  // namespace
 }  // namespace juniperway::session
