Find planted causes of failed requests by explain alone

Change: integration.forwarding/explain starts control machine, router and stand-in back ends, plants one cause each (no route table yet, a silent back end that is its shard's only one, one that misses the route's time, answers of another request), and reads it from the story that explain prints from the log files.

Ruled out: a sleep for the log to be written; the request's last event is awaited instead. Conclusion: the three kinds of docs/OPERATIONS.md and one more can be walked.

--- /dev/null
+++ b/test/integration/forwarding/explain_test.cc
@@ -0,0 +1,123 @@
+// Failed requests whose cause is planted, and is found from the logs of real
+// processes alone, by `juniperwayctl explain` (docs/OPERATIONS.md).
+#include <doctest/doctest.h>
+#include <fmt/format.h>
+
+#include <asio/io_context.hpp>
+#include <initializer_list>
+#include <sstream>
+#include <string>
+#include <vector>
+
+#include "ctl/run.h"
+#include "integration/forwarding/route_fleet.h"
+#include "lab/wait.h"
+
+namespace juniperway::test {
+namespace {
+
+constexpr Duration kLimit = seconds(60);
+
+// A scatter that is answered at its target without the shards that are late,
+// and a route that is given up early.
+constexpr const char* kTable = R"({"version": 7, "routes": [
+  {"name": "all", "host": "test.example", "path_prefix": "/all/",
+   "execution": "repeatable", "timeout_ms": 15000, "target_ms": 300,
+   "maximum_attempts": 2, "scatter": ["s1", "s2"], "top_k": 3,
+   "minimum_coverage": 0.5},
+  {"name": "one", "host": "test.example", "path_prefix": "/one/",
+   "execution": "at_most_once", "timeout_ms": 300,
+   "maximum_attempts": 1, "service": "s1"}],
+  "services": [{"name": "s1", "maximum_connections": 100},
+               {"name": "s2", "maximum_connections": 100}]})";
+
+// @return what the command prints.
+std::string RunExplain(const std::string& request_id,
+                       const std::vector<std::string>& files) {
+  std::vector<const char*> words = {"juniperwayctl", "explain",
+                                    request_id.c_str()};
+  for (const std::string& file : files) {
+    words.push_back(file.c_str());
+  }
+  asio::io_context context;
+  std::istringstream in;
+  std::ostringstream out;
+  std::ostringstream error;
+  ctl::Run(static_cast<int>(words.size()), words.data(), "", context,
+           {in, out, error});
+  return out.str();
+}
+
+// The request's story. Lines are written a moment after the answer is sent, so
+// it is waited for: `last_event` is the request's last.
+std::string Explain(const RouteFleet& fleet, const std::string& request_id,
+                    const std::string& last_event) {
+  std::string story;
+  lab::WaitFor(kLimit, [&] {
+    story = RunExplain(request_id, fleet.LogFiles());
+    return story.find(last_event) != std::string::npos;
+  });
+  return story;
+}
+
+void CheckNames(const std::string& story,
+                std::initializer_list<const char*> causes) {
+  CAPTURE(story);
+  for (const char* cause : causes) {
+    CAPTURE(cause);
+    CHECK(story.find(cause) != std::string::npos);
+  }
+}
+
+TEST_CASE("a refusal: the router has no route table yet") {
+  RouteFleet fleet(1);
+  CHECK(fleet.Request("/one/x", "early-1").status == 503);
+  CheckNames(Explain(fleet, "early-1", "request_refused"),
+             {"E3410 request_refused request=early-1", "status=503", "table=0",
+              "E3400 router_listening"});
+}
+
+TEST_CASE("a missing part: one back end is silent and its shard has no other") {
+  RouteFleet fleet(1);
+  fleet.AddBackend("b1", "s1");
+  auto& silent = fleet.AddBackend("b2", "s2");
+  REQUIRE(fleet.PutTable(kTable) == 200);
+  REQUIRE(fleet.AwaitStatus("/all/", 200));
+  silent.SetAnswering(Answering::kHolds);
+  CHECK(fleet.Request("/all/", "partial-1").status == 200);
+  CheckNames(
+      Explain(fleet, "partial-1", "request_ended"),
+      {"E3411 request_ended request=partial-1", "table=7", "result=success",
+       "reason=target", "missing=1", "missing_shards=s2:b2/no_backend",
+       "E3405 route_table_taken version=7"});
+}
+
+TEST_CASE("a late answer: the only back end did not answer in time") {
+  RouteFleet fleet(1);
+  auto& silent = fleet.AddBackend("b1", "s1");
+  fleet.AddBackend("b2", "s2");
+  REQUIRE(fleet.PutTable(kTable) == 200);
+  REQUIRE(fleet.AwaitStatus("/one/", 200));
+  silent.SetAnswering(Answering::kHolds);
+  CHECK(fleet.Request("/one/late", "late-1").status == 504);
+  CheckNames(Explain(fleet, "late-1", "request_ended"),
+             {"E3411 request_ended request=late-1", "route=one",
+              "result=timed_out", "reason=deadline", "attempts=1"});
+}
+
+TEST_CASE("a failure: the back end's answers are another request's") {
+  RouteFleet fleet(1);
+  auto& spoiled = fleet.AddBackend("b1", "s1");
+  fleet.AddBackend("b2", "s2");
+  REQUIRE(fleet.PutTable(kTable) == 200);
+  REQUIRE(fleet.AwaitStatus("/one/", 200));
+  spoiled.SetAnswering(Answering::kForeignId);
+  CHECK(fleet.Request("/one/foreign", "foreign-1").status == 502);
+  CheckNames(
+      Explain(fleet, "foreign-1", "request_ended"),
+      {"E3412 attempt_failed request=foreign-1", "backend=b1", "result=broken",
+       "E3411 request_ended request=foreign-1", "result=failed"});
+}
+
+}  // namespace
+}  // namespace juniperway::test
--- a/test/integration/forwarding/route_fleet.cc
+++ b/test/integration/forwarding/route_fleet.cc
@@ -136,6 +136,22 @@
   return folder_.path() / fmt::format("control-{}", number);
 }
 
+std::string RouteFleet::LogOf(int number) const {
+  return (folder_.path() / fmt::format("control-{}.log", number)).string();
+}
+
+std::string RouteFleet::RouterLog() const {
+  return (folder_.path() / "router.log").string();
+}
+
+std::vector<std::string> RouteFleet::LogFiles() const {
+  std::vector<std::string> files = {RouterLog()};
+  for (int number = 0; number < machines(); ++number) {
+    files.push_back(LogOf(number));
+  }
+  return files;
+}
+
 std::string RouteFleet::Seeds() const {
   std::string seeds;
   for (int number = 0; number < machines(); ++number) {
@@ -161,8 +177,7 @@
       net::FormatEndpoint(list_server_->local_endpoint()));
   auto process = lab::ChildProcess::Start(
       std::string(JUNIPERWAY_BINARY_FOLDER) + "/juniperwayd",
-      {"--settings", file.string()},
-      (folder_.path() / fmt::format("control-{}.log", number)).string());
+      {"--settings", file.string()}, LogOf(number));
   REQUIRE(process);
   REQUIRE(process->WaitUntilReady(kLimit));
   controls_.at(number).emplace(std::move(*process));
@@ -178,7 +193,7 @@
       Seeds(), peer_port_);
   auto process = lab::ChildProcess::Start(
       std::string(JUNIPERWAY_BINARY_FOLDER) + "/juniperwayd",
-      {"--settings", file.string()}, (folder_.path() / "router.log").string());
+      {"--settings", file.string()}, RouterLog());
   REQUIRE(process);
   const auto listeners = process->WaitUntilReady(kLimit);
   REQUIRE(listeners);
--- a/test/integration/forwarding/route_fleet.h
+++ b/test/integration/forwarding/route_fleet.h
@@ -88,6 +88,9 @@
   // loss the group still takes itself for whole: that alone is no sign.
   bool AwaitRepaired();
 
+  // Logs of the router and of every control machine.
+  std::vector<std::string> LogFiles() const;
+
   lab::ChildProcess& router() { return *router_; }
   lab::ChildProcess& control(int number) { return *controls_.at(number); }
   int machines() const { return static_cast<int>(controls_.size()); }
@@ -95,6 +98,8 @@
  private:
   std::string AddressOf(int number) const;
   std::filesystem::path FolderOf(int number) const;
+  std::string LogOf(int number) const;
+  std::string RouterLog() const;
   std::string Seeds() const;
   // What the group says of itself; no object while no leader answers.
   nlohmann::json Status();
