Split endpoints and operations off the session client

Change: ControlEndpoints (addresses by index) and SessionOperations (claims, outcomes, reports, leaving); the client keeps the connection and the order of things. No behaviour changes.

--- a/source/common/session/control_session_client.cc
+++ b/source/common/session/control_session_client.cc
@@ -10,13 +10,14 @@
 #include "common/logging/event_log.h"
 #include "common/net/address.h"
 #include "common/net/frame_connection.h"
-#include "common/session/claim_codec.h"
+#include "common/session/control_endpoints.h"
 #include "common/session/control_frames.h"
 #include "common/session/events.h"
 #include "common/session/fleet_codec.h"
 #include "common/session/heartbeat_codec.h"
 #include "common/session/operation_queue.h"
 #include "common/session/session_link.h"
+#include "common/session/session_operations.h"
 #include "common/session/view_keeper.h"
 
 namespace juniperway::session {
@@ -24,11 +25,6 @@
 
 using logging::LogEvent;
 
-// How long reports and outcomes are offered to control before they are dropped
-// (outcomes) or offered anew (reports).
-constexpr Duration kReportTimeout = seconds(10);
-constexpr Duration kOutcomeTimeout = seconds(60);
-constexpr std::size_t kMaximumQueuedOperations = 100000;
 // Pause before a call that control could not take is sent again.
 constexpr Duration kCallRetryDelay = milliseconds(100);
 // A goodbye is small: once the socket took it the kernel delivers it.
@@ -38,23 +34,6 @@
   return seed != 0 ? seed : std::random_device()();
 }
 
-// Throws std::runtime_error when one is malformed or there is none.
-std::vector<asio::ip::tcp::endpoint> ParseEndpoints(
-    const std::vector<std::string>& texts) {
-  std::vector<asio::ip::tcp::endpoint> endpoints;
-  for (const std::string& text : texts) {
-    auto endpoint = net::ParseEndpoint(text, "control");
-    if (!endpoint) {
-      throw std::runtime_error(FormatError(endpoint.error()));
-    }
-    endpoints.push_back(*endpoint);
-  }
-  if (endpoints.empty()) {
-    throw std::runtime_error("control: at least one address is needed");
-  }
-  return endpoints;
-}
-
 }  // namespace
 
 class ControlSessionClient::Implementation
@@ -64,12 +43,15 @@
       : context_(context),
         options_(options),
         timer_(context),
-        endpoints_(ParseEndpoints(options.control_endpoints)) {
+        endpoints_(options.control_endpoints) {
     keeper_ = std::make_shared<ViewKeeper>(
         context, options, [this](const FleetViewPointer& view) {
           const auto alive = shared_from_this();
           OnTaken(view);
         });
+    operations_ = std::make_unique<SessionOperations>(
+        options_.daemon_id, keeper_->record().incarnation,
+        [this] { SchedulePump(); });
     link_ = std::make_shared<SessionLink>(context, LinkPorts());
     state_ = std::make_unique<SessionState>(options.timing, endpoints_.size(),
                                             keeper_->record().revision,
@@ -102,10 +84,7 @@
 
   void AddControlEndpoints(const std::vector<std::string>& addresses) {
     for (const std::string& address : addresses) {
-      const auto endpoint = net::ParseEndpoint(address, "control");
-      if (endpoint &&
-          std::ranges::find(endpoints_, *endpoint) == endpoints_.end()) {
-        endpoints_.push_back(*endpoint);
+      if (endpoints_.Add(address)) {
         state_->AddEndpoint();
       }
     }
@@ -116,13 +95,10 @@
       const std::vector<std::unique_ptr<protocol::ControlPlaceT>>& places) {
     const Place own{options_.zone, options_.region};
     for (const auto& place : places) {
-      const auto endpoint = net::ParseEndpoint(place->address, "control");
-      const auto known = endpoint ? std::ranges::find(endpoints_, *endpoint)
-                                  : endpoints_.end();
-      if (known != endpoints_.end()) {
-        state_->SetLocality(
-            static_cast<std::size_t>(known - endpoints_.begin()),
-            LocalityBetween(own, {place->zone, place->region}), Now());
+      if (const auto endpoint = endpoints_.Find(place->address)) {
+        state_->SetLocality(*endpoint,
+                            LocalityBetween(own, {place->zone, place->region}),
+                            Now());
       }
     }
   }
@@ -160,46 +136,21 @@
   }
 
   void ReportBackend(const std::string& backend, const BackendReport& report) {
-    reports_[backend] = EncodeReport(backend, report);
-    SchedulePump();
+    operations_->ReportBackend(backend, report);
   }
 
   void Claim(const ClaimKey& key, WallTime expiry, Duration timeout,
              ClaimCallback callback) {
-    protocol::ClaimRequestT claim;
-    claim.service = key.service;
-    claim.request_id = key.request_id;
-    claim.expiry_us = expiry.time_since_epoch().count();
-    claim.claimant = Claimant();
-    claim.attempt = ++last_attempt_;
-    Enqueue(MakeOperation(std::move(claim)), timeout,
-            [callback = std::move(callback)](
-                const Result<protocol::OperationResultT>& result) {
-              callback(DecodeClaim(result));
-            });
+    operations_->Claim(key, expiry, timeout, std::move(callback));
   }
 
   void RecordOutcome(const ClaimKey& key, ExecutionState outcome) {
-    if (operations_.size() >= kMaximumQueuedOperations) {
-      return;
-    }
-    protocol::RecordOutcomeT record;
-    record.service = key.service;
-    record.request_id = key.request_id;
-    record.claimant = Claimant();
-    record.outcome = static_cast<std::uint8_t>(outcome);
-    Enqueue(MakeOperation(std::move(record)), kOutcomeTimeout,
-            [](const Result<protocol::OperationResultT>&) {});
+    operations_->RecordOutcome(key, outcome);
   }
 
   void Leave(Duration timeout, std::function<void()> done) {
     leaving_ = true;
-    protocol::LeaveMemberT leave;
-    leave.daemon_id = options_.daemon_id;
-    leave.incarnation = keeper_->record().incarnation;
-    Enqueue(MakeOperation(std::move(leave)), timeout,
-            [done = std::move(done)](
-                const Result<protocol::OperationResultT>&) { done(); });
+    operations_->Leave(timeout, std::move(done));
   }
 
  private:
@@ -253,8 +204,8 @@
     for (SessionAction& action : state_->TakeActions()) {
       CarryOut(action);
     }
-    operations_.Expire(now);
-    SendReports();
+    operations_->queue().Expire(now);
+    operations_->OfferReports();
     SendCalls(now);
     NoteLease(now);
     NoteProgress();
@@ -263,8 +214,8 @@
 
   void ArmTimer(MonotonicTime now) {
     const bool can_send = link_->connection() != nullptr && state_->connected();
-    MonotonicTime deadline =
-        std::min(state_->NextDeadline(), operations_.NextDeadline(can_send));
+    MonotonicTime deadline = std::min(
+        state_->NextDeadline(), operations_->queue().NextDeadline(can_send));
     if (had_lease_) {
       deadline = std::min(deadline, now + options_.timing.heartbeat_interval);
     }
@@ -348,7 +299,7 @@
   }
 
   void DropConnection() {
-    operations_.OnDisconnected();
+    operations_->queue().OnDisconnected();
     link_->Drop();
   }
 
@@ -376,7 +327,7 @@
       state_->OnProgress(progress->in_force_revision,
                          progress->zone_released_revision);
     } else if (const auto* call = message.AsSessionCallReply()) {
-      operations_.OnReply(*call, Now() + kCallRetryDelay);
+      operations_->queue().OnReply(*call, Now() + kCallRetryDelay);
     } else if (const auto* members = message.AsControlMembers()) {
       AddControlEndpoints(members->addresses);
       SetControlPlaces(members->places);
@@ -421,49 +372,15 @@
 
   // --- Operations ------------------------------------------------------------
 
-  void Enqueue(protocol::OperationItemT operation, Duration timeout,
-               OperationQueue::Callback callback) {
-    operations_.Add(std::move(operation), Now() + timeout, std::move(callback));
-    SchedulePump();
-  }
-
   void SendCalls(MonotonicTime now) {
     if (!link_->connection() || !state_->connected()) {
       return;
     }
-    while (auto call = operations_.TakeCall(now)) {
+    while (auto call = operations_->queue().TakeCall(now)) {
       SendMessage(*link_->connection(), std::move(*call));
     }
   }
 
-  // One call with reports is under way at a time, so that an older report
-  // cannot overtake a newer one.
-  void SendReports() {
-    if (report_under_way_ || reports_.empty()) {
-      return;
-    }
-    report_under_way_ = true;
-    protocol::ReportBackendsT operation;
-    for (const auto& [backend, report] : reports_) {
-      operation.reports.push_back(
-          std::make_unique<protocol::BackendReportRecordT>(report));
-    }
-    Enqueue(MakeOperation(std::move(operation)), kReportTimeout,
-            [this, sent = std::exchange(reports_, {})](
-                const Result<protocol::OperationResultT>& result) mutable {
-              report_under_way_ = false;
-              if (!result) {
-                reports_.merge(sent);  // newer ones stay
-                SchedulePump();
-              }
-            });
-  }
-
-  std::string Claimant() const {
-    return options_.daemon_id + "/" +
-           std::to_string(keeper_->record().incarnation);
-  }
-
   // --- Notices ---------------------------------------------------------------
 
   void NoteLease(MonotonicTime now) {
@@ -505,10 +422,10 @@
   asio::io_context& context_;
   SessionOptions options_;
   asio::steady_timer timer_;
-  std::vector<asio::ip::tcp::endpoint> endpoints_;
+  ControlEndpoints endpoints_;
   std::shared_ptr<ViewKeeper> keeper_;
   std::unique_ptr<SessionState> state_;
-  OperationQueue operations_;
+  std::unique_ptr<SessionOperations> operations_;
   std::shared_ptr<SessionLink> link_;
   bool pump_scheduled_ = false;
   bool closed_ = false;
@@ -516,9 +433,6 @@
   bool leaving_ = false;
   bool had_lease_ = false;
 
-  std::map<std::string, protocol::BackendReportRecordT> reports_;
-  bool report_under_way_ = false;
-  std::uint64_t last_attempt_ = 0;
   std::pair<resources::Revision, resources::Revision> noted_progress_;
   ViewListener view_listener_;
   std::function<void()> progress_listener_;
