Take a back end not yet asked for one of its service

Cause: a back end without answers of the last 8 s counted as 20 ms fast. Where work takes longer (220 ms) or where a router sees a back end once in seconds, those of other regions always looked best and got requests in turn.

Change: UsualLatency, a streaming low quantile of a service's answers (Frugal streaming, relative steps, 16 bytes), stands for the samples that there are not. BackendPool keeps what it knows of a service in one Service. Distances come from LocalityBetween, which stood here a second time.

Tests: unit.forwarding/usual_latency; two cases in backend_pool. One case there, "a slow back end is left", gave a service that has only ever taken 200 ms: that is no slow back end any more, so the case begins with ten answers of 20 ms.

--- a/source/common/forwarding/backend_pool.cc
+++ b/source/common/forwarding/backend_pool.cc
@@ -1,6 +1,7 @@
 #include "common/forwarding/backend_pool.h"
 
 #include <algorithm>
+#include <set>
 #include <utility>
 
 namespace juniperway::forwarding {
@@ -28,15 +29,20 @@
     : options_(std::move(options)), random_(options_.seed) {}
 
 Duration BackendPool::DistanceOf(const std::string& zone) const {
-  if (zone == options_.zone) {
-    return Duration(0);
+  switch (LocalityBetween(PlaceOf(options_.zone), PlaceOf(zone))) {
+    case Locality::kSameZone:
+      return Duration(0);
+    case Locality::kSameRegion:
+      return kSameRegionDistance;
+    case Locality::kOtherRegion:
+      break;
   }
-  const auto own = options_.regions.find(options_.zone);
-  const auto other = options_.regions.find(zone);
-  const bool same_region = own != options_.regions.end() &&
-                           other != options_.regions.end() &&
-                           own->second == other->second;
-  return same_region ? kSameRegionDistance : kOtherRegionDistance;
+  return kOtherRegionDistance;
+}
+
+Place BackendPool::PlaceOf(const std::string& zone) const {
+  const auto region = options_.regions.find(zone);
+  return {zone, region == options_.regions.end() ? "" : region->second};
 }
 
 void BackendPool::Update(const session::FleetView& view, std::size_t routers) {
@@ -47,6 +53,7 @@
   for (const auto& [id, info] : view.discovered) {
     Backend& backend = backends_[id];
     backend.info = info;
+    backend.service = &services_[info.service];
     backend.distance = DistanceOf(info.zone);
     backend.retired = info.draining;
   }
@@ -54,26 +61,36 @@
     return entry.second.retired && entry.second.under_way.empty() &&
            view.discovered.find(entry.first) == view.discovered.end();
   });
-  by_service_.clear();
+  for (auto& [name, service] : services_) {
+    service.backends.clear();
+    service.maximum_connections = 0;
+  }
   for (auto& [id, backend] : backends_) {
     if (!backend.retired) {
-      by_service_[backend.info.service].push_back(&backend);
+      backend.service->backends.push_back(&backend);
     }
   }
-  maximum_connections_.clear();
   if (view.route_table) {
     for (const auto& [name, service] : view.route_table->services) {
-      maximum_connections_[name] = service.maximum_connections;
+      services_[name].maximum_connections = service.maximum_connections;
     }
   }
+  ForgetServices();
 }
 
-std::size_t BackendPool::ConnectionLimit(const Backend& backend) const {
-  const auto found = maximum_connections_.find(backend.info.service);
-  if (found == maximum_connections_.end()) {
-    return 1;
+void BackendPool::ForgetServices() {
+  std::set<const Service*> named;
+  for (const auto& [id, backend] : backends_) {
+    named.insert(backend.service);
   }
-  const double share = kConnectionShare * found->second /
+  std::erase_if(services_, [&named](const auto& entry) {
+    return entry.second.maximum_connections == 0 &&
+           !named.contains(&entry.second);
+  });
+}
+
+std::size_t BackendPool::ConnectionLimit(const Backend& backend) const {
+  const double share = kConnectionShare * backend.service->maximum_connections /
                        static_cast<double>(options_.extra.routers);
   return std::max<std::size_t>(1, static_cast<std::size_t>(share));
 }
@@ -91,9 +108,14 @@
   return now >= backend.ejected_until;
 }
 
+Duration BackendPool::MedianLatency(const Backend& backend, MonotonicTime now) {
+  const auto usual = backend.service->usual_latency.Get();
+  return backend.latency.Median(now, usual.value_or(kInitialLatency));
+}
+
 Duration BackendPool::ExpectedLatency(const Backend& backend,
-                                      MonotonicTime now) const {
-  Duration expected = backend.latency.Median(now);
+                                      MonotonicTime now) {
+  Duration expected = MedianLatency(backend, now);
   for (const auto& [attempt, sent] : backend.under_way) {
     // What waits longer than expected shows that the back end stands still.
     expected = std::max(expected, Duration(now - sent));
@@ -108,20 +130,21 @@
 const BackendPool::Backend* BackendPool::Choose(
     const std::string& service, const std::vector<std::string>& excluded,
     MonotonicTime now) {
-  const auto found = by_service_.find(service);
-  if (found == by_service_.end()) {
+  const auto found = services_.find(service);
+  if (found == services_.end()) {
     return nullptr;
   }
+  const std::vector<Backend*>& backends = found->second.backends;
   const Backend* best = nullptr;
   Duration best_latency{};
   std::uint64_t ties = 0;
   // Where every one is ejected, that says little about each: all are tried.
   const bool any_well =
-      std::ranges::any_of(found->second, [&](const Backend* backend) {
+      std::ranges::any_of(backends, [&](const Backend* backend) {
         return IsOpen(*backend, now) && IsWell(*backend, now) &&
                std::ranges::find(excluded, backend->info.id) == excluded.end();
       });
-  for (const Backend* backend : found->second) {
+  for (const Backend* backend : backends) {
     if (!IsOpen(*backend, now) || (any_well && !IsWell(*backend, now)) ||
         std::ranges::find(excluded, backend->info.id) != excluded.end()) {
       continue;
@@ -141,11 +164,11 @@
 
 bool BackendPool::HasUsable(const std::string& service,
                             MonotonicTime now) const {
-  const auto found = by_service_.find(service);
-  return found != by_service_.end() &&
-         std::ranges::any_of(found->second, [&](const Backend* backend) {
-           return IsOpen(*backend, now);
-         });
+  const auto found = services_.find(service);
+  return found != services_.end() &&
+         std::ranges::any_of(
+             found->second.backends,
+             [&](const Backend* backend) { return IsOpen(*backend, now); });
 }
 
 void BackendPool::OnSent(const std::string& id, AttemptId attempt,
@@ -163,6 +186,15 @@
   return std::min(longest, first * (1 << doublings));
 }
 
+void BackendPool::OnAnswered(Backend& backend, MonotonicTime sent,
+                             MonotonicTime now) {
+  const Duration latency =
+      std::max(Duration(0), Duration(now - sent) - backend.distance);
+  backend.failures = 0;
+  backend.latency.Record(latency, sent, now);
+  backend.service->usual_latency.Record(latency);
+}
+
 void BackendPool::OnEnded(const std::string& id, AttemptId attempt,
                           AttemptResult result, MonotonicTime now) {
   const auto found = backends_.find(id);
@@ -179,13 +211,11 @@
   backend.under_way.erase(under_way);
   switch (result) {
     case AttemptResult::kAnswered:
-      backend.failures = 0;
-      backend.latency.Record(std::max(Duration(0), elapsed - backend.distance),
-                             sent, now);
+      OnAnswered(backend, sent, now);
       break;
     case AttemptResult::kCancelled:
       // It would have taken longer still.
-      if (elapsed > backend.latency.Median(now)) {
+      if (elapsed > MedianLatency(backend, now)) {
         backend.latency.Record(elapsed, sent, now);
       }
       break;
@@ -208,11 +238,11 @@
 
 void BackendPool::OnFirstRequest(const std::string& service,
                                  MonotonicTime now) {
-  budgets_[service].OnRequest(options_.extra, now);
+  services_[service].budget.OnRequest(options_.extra, now);
 }
 
 bool BackendPool::TakeExtra(const std::string& service, MonotonicTime now) {
-  return budgets_[service].TryTake(options_.extra, now);
+  return services_[service].budget.TryTake(options_.extra, now);
 }
 
 std::size_t BackendPool::live_backends() const {
--- a/source/common/forwarding/backend_pool.h
+++ b/source/common/forwarding/backend_pool.h
@@ -12,9 +12,11 @@
 #include <string>
 #include <vector>
 
+#include "common/base/locality.h"
 #include "common/base/time.h"
 #include "common/forwarding/extra_budget.h"
 #include "common/forwarding/recent_latency.h"
+#include "common/forwarding/usual_latency.h"
 #include "common/session/fleet_view.h"
 
 namespace juniperway::forwarding {
@@ -32,7 +34,7 @@
 
 struct PoolOptions {
   std::string zone;
-  // Zone to region; a zone that is missing counts as far.
+  // Zone to region; a zone that is missing counts as another region's.
   std::map<std::string, std::string> regions;
   ExtraBudgetLimits extra;
   std::uint64_t seed = 1;
@@ -42,15 +44,29 @@
 
 class BackendPool {
  public:
-  // Of a back end that has not answered yet.
+  // Of a service none of whose back ends has answered yet.
   static constexpr Duration kInitialLatency = milliseconds(20);
 
+  struct Backend;
+
+  // What is known of one service.
+  struct Service {
+    // Those that may get work; owned by the pool.
+    std::vector<Backend*> backends;
+    // From all callers, at each back end; 0: it is not in the route table.
+    std::uint32_t maximum_connections = 0;
+    UsualLatency usual_latency;
+    ExtraBudget budget;
+  };
+
   struct Backend {
     session::DiscoveredBackend info;
+    // Its service, owned by the pool.
+    Service* service = nullptr;
     // Added to its expected latency: it lies in another zone or region.
     Duration distance{};
     // Time to an answer, without the distance.
-    RecentLatency latency{kInitialLatency};
+    RecentLatency latency;
     // Attempts under way, and when they were sent.
     std::map<AttemptId, MonotonicTime> under_way;
     // Attempts that failed one after the other.
@@ -93,21 +109,27 @@
  private:
   using Backends = std::map<std::string, Backend>;
 
+  // Forgets services that neither the route table nor a back end names.
+  void ForgetServices();
+
   // Whether it may be used at all, well or not.
   bool IsOpen(const Backend& backend, MonotonicTime now) const;
   static bool IsWell(const Backend& backend, MonotonicTime now);
   std::size_t ConnectionLimit(const Backend& backend) const;
-  Duration ExpectedLatency(const Backend& backend, MonotonicTime now) const;
+  // The median of its answers, or of its service's where it has not answered.
+  static Duration MedianLatency(const Backend& backend, MonotonicTime now);
+  static Duration ExpectedLatency(const Backend& backend, MonotonicTime now);
   Duration DistanceOf(const std::string& zone) const;
+  Place PlaceOf(const std::string& zone) const;
+  static void OnAnswered(Backend& backend, MonotonicTime sent,
+                         MonotonicTime now);
   // How long it is left alone after its latest failure; counts the failure.
   static Duration NextPause(Backend& backend, Duration first, Duration longest);
 
   PoolOptions options_;
   std::mt19937_64 random_;
   Backends backends_;
-  std::map<std::string, std::vector<Backend*>> by_service_;
-  std::map<std::string, std::uint32_t> maximum_connections_;
-  std::map<std::string, ExtraBudget> budgets_;
+  std::map<std::string, Service> services_;
 };
 
 }  // namespace juniperway::forwarding
--- a/source/common/forwarding/recent_latency.cc
+++ b/source/common/forwarding/recent_latency.cc
@@ -14,13 +14,13 @@
   next_ = (next_ + 1) % kSamples;
 }
 
-Duration RecentLatency::Median(MonotonicTime now) const {
+Duration RecentLatency::Median(MonotonicTime now, Duration assumed) const {
   std::array<Duration, kSamples> latencies{};
   std::ranges::transform(
       samples_, latencies.begin(), [&](const Sample& sample) {
         const bool counts = sample.taken != MonotonicTime::min() &&
                             now - sample.taken <= kMemory;
-        return counts ? sample.latency : initial_;
+        return counts ? sample.latency : assumed;
       });
   const auto middle = latencies.begin() + kSamples / 2;
   std::ranges::nth_element(latencies, middle);
--- a/source/common/forwarding/recent_latency.h
+++ b/source/common/forwarding/recent_latency.h
@@ -17,13 +17,11 @@
   // A sample counts for this long; then the back end is as good as unknown.
   static constexpr Duration kMemory = seconds(8);
 
-  // @param initial stands for each sample that there is not.
-  explicit RecentLatency(Duration initial) : initial_(initial) {}
-
   // An attempt that was sent before the last sample was taken tells of the same
   // moment and does not count again: all that are under way in a pause are one.
   void Record(Duration latency, MonotonicTime sent, MonotonicTime now);
-  Duration Median(MonotonicTime now) const;
+  // @param assumed stands for each sample that there is not.
+  Duration Median(MonotonicTime now, Duration assumed) const;
 
  private:
   struct Sample {
@@ -31,7 +29,6 @@
     MonotonicTime taken = MonotonicTime::min();
   };
 
-  Duration initial_;
   std::array<Sample, kSamples> samples_{};
   MonotonicTime last_taken_ = MonotonicTime::min();
   // Where the next sample goes.
--- /dev/null
+++ b/source/common/forwarding/usual_latency.cc
@@ -0,0 +1,25 @@
+#include "common/forwarding/usual_latency.h"
+
+#include <algorithm>
+
+namespace juniperway::forwarding {
+namespace {
+
+// An estimate of zero could not grow by a ratio.
+constexpr Duration kShortest = microseconds(100);
+
+}  // namespace
+
+void UsualLatency::Record(Duration latency) {
+  if (!estimate_) {
+    estimate_ = std::max(latency, kShortest);
+    return;
+  }
+  const double ratio = latency > *estimate_ ? 1 + kStep * kQuantile
+                                            : 1 - kStep * (1 - kQuantile);
+  const Duration moved(static_cast<Duration::rep>(
+      static_cast<double>(estimate_->count()) * ratio));
+  estimate_ = std::max(moved, kShortest);
+}
+
+}  // namespace juniperway::forwarding
--- a/test/unit/forwarding/backend_pool_test.cc
+++ b/test/unit/forwarding/backend_pool_test.cc
@@ -65,6 +65,9 @@
 
 TEST_CASE("a slow back end is left and tried again later") {
   Pool pool;
+  for (int i = 0; i < 10; ++i) {
+    pool.Run("1", milliseconds(20));
+  }
   for (int i = 0; i < 10; ++i) {
     pool.Run("1", milliseconds(200));
   }
@@ -73,6 +76,27 @@
   CHECK(pool.Choose() == "1");
 }
 
+TEST_CASE("a back end not yet asked is taken for one of its service") {
+  // Many times the latency that is assumed of a service without answers.
+  constexpr Duration kUsual = milliseconds(220);
+  Pool pool;
+  for (int i = 0; i < 10; ++i) {
+    pool.Run("1", kUsual);
+  }
+  CHECK(pool.Choose() == "1");
+}
+
+TEST_CASE("a back end that turns slow is left for one not yet asked") {
+  Pool pool;
+  for (int i = 0; i < 100; ++i) {
+    pool.Run("1", milliseconds(28));
+  }
+  for (int i = 0; i < 3; ++i) {
+    pool.Run("1", milliseconds(112));
+  }
+  CHECK(pool.Choose() == "2");
+}
+
 TEST_CASE("a back end that stands still is left before it answers") {
   Pool pool;
   pool.pool.OnSent("1", 77, pool.now);
--- a/test/unit/forwarding/recent_latency_test.cc
+++ b/test/unit/forwarding/recent_latency_test.cc
@@ -21,38 +21,38 @@
   return sent;
 }
 
-TEST_CASE("a back end without samples is taken for the initial latency") {
-  CHECK(RecentLatency(kInitial).Median(kStart) == kInitial);
+TEST_CASE("a back end without samples is taken for what is assumed") {
+  CHECK(RecentLatency().Median(kStart, kInitial) == kInitial);
 }
 
 TEST_CASE("one pause, or two, does not make a back end slow") {
-  RecentLatency latency(kInitial);
+  RecentLatency latency;
   const MonotonicTime usual = RecordInTurn(latency, kUsual, 5, kStart);
   const MonotonicTime end = RecordInTurn(latency, kSlow, 2, usual);
-  CHECK(latency.Median(end) == kUsual);
+  CHECK(latency.Median(end, kInitial) == kUsual);
 }
 
 TEST_CASE("all that are under way in a pause count as one") {
-  RecentLatency latency(kInitial);
+  RecentLatency latency;
   const MonotonicTime usual = RecordInTurn(latency, kUsual, 5, kStart);
   for (int i = 0; i < 5; ++i) {
     latency.Record(kSlow, usual + milliseconds(i), usual + kSlow);
   }
-  CHECK(latency.Median(usual + kSlow) == kUsual);
+  CHECK(latency.Median(usual + kSlow, kInitial) == kUsual);
 }
 
 TEST_CASE("a back end that stays slow shows after three answers") {
-  RecentLatency latency(kInitial);
+  RecentLatency latency;
   const MonotonicTime usual = RecordInTurn(latency, kUsual, 5, kStart);
   const MonotonicTime end = RecordInTurn(latency, kSlow, 3, usual);
-  CHECK(latency.Median(end) == kSlow);
+  CHECK(latency.Median(end, kInitial) == kSlow);
 }
 
 TEST_CASE("what is old is forgotten") {
-  RecentLatency latency(kInitial);
+  RecentLatency latency;
   const MonotonicTime end = RecordInTurn(latency, kSlow, 3, kStart);
-  CHECK(latency.Median(end) == kSlow);
-  CHECK(latency.Median(end + RecentLatency::kMemory) == kInitial);
+  CHECK(latency.Median(end, kInitial) == kSlow);
+  CHECK(latency.Median(end + RecentLatency::kMemory, kInitial) == kInitial);
 }
 
 }  // namespace
