--- a/source/common/forwarding/request_run.h
+++ b/source/common/forwarding/request_run.h
@@ -89,7 +89,7 @@
   // to be written: an answer leaves this long before the target.
   Duration answer_margin = milliseconds(18);
   // Attempts that take longer than this share of the others are hedged.
-  double hedge_quantile = 0.95;
+  double hedge_quantile = 0.99;
   // But none waits longer for its hedge than this share of the target: where
   // many back ends are slow, the quantile says nothing about the others.
   double latest_hedge_share = 0.5;
