Disturb the paths to control in the soak

Change: SoakControlPaths, the lab's proxy before each control machine's peer listener; control machines advertise the proxy's address, and routers connect from an address of their own, so that faults can name both ends. Two new faults: one machine's paths to control are blocked, slow, refused or half open, both ways or one way, and all connections to one control machine are reset. A Link can listen at a given address.

--- a/source/lab/proxy/link.cc
+++ b/source/lab/proxy/link.cc
@@ -11,13 +11,12 @@
 namespace juniperway::lab {
 
 Link::Link(asio::io_context& context, ProxyState& state, std::string name,
-           std::string machine)
+           std::string machine, const asio::ip::tcp::endpoint& listen)
     : context_(context),
       state_(state),
       name_(std::move(name)),
       machine_(std::move(machine)),
-      acceptor_(context,
-                asio::ip::tcp::endpoint(asio::ip::address_v4::loopback(), 0)),
+      acceptor_(context, listen),
       endpoint_(acceptor_.local_endpoint()) {
   Accept();
 }
--- a/source/lab/proxy/link.h
+++ b/source/lab/proxy/link.h
@@ -34,10 +34,14 @@
 
 class Link {
  public:
-  // Listens on a port of 127.0.0.1 that the kernel chooses.
   // @param machine is where the target runs.
+  // @param listen where connections come in; by default a port of 127.0.0.1
+  //   that the kernel chooses.
+  // Throws std::system_error (set-up fault) when it cannot be bound.
   Link(asio::io_context& context, ProxyState& state, std::string name,
-       std::string machine);
+       std::string machine,
+       const asio::ip::tcp::endpoint& listen = {
+           asio::ip::address_v4::loopback(), 0});
   ~Link();
   Link(const Link&) = delete;
   Link& operator=(const Link&) = delete;
--- a/source/lab/soak/fleet.cc
+++ b/source/lab/soak/fleet.cc
@@ -15,9 +15,16 @@
 
 constexpr Duration kStartLimit = seconds(60);
 constexpr Duration kStatusTimeout = seconds(1);
-// Addresses of control machines end in 1, 2, …; of routers in these.
+// Addresses of control machines end in 1, 2, …; behind the proxy in these; of
+// routers in those.
+constexpr std::size_t kFirstHiddenAddress = 51;
 constexpr std::size_t kFirstRouterAddress = 101;
 
+asio::ip::tcp::endpoint Endpoint(const std::string& address,
+                                 std::uint16_t port) {
+  return {asio::ip::make_address(address), port};
+}
+
 }  // namespace
 
 SoakFleet::SoakFleet(SoakFleetOptions options)
@@ -25,10 +32,9 @@
   http_port_ = FreePort(network_ + ".1");
   peer_port_ = FreePort(network_ + ".1");
   for (std::size_t i = 0; i < options_.routers; ++i) {
-    const std::string address =
-        fmt::format("{}.{}", network_, kFirstRouterAddress + i);
-    router_ports_.push_back(FreePort(address));
+    router_ports_.push_back(FreePort(RouterIp(i)));
   }
+  MakePaths();
   controls_.resize(options_.controls);
   routers_.resize(options_.routers);
   for (std::size_t i = 0; i < controls_.size(); ++i) {
@@ -39,13 +45,42 @@
   }
 }
 
+void SoakFleet::MakePaths() {
+  const auto zone_of = [this](std::size_t number) {
+    return options_.zones.at(number % options_.zones.size());
+  };
+  std::vector<SoakMachine> machines;
+  std::vector<SoakControlPath> paths;
+  for (std::size_t i = 0; i < options_.controls; ++i) {
+    const std::string name = fmt::format("control-{}", i);
+    machines.push_back({name, ControlIp(i), zone_of(i)});
+    paths.push_back({name, Endpoint(ControlIp(i), peer_port_),
+                     Endpoint(HiddenControlIp(i), peer_port_)});
+  }
+  for (std::size_t i = 0; i < options_.routers; ++i) {
+    machines.push_back({fmt::format("router-{}", i), RouterIp(i), zone_of(i)});
+  }
+  paths_ = std::make_unique<SoakControlPaths>(machines, paths, options_.seed);
+}
+
+std::string SoakFleet::ControlIp(std::size_t number) const {
+  return fmt::format("{}.{}", network_, number + 1);
+}
+
+std::string SoakFleet::HiddenControlIp(std::size_t number) const {
+  return fmt::format("{}.{}", network_, kFirstHiddenAddress + number);
+}
+
+std::string SoakFleet::RouterIp(std::size_t number) const {
+  return fmt::format("{}.{}", network_, kFirstRouterAddress + number);
+}
+
 std::string SoakFleet::ControlAddress(std::size_t number) const {
-  return fmt::format("{}.{}:{}", network_, number + 1, http_port_);
+  return fmt::format("{}:{}", ControlIp(number), http_port_);
 }
 
 std::string SoakFleet::RouterAddress(std::size_t number) const {
-  return fmt::format("{}.{}:{}", network_, kFirstRouterAddress + number,
-                     router_ports_.at(number));
+  return fmt::format("{}:{}", RouterIp(number), router_ports_.at(number));
 }
 
 std::filesystem::path SoakFleet::DataFolder(std::size_t number) const {
@@ -57,8 +92,8 @@
 }
 
 // What settings of both roles begin with.
-std::string SoakFleet::Common(const std::string& name,
-                              std::size_t number) const {
+std::string SoakFleet::Common(const std::string& name, std::size_t number,
+                              const std::string& address) const {
   std::string seeds;
   for (std::size_t i = 0; i < options_.controls; ++i) {
     seeds += fmt::format("{}\"{}\"", i == 0 ? "" : ", ", ControlAddress(i));
@@ -66,22 +101,23 @@
   return fmt::format(
       "name = \"{}-{}\"\ncluster = \"soak\"\nzone = \"{}\"\nregion = \"r\"\n"
       "roles = [\"{}\"]\ncontrol_seeds = [{}]\ncontrol_peer_port = {}\n"
-      "stop_timeout_s = 6\n",
+      "stop_timeout_s = 6\nsource_address = \"{}\"\n",
       name, number, options_.zones.at(number % options_.zones.size()), name,
-      seeds, peer_port_);
+      seeds, peer_port_, address);
 }
 
 void SoakFleet::StartControl(std::size_t number, bool bootstrap) {
-  const std::string address = fmt::format("{}.{}", network_, number + 1);
+  const std::string address = ControlIp(number);
   const std::string settings =
-      Common("control", number) +
+      Common("control", number, address) +
       fmt::format(
-          "data_folder = \"{}\"\nsource_address = \"{}\"\n[control]\n"
-          "http_listen = \"{}\"\npeer_listen = \"{}:{}\"\nbootstrap = {}\n"
-          "open_api = true\nelection_timeout_ms = 500\n"
+          "data_folder = \"{}\"\n[control]\nhttp_listen = \"{}\"\n"
+          "peer_listen = \"{}:{}\"\npeer_advertise = \"{}:{}\"\n"
+          "bootstrap = {}\nopen_api = true\nelection_timeout_ms = 500\n"
           "discovery_url = \"{}\"\ndiscovery_interval_ms = 200\n",
-          DataFolder(number).string(), address, ControlAddress(number), address,
-          peer_port_, bootstrap, options_.list_url);
+          DataFolder(number).string(), ControlAddress(number),
+          HiddenControlIp(number), peer_port_, address, peer_port_, bootstrap,
+          options_.list_url);
   controls_.at(number) =
       StartProcess(fmt::format("control-{}", number), settings);
 }
@@ -91,10 +127,9 @@
   for (const std::string& zone : options_.zones) {
     zones += fmt::format("\"{}\" = \"r\"\n", zone);
   }
-  const std::string address =
-      fmt::format("{}.{}", network_, kFirstRouterAddress + number);
+  const std::string address = RouterIp(number);
   const std::string settings =
-      Common("router", number) +
+      Common("router", number, address) +
       fmt::format(
           "[router]\nhttp_listen = \"{}\"\nready_listen = \"{}:0\"\n"
           "extra_ratio = 0.2\nextra_slack = 60\nextra_window_s = 10\n"
--- a/source/lab/soak/fleet.h
+++ b/source/lab/soak/fleet.h
@@ -4,11 +4,13 @@
 
 #include <cstdint>
 #include <filesystem>
+#include <memory>
 #include <optional>
 #include <string>
 #include <vector>
 
 #include "lab/fleet/child_process.h"
+#include "lab/soak/control_paths.h"
 
 namespace juniperway::lab {
 
@@ -20,6 +22,8 @@
   std::vector<std::string> zones;
   std::size_t controls = 3;
   std::size_t routers = 2;
+  // Of the proxy before the control machines.
+  std::uint64_t seed = 1;
 };
 
 class SoakFleet {
@@ -43,13 +47,24 @@
   std::string RouterAddress(std::size_t number) const;
   std::string ControlAddress(std::size_t number) const;
 
+  // Between control machines, and from routers to them. Machines are named
+  // "control-0" and "router-0" there.
+  SoakControlPaths& paths() { return *paths_; }
+
   // Whether every voter of the group is there and no repair is under way.
   bool IsWhole();
 
  private:
+  void MakePaths();
   void StartControl(std::size_t number, bool bootstrap);
   std::filesystem::path DataFolder(std::size_t number) const;
-  std::string Common(const std::string& name, std::size_t number) const;
+  // Where its connections come from, and what others dial.
+  std::string ControlIp(std::size_t number) const;
+  std::string RouterIp(std::size_t number) const;
+  // Where a control machine listens for what comes through the proxy.
+  std::string HiddenControlIp(std::size_t number) const;
+  std::string Common(const std::string& name, std::size_t number,
+                     const std::string& address) const;
   std::optional<ChildProcess> StartProcess(const std::string& name,
                                            const std::string& settings) const;
 
@@ -59,6 +74,7 @@
   std::uint16_t http_port_ = 0;
   std::uint16_t peer_port_ = 0;
   std::vector<std::uint16_t> router_ports_;
+  std::unique_ptr<SoakControlPaths> paths_;
   std::vector<std::optional<ChildProcess>> controls_;
   std::vector<std::optional<ChildProcess>> routers_;
 };
--- a/source/lab/soak/nemesis.cc
+++ b/source/lab/soak/nemesis.cc
@@ -29,13 +29,14 @@
 
 void SoakNemesis::Strike() {
   using Fault = void (SoakNemesis::*)();
-  static constexpr std::array<Fault, 12> kFaults = {
-      &SoakNemesis::KillRouter,      &SoakNemesis::StopRouter,
-      &SoakNemesis::PauseRouter,     &SoakNemesis::KillControl,
-      &SoakNemesis::PauseControl,    &SoakNemesis::WipeControl,
-      &SoakNemesis::KillAllControls, &SoakNemesis::DisturbPath,
-      &SoakNemesis::ResetPath,       &SoakNemesis::SpoilAnswers,
-      &SoakNemesis::DrainBackend,    &SoakNemesis::FailList};
+  static constexpr std::array<Fault, 14> kFaults = {
+      &SoakNemesis::KillRouter,          &SoakNemesis::StopRouter,
+      &SoakNemesis::PauseRouter,         &SoakNemesis::KillControl,
+      &SoakNemesis::PauseControl,        &SoakNemesis::WipeControl,
+      &SoakNemesis::KillAllControls,     &SoakNemesis::DisturbPath,
+      &SoakNemesis::ResetPath,           &SoakNemesis::SpoilAnswers,
+      &SoakNemesis::DrainBackend,        &SoakNemesis::FailList,
+      &SoakNemesis::DisturbControlPaths, &SoakNemesis::ResetControlPaths};
   (this->*kFaults.at(random_() % kFaults.size()))();
 }
 
@@ -133,6 +134,40 @@
   }
 }
 
+// --- Paths between processes -------------------------------------------------
+
+// Cuts one machine off from the control machines, both ways or one way, makes
+// its connections slow, or lets them end without a sign.
+void SoakNemesis::DisturbControlPaths() {
+  static constexpr std::array<const char*, 4> kFaults = {
+      R"("blocked": true)", R"("extra_delay_ms": 150)", R"("refused": true)",
+      R"("half_open": true)"};
+  static constexpr std::array<const char*, 3> kDirections = {
+      R"("from": "machine:{0}", "to": "*", "both": true)",
+      R"("from": "machine:{0}", "to": "*")",
+      R"("from": "*", "to": "machine:{0}")"};
+  const std::size_t drawn = random_() % (fleet_.controls() + fleet_.routers());
+  const std::string machine =
+      drawn < fleet_.controls()
+          ? fmt::format("control-{}", drawn)
+          : fmt::format("router-{}", drawn - fleet_.controls());
+  const std::string direction = fmt::format(
+      fmt::runtime(kDirections.at(random_() % kDirections.size())), machine);
+  const std::string fault = kFaults.at(random_() % kFaults.size());
+  Note("disturb the paths to control: " + direction + ", " + fault);
+  fleet_.paths().SetFaults(R"({"faults": [{)" + direction + ", " + fault +
+                           "}]}");
+  Wait(kShortest, kLongestPause);
+  fleet_.paths().SetFaults(R"({"faults": []})");
+}
+
+void SoakNemesis::ResetControlPaths() {
+  const std::size_t control = random_() % fleet_.controls();
+  Note(fmt::format("reset the connections of control {}", control));
+  fleet_.paths().Reset(control);
+  Wait(kShortest, kShortest);
+}
+
 // --- Back ends ---------------------------------------------------------------
 
 void SoakNemesis::DisturbPath() {
@@ -204,6 +239,7 @@
   Note("heal");
   stand_ins_.SetFaults(R"({"faults": []})");
   stand_ins_.SetListFailing(false);
+  fleet_.paths().SetFaults(R"({"faults": []})");
   for (std::size_t backend = 0; backend < stand_ins_.backends(); ++backend) {
     stand_ins_.Change(backend, [](SoakBackend& changed) {
       changed.answering = SoakAnswering::kWell;
--- a/source/lab/soak/nemesis.h
+++ b/source/lab/soak/nemesis.h
@@ -1,5 +1,6 @@
 // Draws faults of a soak from a seed and brings them about, from outside the
-// processes: signals, emptied disks, and the network and answers of back ends.
+// processes: signals, emptied disks, the network between processes and to back
+// ends, and back ends' answers.
 #pragma once
 
 #include <cstdint>
@@ -38,6 +39,8 @@
   void KillAllControls();
   void DisturbPath();
   void ResetPath();
+  void DisturbControlPaths();
+  void ResetControlPaths();
   void SpoilAnswers();
   void DrainBackend();
   void FailList();
--- a/source/lab/soak/run.cc
+++ b/source/lab/soak/run.cc
@@ -96,7 +96,8 @@
   SoakFleet fleet({.binary_folder = options.binary_folder,
                    .folder = options.folder,
                    .list_url = stand_ins.list_url(),
-                   .zones = Zones()});
+                   .zones = Zones(),
+                   .seed = options.seed});
   shared.router_lives =
       std::vector<std::atomic<std::uint64_t>>(fleet.routers());
   for (std::size_t i = 0; i < fleet.routers(); ++i) {
