Count a retry as extra load only after something arrived

Cause: each retry took from the service's budget, also where the attempt before had no connection: nothing had reached a back end, so the retry is the first arrival.

Change: a shard remembers whether an attempt of it arrived or may have; only then, or beside one that is under way, does the next one need budget.

Ruled out: that a refused connection can count as an arrival (the rule counts what back ends see). Tests: three cases in unit.forwarding/request_run; the first fails without it.

--- a/source/common/forwarding/request_run.cc
+++ b/source/common/forwarding/request_run.cc
@@ -69,20 +69,21 @@
   }
   for (Shard& shard : shards_) {
     pool_.OnFirstRequest(shard.service, now);
-    shard.failed = !Send(shard, /*extra=*/false, now);
+    shard.failed = !Send(shard, now);
   }
   Evaluate(now);
 }
 
 // --- Attempts ----------------------------------------------------------------
 
-bool RequestRun::Send(Shard& shard, bool extra, MonotonicTime now) {
+bool RequestRun::Send(Shard& shard, MonotonicTime now) {
   const BackendPool::Backend* backend =
       pool_.Choose(shard.service, shard.tried, now);
   if (backend == nullptr) {
     shard.extra_refusal = ExtraRefusal::kNoBackend;
     return false;
   }
+  const bool extra = shard.arrived || !shard.under_way.empty();
   if (extra && !pool_.TakeExtra(shard.service, now)) {
     shard.extra_refusal = ExtraRefusal::kBudget;
     return false;
@@ -121,7 +122,7 @@
     shard.next_hedge = MonotonicTime::max();
     return;
   }
-  if (Send(shard, /*extra=*/true, now)) {
+  if (Send(shard, now)) {
     ++hedges_;
   } else {
     shard.next_hedge = now + kHedgeRetryDelay;
@@ -130,7 +131,7 @@
 
 // After an attempt of the shard ended without an answer.
 void RequestRun::Retry(Shard& shard, MonotonicTime now) {
-  if (MayRepeat(shard) && Send(shard, /*extra=*/true, now)) {
+  if (MayRepeat(shard) && Send(shard, now)) {
     return;
   }
   shard.failed = shard.under_way.empty();
@@ -149,6 +150,7 @@
     const Attempt ended = *found;
     shard.under_way.erase(found);
     pool_.OnEnded(ended.backend, attempt, end.result, now);
+    shard.arrived |= end.result != AttemptResult::kUnsent;
     switch (end.result) {
       case AttemptResult::kAnswered:
         latency_.Record(now - ended.sent);
--- a/source/common/forwarding/request_run.h
+++ b/source/common/forwarding/request_run.h
@@ -129,6 +129,9 @@
     std::vector<std::string> tried;
     // Attempts that ran or may have run, those under way among them.
     std::uint32_t runs = 0;
+    // Some attempt reached a back end, or may have: what is sent from then on
+    // is extra load.
+    bool arrived = false;
     MonotonicTime next_hedge = MonotonicTime::max();
     bool in = false;
     bool failed = false;
@@ -138,7 +141,8 @@
     std::optional<BackendAnswer> failure;
   };
 
-  bool Send(Shard& shard, bool extra, MonotonicTime now);
+  // @return false when no back end may be used, or the budget refused.
+  bool Send(Shard& shard, MonotonicTime now);
   void Hedge(Shard& shard, MonotonicTime now);
   void Retry(Shard& shard, MonotonicTime now);
   Duration HedgeDelay() const;
--- a/test/unit/forwarding/request_run_test.cc
+++ b/test/unit/forwarding/request_run_test.cc
@@ -17,10 +17,11 @@
 
 // Four shards of three back ends; ids are "s0-0" to "s3-2".
 struct World {
-  World()
+  // @param slack of the budget for hedges and retries.
+  explicit World(double slack = 1000, double ratio = 0.2)
       : pool({.zone = "z",
               .regions = {},
-              .extra = {.ratio = 0.2, .slack = 1000, .routers = 1}}) {
+              .extra = {.ratio = ratio, .slack = slack, .routers = 1}}) {
     auto table = std::make_shared<routes::RouteTable>();
     routes::ScatterTarget scatter;
     for (int shard = 0; shard < kShards; ++shard) {
@@ -255,6 +256,44 @@
   }
 }
 
+TEST_CASE("what replaces an attempt that never left needs no budget") {
+  World world(/*slack=*/0, /*ratio=*/0);
+  world.MakeSingle(/*repeatable=*/true);
+  RequestRun& run = world.Start();
+  world.End(world.AttemptAt("s0"), AttemptResult::kUnsent);
+  REQUIRE(world.sent.size() == 2);
+  world.End(world.AttemptAt("s0"), AttemptResult::kUnsent);
+  REQUIRE(world.sent.size() == 3);
+  // The third one arrived: one more would be beyond the first arrival.
+  world.End(world.AttemptAt("s0"), AttemptResult::kBroken);
+  CHECK(world.sent.size() == 3);
+  REQUIRE(run.outcome());
+  CHECK(run.outcome()->result == RunResult::kFailed);
+}
+
+TEST_CASE("what replaces an attempt that arrived needs budget") {
+  for (const auto result : {AttemptResult::kShed, AttemptResult::kMisplaced,
+                            AttemptResult::kBroken, AttemptResult::kFailed}) {
+    World world(/*slack=*/0, /*ratio=*/0);
+    world.MakeSingle(/*repeatable=*/true);
+    world.Start();
+    world.End(world.AttemptAt("s0"), result);
+    CHECK(world.sent.size() == 1);
+  }
+}
+
+TEST_CASE("an attempt that never left beside a hedge that may have needs it") {
+  // Enough for the hedge.
+  World world(/*slack=*/1.5, /*ratio=*/0);
+  world.MakeSingle(/*repeatable=*/true);
+  world.Start();
+  const AttemptId first = world.AttemptAt("s0");
+  world.Wait();
+  REQUIRE(world.sent.size() == 2);
+  world.End(first, AttemptResult::kUnsent);
+  CHECK(world.sent.size() == 2);
+}
+
 TEST_CASE("not run is only said where nothing ran") {
   World world;
   world.MakeSingle(true);
