Name the shards that were not in when a scatter failed

Change: RunOutcome lists the shards that are not in whatever the result; the line names at most eight, failed ones first, and counts the others.

Tests: a case in unit.forwarding/request_run that fails without it.

--- a/source/common/forwarding/exchange.cc
+++ b/source/common/forwarding/exchange.cc
@@ -38,20 +38,31 @@
   return "";
 }
 
-// "s4:i-7+i-9,s5:none/no_backend": the shards that are not in, the back ends
-// that were asked for each, and why no other one was; "s4!" when all of them
-// had failed.
-std::string DescribeMissing(const std::vector<MissingShard>& missing) {
+// Of the shards that are missing, this many are named: a scatter may have
+// hundreds.
+constexpr std::size_t kNamedShards = 8;
+
+std::string DescribeShard(const MissingShard& shard) {
+  std::string tried;
+  for (const std::string& id : shard.tried) {
+    tried += (tried.empty() ? "" : "+") + id;
+  }
+  return shard.service + (shard.failed ? "!:" : ":") +
+         (tried.empty() ? "none" : tried) + SuffixOf(shard.extra_refusal);
+}
+
+// "s4!:i-7+i-9,s5:none/no_backend,+3": the shards that are not in, the back
+// ends that were asked for each, and why no other one was; "s4!" when all of
+// them had failed, which come first; how many more there are.
+std::string DescribeMissing(std::vector<MissingShard> missing) {
+  std::ranges::stable_partition(
+      missing, [](const MissingShard& shard) { return shard.failed; });
   std::string text;
-  for (const MissingShard& shard : missing) {
-    text += text.empty() ? "" : ",";
-    text += shard.service + (shard.failed ? "!:" : ":");
-    std::string tried;
-    for (const std::string& id : shard.tried) {
-      tried += (tried.empty() ? "" : "+") + id;
-    }
-    text += tried.empty() ? "none" : tried;
-    text += SuffixOf(shard.extra_refusal);
+  for (std::size_t i = 0; i < std::min(missing.size(), kNamedShards); ++i) {
+    text += (text.empty() ? "" : ",") + DescribeShard(missing[i]);
+  }
+  if (missing.size() > kNamedShards) {
+    text += ",+" + std::to_string(missing.size() - kNamedShards);
   }
   return text;
 }
--- a/source/common/forwarding/request_run.cc
+++ b/source/common/forwarding/request_run.cc
@@ -257,8 +257,11 @@
   RunOutcome outcome;
   outcome.result = result;
   outcome.reason = reason;
+  if (IsScatter()) {
+    NameMissing(outcome);
+  }
   if (result == RunResult::kSuccess && IsScatter()) {
-    FillScatter(outcome);
+    MergeParts(outcome);
   } else if (result == RunResult::kSuccess) {
     outcome.answer = std::move(shards_.front().answer);
   } else if (result == RunResult::kBackendFailure) {
@@ -268,15 +271,21 @@
   outcome_ = std::move(outcome);
 }
 
-void RequestRun::FillScatter(RunOutcome& outcome) {
+void RequestRun::NameMissing(RunOutcome& outcome) const {
+  for (const Shard& shard : shards_) {
+    if (!shard.in) {
+      outcome.missing.push_back(
+          {shard.service, shard.tried, shard.failed, shard.extra_refusal});
+    }
+  }
+}
+
+void RequestRun::MergeParts(RunOutcome& outcome) const {
   std::vector<std::string_view> parts;
   for (const Shard& shard : shards_) {
     if (shard.in) {
       outcome.signatures.push_back(shard.answer.signature);
       parts.push_back(shard.answer.body);
-    } else {
-      outcome.missing.push_back(
-          {shard.service, shard.tried, shard.failed, shard.extra_refusal});
     }
   }
   outcome.records = MergeTopRecords(parts, scatter_->top_k);
--- a/source/common/forwarding/request_run.h
+++ b/source/common/forwarding/request_run.h
@@ -76,9 +76,10 @@
   RunResult result = RunResult::kNotRun;
   // Of a split: the answer to pass on.
   BackendAnswer answer;
-  // Of a scatter.
-  std::vector<std::string> signatures;
+  // Of a scatter: shards that are not in, whatever the result.
   std::vector<MissingShard> missing;
+  // Of a scatter that succeeded.
+  std::vector<std::string> signatures;
   std::string records;
   // For the log: why it ended so.
   const char* reason = "";
@@ -149,7 +150,8 @@
   // Ends the run where it can be ended now.
   void Evaluate(MonotonicTime now);
   void Finish(RunResult result, const char* reason, MonotonicTime now);
-  void FillScatter(RunOutcome& outcome);
+  void NameMissing(RunOutcome& outcome) const;
+  void MergeParts(RunOutcome& outcome) const;
   void CancelAll(MonotonicTime now);
   bool IsScatter() const { return scatter_ != nullptr; }
   std::size_t RequiredShards() const;
--- a/test/unit/forwarding/request_run_test.cc
+++ b/test/unit/forwarding/request_run_test.cc
@@ -190,6 +190,27 @@
   CHECK(run.outcome()->result == RunResult::kTimedOut);
 }
 
+TEST_CASE("a scatter that failed names the shards that were not in") {
+  World world;
+  RequestRun& run = world.Start();
+  world.Answer("s0");
+  // Each with its attempts used up.
+  for (const std::string shard : {"s1", "s2"}) {
+    while (world.AttemptAt(shard) != 0 && !run.outcome()) {
+      world.End(world.AttemptAt(shard), AttemptResult::kBroken);
+    }
+  }
+  REQUIRE(run.outcome());
+  CHECK(run.outcome()->result == RunResult::kFailed);
+  const auto& missing = run.outcome()->missing;
+  REQUIRE(missing.size() == kShards - 1);
+  CHECK(missing[0].service == "s1");
+  CHECK(missing[0].failed);
+  CHECK(missing[0].tried.size() == 2);
+  CHECK(missing[1].failed);
+  CHECK_FALSE(missing[2].failed);
+}
+
 TEST_CASE("where too few shards have back ends nothing is asked") {
   World world;
   for (const char* id : {"s0-0", "s0-1", "s0-2", "s1-0", "s1-1", "s1-2"}) {
