--- a/source/common/forwarding/exchange.cc
+++ b/source/common/forwarding/exchange.cc
@@ -55,8 +55,8 @@
 // ends that were asked for each, and why no other one was; "s4!" when all of
 // them had failed, which come first; how many more there are.
 std::string DescribeMissing(std::vector<MissingShard> missing) {
-  std::ranges::stable_partition(
-      missing, [](const MissingShard& shard) { return shard.failed; });
+  std::stable_partition(missing.begin(), missing.end(),
+                        [](const MissingShard& shard) { return shard.failed; });
   std::string text;
   for (std::size_t i = 0; i < std::min(missing.size(), kNamedShards); ++i) {
     text += (text.empty() ? "" : ",") + DescribeShard(missing[i]);
