Set up the fleet of the explain cases in one place

Cause: three cases built the same fleet line by line (`duplicates`). Change: ServingFleet. What the cases check is unchanged.

--- a/test/integration/forwarding/explain_test.cc
+++ b/test/integration/forwarding/explain_test.cc
@@ -69,6 +69,19 @@
   }
 }
 
+// A fleet that serves the table, with one back end for each of two services.
+struct ServingFleet {
+  // @param target must be answered before the test begins.
+  explicit ServingFleet(const std::string& target) {
+    REQUIRE(fleet.PutTable(kTable) == 200);
+    REQUIRE(fleet.AwaitStatus(target, 200));
+  }
+
+  RouteFleet fleet{1};
+  StandInBackend& one = fleet.AddBackend("b1", "s1");
+  StandInBackend& two = fleet.AddBackend("b2", "s2");
+};
+
 TEST_CASE("a refusal: the router has no route table yet") {
   RouteFleet fleet(1);
   CHECK(fleet.Request("/one/x", "early-1").status == 503);
@@ -78,43 +91,31 @@
 }
 
 TEST_CASE("a missing part: one back end is silent and its shard has no other") {
-  RouteFleet fleet(1);
-  fleet.AddBackend("b1", "s1");
-  auto& silent = fleet.AddBackend("b2", "s2");
-  REQUIRE(fleet.PutTable(kTable) == 200);
-  REQUIRE(fleet.AwaitStatus("/all/", 200));
-  silent.SetAnswering(Answering::kHolds);
-  CHECK(fleet.Request("/all/", "partial-1").status == 200);
+  ServingFleet serving("/all/");
+  serving.two.SetAnswering(Answering::kHolds);
+  CHECK(serving.fleet.Request("/all/", "partial-1").status == 200);
   CheckNames(
-      Explain(fleet, "partial-1", "request_ended"),
+      Explain(serving.fleet, "partial-1", "request_ended"),
       {"E3411 request_ended request=partial-1", "table=7", "result=success",
        "reason=target", "missing=1", "missing_shards=s2:b2/no_backend",
        "E3405 route_table_taken version=7"});
 }
 
 TEST_CASE("a late answer: the only back end did not answer in time") {
-  RouteFleet fleet(1);
-  auto& silent = fleet.AddBackend("b1", "s1");
-  fleet.AddBackend("b2", "s2");
-  REQUIRE(fleet.PutTable(kTable) == 200);
-  REQUIRE(fleet.AwaitStatus("/one/", 200));
-  silent.SetAnswering(Answering::kHolds);
-  CHECK(fleet.Request("/one/late", "late-1").status == 504);
-  CheckNames(Explain(fleet, "late-1", "request_ended"),
+  ServingFleet serving("/one/");
+  serving.one.SetAnswering(Answering::kHolds);
+  CHECK(serving.fleet.Request("/one/late", "late-1").status == 504);
+  CheckNames(Explain(serving.fleet, "late-1", "request_ended"),
              {"E3411 request_ended request=late-1", "route=one",
               "result=timed_out", "reason=deadline", "attempts=1"});
 }
 
 TEST_CASE("a failure: the back end's answers are another request's") {
-  RouteFleet fleet(1);
-  auto& spoiled = fleet.AddBackend("b1", "s1");
-  fleet.AddBackend("b2", "s2");
-  REQUIRE(fleet.PutTable(kTable) == 200);
-  REQUIRE(fleet.AwaitStatus("/one/", 200));
-  spoiled.SetAnswering(Answering::kForeignId);
-  CHECK(fleet.Request("/one/foreign", "foreign-1").status == 502);
+  ServingFleet serving("/one/");
+  serving.one.SetAnswering(Answering::kForeignId);
+  CHECK(serving.fleet.Request("/one/foreign", "foreign-1").status == 502);
   CheckNames(
-      Explain(fleet, "foreign-1", "request_ended"),
+      Explain(serving.fleet, "foreign-1", "request_ended"),
       {"E3412 attempt_failed request=foreign-1", "backend=b1", "result=broken",
        "E3411 request_ended request=foreign-1", "result=failed"});
 }
