Send to a peer on the connection that was last seen to work

Two machines have a connection each way. The one that the leader had opened was dead without a sign; the leader preferred it and never gave it up, because frames of the other machine kept coming on the other connection and silence was measured per machine. The machine cut off closed and opened its own connection every 2 s, in vain: answers went the dead way.

Change: PeerNetwork remembers for each of the two connections when it was opened or a frame last came on it, and sends on the later one. Answers so go back the way of what they answer, and a connection that a machine opens anew is used.

Ruled out: the proxy (it had closed its side); consensus (no frame reached the machine); dropping all connections when a peer opens a new one (two healthy machines would do so to each other for ever).

--- a/source/common/control/peer_network.cc
+++ b/source/common/control/peer_network.cc
@@ -42,9 +42,9 @@
     }
   }
   for (auto& [id, peer] : peers_) {
-    if (!peer.wanted && peer.outgoing) {
-      peer.outgoing->Close();
-      peer.outgoing.reset();
+    if (!peer.wanted && peer.outgoing.connection) {
+      peer.outgoing.connection->Close();
+      peer.outgoing = {};
     }
   }
 }
@@ -52,10 +52,10 @@
 void PeerNetwork::Adopt(raft::NodeId from,
                         std::shared_ptr<net::FrameConnection> connection) {
   Peer& peer = peers_[from];
-  if (peer.incoming) {
-    peer.incoming->Close();
+  if (peer.incoming.connection) {
+    peer.incoming.connection->Close();
   }
-  peer.incoming = std::move(connection);
+  peer.incoming = {std::move(connection), ReadMonotonicClock()};
 }
 
 void PeerNetwork::OnFrame(
@@ -67,7 +67,11 @@
     return;
   }
   Peer& peer = peers_[from];
-  peer.heard = ReadMonotonicClock();
+  for (Path* path : {&peer.outgoing, &peer.incoming}) {
+    if (path->connection == connection) {
+      path->heard = ReadMonotonicClock();
+    }
+  }
   peer.unanswered_since = MonotonicTime::max();
   on_frame_(from, std::move(*frame));
 }
@@ -78,7 +82,8 @@
         now - peer.unanswered_since > kSilenceTimeout) {
       Drop(peer);
     }
-    const bool down = !peer.outgoing || peer.outgoing->closed();
+    const Connection& outgoing = peer.outgoing.connection;
+    const bool down = !outgoing || outgoing->closed();
     if (peer.wanted && down && !peer.connecting && now >= peer.next_attempt) {
       Connect(id, peer);
     }
@@ -99,16 +104,24 @@
     return nullptr;
   }
   Peer& peer = found->second;
-  for (const auto* connection : {&peer.outgoing, &peer.incoming}) {
-    if (*connection && !(*connection)->closed() &&
-        (*connection)->queued_bytes() < kMaximumQueuedBytes) {
-      if (peer.unanswered_since == MonotonicTime::max()) {
-        peer.unanswered_since = ReadMonotonicClock();
-      }
-      return connection->get();
+  const Path* chosen = nullptr;
+  for (const Path* path : {&peer.outgoing, &peer.incoming}) {
+    if (IsUsable(*path) && (chosen == nullptr || path->heard > chosen->heard)) {
+      chosen = path;
     }
   }
-  return nullptr;
+  if (chosen == nullptr) {
+    return nullptr;
+  }
+  if (peer.unanswered_since == MonotonicTime::max()) {
+    peer.unanswered_since = ReadMonotonicClock();
+  }
+  return chosen->connection.get();
+}
+
+bool PeerNetwork::IsUsable(const Path& path) {
+  return path.connection && !path.connection->closed() &&
+         path.connection->queued_bytes() < kMaximumQueuedBytes;
 }
 
 std::size_t PeerNetwork::QueuedBytes(raft::NodeId to) const {
@@ -117,10 +130,9 @@
     return 0;
   }
   std::size_t bytes = 0;
-  for (const auto* connection :
-       {&found->second.outgoing, &found->second.incoming}) {
-    if (*connection && !(*connection)->closed()) {
-      bytes += (*connection)->queued_bytes();
+  for (const Path* path : {&found->second.outgoing, &found->second.incoming}) {
+    if (path->connection && !path->connection->closed()) {
+      bytes += path->connection->queued_bytes();
     }
   }
   return bytes;
@@ -156,10 +168,10 @@
     (*result)->Close();
     return;
   }
-  peer.outgoing = std::move(*result);
+  peer.outgoing = {std::move(*result), ReadMonotonicClock()};
   peer.unanswered_since = MonotonicTime::max();
-  std::weak_ptr<net::FrameConnection> connection = peer.outgoing;
-  peer.outgoing->Start(
+  std::weak_ptr<net::FrameConnection> connection = peer.outgoing.connection;
+  peer.outgoing.connection->Start(
       [weak = weak_from_this(), id, connection](net::FrameBytes bytes) {
         auto self = weak.lock();
         auto open = connection.lock();
@@ -174,14 +186,14 @@
   hello.receiver_id = id;
   hello.zone = identity_.place.zone;
   hello.region = identity_.place.region;
-  session::SendMessage(*peer.outgoing, std::move(hello));
+  session::SendMessage(*peer.outgoing.connection, std::move(hello));
 }
 
 void PeerNetwork::Drop(Peer& peer) {
-  for (auto* connection : {&peer.outgoing, &peer.incoming}) {
-    if (*connection) {
-      (*connection)->Close();
-      connection->reset();
+  for (Path* path : {&peer.outgoing, &peer.incoming}) {
+    if (path->connection) {
+      path->connection->Close();
+      *path = {};
     }
   }
   peer.unanswered_since = MonotonicTime::max();
--- a/source/common/control/peer_network.h
+++ b/source/common/control/peer_network.h
@@ -1,6 +1,7 @@
 // Connections between control machines. Each machine opens one to every other
-// and keeps those that the others opened to it; a frame goes out on whichever
-// is up. Frames may be lost: consensus and calls cope.
+// and keeps those that the others opened to it; a frame goes out on the one
+// that last showed that it works, so that answers come back the way of what
+// they answer. Frames may be lost: consensus and calls cope.
 #pragma once
 
 #include <asio/io_context.hpp>
@@ -64,15 +65,22 @@
   void Stop();
 
  private:
+  using Connection = std::shared_ptr<net::FrameConnection>;
+
+  struct Path {
+    Connection connection;
+    // When it was opened, or a frame last came on it.
+    MonotonicTime heard = MonotonicTime::min();
+  };
+
   struct Peer {
     std::string address;  // empty: only it can connect
     bool wanted = false;
     bool connecting = false;
     MonotonicTime next_attempt = MonotonicTime::min();
-    std::shared_ptr<net::FrameConnection> outgoing;
-    std::shared_ptr<net::FrameConnection> incoming;
-    // When a frame last came, and when one was first sent after that.
-    MonotonicTime heard = MonotonicTime::min();
+    Path outgoing;
+    Path incoming;
+    // When a frame was first sent after the last one came, on either path.
     MonotonicTime unanswered_since = MonotonicTime::max();
   };
 
@@ -81,6 +89,8 @@
   void OnConnected(raft::NodeId id,
                    Result<std::shared_ptr<net::FrameConnection>> result);
   void Drop(Peer& peer);
+  // Open, and not overfull.
+  static bool IsUsable(const Path& path);
 
   asio::io_context& context_;
   Identity identity_;
--- a/test/unit/control/peer_network_test.cc
+++ b/test/unit/control/peer_network_test.cc
@@ -48,5 +48,55 @@
   peers->Stop();
 }
 
+TEST_CASE("Frames take the connection that was last seen to work") {
+  asio::io_context context;
+  // The other machine: what this one opens to it swallows everything, as a path
+  // does that lost its way without a sign.
+  std::vector<std::shared_ptr<net::FrameConnection>> accepted;
+  int swallowed = 0;
+  const net::FrameListener listener(
+      context, tcp::endpoint(asio::ip::address_v4::loopback(), 0),
+      [&](auto connection) {
+        accepted.push_back(connection);
+        connection->Start([&](net::FrameBytes) { ++swallowed; }, [] {});
+      });
+  const auto peers = std::make_shared<PeerNetwork>(
+      context, PeerNetwork::Identity{"test", 1, {}}, /*seed=*/1,
+      [](raft::NodeId, const protocol::ControlFrameT&) {});
+  peers->SetPeers({{2, net::FormatEndpoint(listener.local_endpoint())}});
+  peers->Tick(ReadMonotonicClock());
+  REQUIRE(test::RunUntil(context, [&] { return swallowed == 1; }));  // hello
+
+  // Then the other machine opens one to this machine.
+  std::shared_ptr<net::FrameConnection> incoming;
+  const net::FrameListener own(
+      context, tcp::endpoint(asio::ip::address_v4::loopback(), 0),
+      [&](auto connection) {
+        incoming = connection;
+        connection->Start(
+            [&](net::FrameBytes bytes) { peers->OnFrame(2, bytes, incoming); },
+            [] {});
+        peers->Adopt(2, connection);
+      });
+  std::shared_ptr<net::FrameConnection> others;
+  int answers = 0;
+  net::FrameConnection::Connect(
+      context, own.local_endpoint(), seconds(10),
+      [&](Result<std::shared_ptr<net::FrameConnection>> result) {
+        REQUIRE(result);
+        others = *result;
+        others->Start([&](net::FrameBytes) { ++answers; }, [] {});
+      });
+  REQUIRE(test::RunUntil(context, [&] { return others && incoming; }));
+  REQUIRE(peers->Send(2, protocol::ConsensusMessagesT{}));
+  CHECK(test::RunUntil(context, [&] { return answers == 1; }));
+  session::SendMessage(*others, protocol::ConsensusMessagesT{});
+  test::RunReady(context);
+  REQUIRE(peers->Send(2, protocol::ConsensusMessagesT{}));
+  CHECK(test::RunUntil(context, [&] { return answers == 2; }));
+  CHECK(swallowed == 1);
+  peers->Stop();
+}
+
 }  // namespace
 }  // namespace juniperway::control
