Let no process of the lab inherit its parent's sockets

Cause: sockets that the fault proxy accepts are not marked for closing at exec; a router that the soak started again held copies of them. Change: the child closes every descriptor above standard error before exec. Ruled out: marking each socket (libraries accept them, and new ones would be forgotten). Measured: unit.lab/fleet/child_process fails without it; that a connection can die without a sign is now shown by unit.control/peer_network alone. Conclusion: the soak's fault; it had found a fault of the product all the same.

--- a/source/lab/fleet/child_process.cc
+++ b/source/lab/fleet/child_process.cc
@@ -10,6 +10,7 @@
 #include <csignal>
 #include <cstring>
 #include <initializer_list>
+#include <limits>
 #include <sstream>
 #include <thread>
 #include <utility>
@@ -36,6 +37,9 @@
   }
   ::dup2(log, STDOUT_FILENO);
   ::dup2(log, STDERR_FILENO);
+  // What stays open here would keep connections alive that this process's
+  // parent has closed.
+  ::close_range(STDERR_FILENO + 1, std::numeric_limits<unsigned>::max(), 0);
   ::execv(arguments[0], arguments);
   ::_exit(kExecFailedStatus);
 }
