Give the session's preference plainer names

Cause: read again as a newcomer: `had_`, `NearerOnes` and `now_at` needed their comments. Change: before_trial_, NearerEndpoints, current_locality; kLeftAfter in the test. Measured: unit.session passes; no behaviour changes.

--- a/source/common/session/endpoint_preference.cc
+++ b/source/common/session/endpoint_preference.cc
@@ -1,6 +1,7 @@
 #include "common/session/endpoint_preference.h"
 
 #include <algorithm>
+#include <iterator>
 #include <numeric>
 #include <utility>
 
@@ -38,8 +39,8 @@
 }
 
 void EndpointPreference::OnFailed(MonotonicTime now) {
-  if (had_) {
-    MoveTo(*std::exchange(had_, std::nullopt));
+  if (before_trial_) {
+    MoveTo(*std::exchange(before_trial_, std::nullopt));
     pause_ = std::min(pause_ * 2, timing_.longest_pause);
   } else {
     position_ = (position_ + 1) % order_.size();
@@ -48,28 +49,28 @@
 }
 
 void EndpointPreference::OnGranted() {
-  if (had_) {
-    had_.reset();
+  if (before_trial_) {
+    before_trial_.reset();
     pause_ = timing_.first_pause;
   }
 }
 
 bool EndpointPreference::IsTrialDue(MonotonicTime now) const {
-  return !had_ && now >= next_trial_ && !NearerOnes().empty();
+  return !before_trial_ && now >= next_trial_ && !NearerEndpoints().empty();
 }
 
 void EndpointPreference::BeginTrial() {
-  const std::vector<std::size_t> nearer = NearerOnes();
-  had_ = current();
+  const std::vector<std::size_t> nearer = NearerEndpoints();
+  before_trial_ = current();
   MoveTo(nearer[trials_++ % nearer.size()]);
 }
 
-std::vector<std::size_t> EndpointPreference::NearerOnes() const {
-  const Locality now_at = localities_[current()];
+std::vector<std::size_t> EndpointPreference::NearerEndpoints() const {
+  const Locality current_locality = localities_[current()];
   std::vector<std::size_t> nearer;
   std::ranges::copy_if(
       order_, std::back_inserter(nearer),
-      [&](std::size_t index) { return localities_[index] < now_at; });
+      [&](std::size_t index) { return localities_[index] < current_locality; });
   return nearer;
 }
 
--- a/source/common/session/endpoint_preference.h
+++ b/source/common/session/endpoint_preference.h
@@ -41,7 +41,7 @@
 
   // Index of the machine to use.
   std::size_t current() const { return order_[position_]; }
-  bool in_trial() const { return had_.has_value(); }
+  bool in_trial() const { return before_trial_.has_value(); }
 
   // The current one could not be reached, is silent, or is of no use.
   void OnFailed(MonotonicTime now);
@@ -53,8 +53,8 @@
   void BeginTrial();
 
  private:
-  // Those that are nearer than the current one, nearest first.
-  std::vector<std::size_t> NearerOnes() const;
+  // Indices of those that are nearer than the current one, nearest first.
+  std::vector<std::size_t> NearerEndpoints() const;
   void MoveTo(std::size_t endpoint);
   Duration Draw(Duration shortest, Duration longest);
 
@@ -64,8 +64,8 @@
   // Indices: nearest first, shuffled among equals.
   std::vector<std::size_t> order_;
   std::size_t position_ = 0;
-  // During a trial: the one that the session had before.
-  std::optional<std::size_t> had_;
+  // During a trial: the one that the session goes back to when it fails.
+  std::optional<std::size_t> before_trial_;
   std::size_t trials_ = 0;
   Duration pause_;
   MonotonicTime next_trial_ = MonotonicTime::min();
--- a/test/unit/session/session_state_test.cc
+++ b/test/unit/session/session_state_test.cc
@@ -23,7 +23,7 @@
 constexpr Duration kNoLeaderDelay = milliseconds(600);
 
 // By then a machine that is lost has been left.
-constexpr Duration kLeft = seconds(4);
+constexpr Duration kLeftAfter = seconds(4);
 
 enum class Fate {
   kFrozen,
@@ -63,7 +63,7 @@
         return now_;
       }
       had_lease = had_lease || state_.HasLease(now_);
-      if (now_ > lost_at_ + kLeft && machine_ == lost_) {
+      if (now_ > lost_at_ + kLeftAfter && machine_ == lost_) {
         at_lost_ += kStep;
       }
     }
