Search a rare planted defect in as many seeds as it takes

Ruled out: that the simulation had lost the ability to show it: the defect shows in 7 of 480 seeds with the change (first 142) and in 7 of 480 without it (first 35). With one hit in 69 seeds, 60 were enough by luck.

Change: this one search covers 480 seeds; the other five stay at 60. The defect must still be found, the histories are fixed. Conclusion: the test's bound was wrong, not what it asks for.

--- a/test/property/sim/tier_test.cc
+++ b/test/property/sim/tier_test.cc
@@ -18,6 +18,9 @@
 
 constexpr std::uint64_t kSeeds = 200;
 constexpr std::uint64_t kDefectSeeds = 60;
+// An owner that opens too many connections must meet a back end that is full at
+// that moment: 7 of 480 seeds, whichever machine sessions go to.
+constexpr std::uint64_t kRareDefectSeeds = 480;
 constexpr std::size_t kPromises = 6;
 
 TEST_CASE("Queries keep every promise while the fleet changes") {
@@ -57,9 +60,10 @@
   CHECK(refused > 0);
 }
 
-std::optional<TierPromise> FindViolation(TierDefect defect) {
+std::optional<TierPromise> FindViolation(TierDefect defect,
+                                         std::uint64_t seeds = kDefectSeeds) {
   const QuietLog quiet;
-  for (std::uint64_t seed = 1; seed <= kDefectSeeds; ++seed) {
+  for (std::uint64_t seed = 1; seed <= seeds; ++seed) {
     TierSimOptions options;
     options.seed = seed;
     options.defect = defect;
@@ -81,7 +85,7 @@
   CHECK(FindViolation(TierDefect::kSaysNotRun) == TierPromise::kNotRunTrue);
   CHECK(FindViolation(TierDefect::kMixesSnapshots) ==
         TierPromise::kOneSnapshot);
-  CHECK(FindViolation(TierDefect::kOpensWhileWaiting) ==
+  CHECK(FindViolation(TierDefect::kOpensWhileWaiting, kRareDefectSeeds) ==
         TierPromise::kSlotsKept);
 }
 
