Let requests wait for a route table and for busy back ends after a restart

Change, one mechanism each: - StartupQueue holds what arrives in the first 0.9 s without a table. - AdmissionQueue: a request whose back ends are all in use waits, in time first, then the oldest; a shard that lacks one waits for one target. - A refused or reset new connection (AttemptResult kRefused, kReset) is a sign of the connection limit: a pause of 30 ms in place of an ejection. - ConnectionAllowance: one connection a back end at first, more with answers, half after a refusal. - Connections idle for two seconds are closed.

Ruled out: faster elections (control is back 0.1 s before the table).

--- a/source/common/forwarding/backend_pool.cc
+++ b/source/common/forwarding/backend_pool.cc
@@ -19,6 +19,16 @@
 constexpr Duration kLongestEjection = seconds(3);
 constexpr Duration kFirstShedPause = milliseconds(50);
 constexpr Duration kLongestShedPause = milliseconds(500);
+// After a refused or reset connection: that long until another caller has
+// closed one, or until it shows that nothing listens there any more.
+constexpr Duration kFirstRefusalPause = milliseconds(30);
+constexpr Duration kLongestRefusalPause = seconds(1);
+// After so many failures in a row a back end is down rather than busy.
+constexpr std::uint32_t kDownAfterFailures = 4;
+// An attempt that is under way for longer than this, and than so many medians,
+// says nothing about when its back end becomes free.
+constexpr Duration kStalledAfter = milliseconds(300);
+constexpr int kStalledAfterMedians = 3;
 // Until the discovery list shows what has become of it.
 constexpr Duration kMisplacedPause = seconds(5);
 constexpr std::uint32_t kMaximumDoublings = 10;
@@ -89,7 +99,7 @@
   });
 }
 
-std::size_t BackendPool::ConnectionLimit(const Backend& backend) const {
+std::size_t BackendPool::ConnectionShare(const Backend& backend) const {
   const double share = kConnectionShare * backend.service->maximum_connections /
                        static_cast<double>(options_.extra.routers);
   return std::max<std::size_t>(1, static_cast<std::size_t>(share));
@@ -97,7 +107,8 @@
 
 bool BackendPool::IsOpen(const Backend& backend, MonotonicTime now) const {
   if (backend.retired || now < backend.paused_until ||
-      backend.under_way.size() >= ConnectionLimit(backend)) {
+      backend.under_way.size() >=
+          backend.connections.Get(ConnectionShare(backend))) {
     return false;
   }
   // After failures one attempt at a time shows whether it is well again.
@@ -108,6 +119,18 @@
   return now >= backend.ejected_until;
 }
 
+bool BackendPool::IsBusy(const Backend& backend, MonotonicTime now) {
+  if (backend.retired || backend.failures >= kDownAfterFailures ||
+      backend.paused_until > now + kLongestShedPause) {
+    return false;
+  }
+  const Duration stalled = std::max(
+      kStalledAfter, MedianLatency(backend, now) * kStalledAfterMedians);
+  return std::ranges::all_of(backend.under_way, [&](const auto& attempt) {
+    return now - attempt.second <= stalled;
+  });
+}
+
 Duration BackendPool::MedianLatency(const Backend& backend, MonotonicTime now) {
   const auto usual = backend.service->usual_latency.Get();
   return backend.latency.Median(now, usual.value_or(kInitialLatency));
@@ -162,13 +185,26 @@
   return best;
 }
 
-bool BackendPool::HasUsable(const std::string& service,
-                            MonotonicTime now) const {
+Availability BackendPool::AvailabilityOf(
+    const std::string& service, const std::vector<std::string>& excluded,
+    MonotonicTime now) const {
   const auto found = services_.find(service);
-  return found != services_.end() &&
-         std::ranges::any_of(
-             found->second.backends,
-             [&](const Backend* backend) { return IsOpen(*backend, now); });
+  if (found == services_.end()) {
+    return Availability::kNone;
+  }
+  auto availability = Availability::kNone;
+  for (const Backend* backend : found->second.backends) {
+    if (std::ranges::find(excluded, backend->info.id) != excluded.end()) {
+      continue;
+    }
+    if (IsOpen(*backend, now)) {
+      return Availability::kUsable;
+    }
+    if (IsBusy(*backend, now)) {
+      availability = Availability::kBusy;
+    }
+  }
+  return availability;
 }
 
 void BackendPool::OnSent(const std::string& id, AttemptId attempt,
@@ -187,10 +223,11 @@
 }
 
 void BackendPool::OnAnswered(Backend& backend, MonotonicTime sent,
-                             MonotonicTime now) {
+                             MonotonicTime now) const {
   const Duration latency =
       std::max(Duration(0), Duration(now - sent) - backend.distance);
   backend.failures = 0;
+  backend.connections.OnAnswered(ConnectionShare(backend));
   backend.latency.Record(latency, sent, now);
   backend.service->usual_latency.Record(latency);
 }
@@ -223,6 +260,12 @@
       backend.paused_until =
           now + NextPause(backend, kFirstShedPause, kLongestShedPause);
       break;
+    case AttemptResult::kRefused:
+    case AttemptResult::kReset:
+      backend.connections.OnRefused();
+      backend.paused_until =
+          now + NextPause(backend, kFirstRefusalPause, kLongestRefusalPause);
+      break;
     case AttemptResult::kMisplaced:
       backend.paused_until =
           now + NextPause(backend, kMisplacedPause, kMisplacedPause);
--- a/source/common/forwarding/backend_pool.h
+++ b/source/common/forwarding/backend_pool.h
@@ -14,6 +14,7 @@
 
 #include "common/base/locality.h"
 #include "common/base/time.h"
+#include "common/forwarding/connection_allowance.h"
 #include "common/forwarding/extra_budget.h"
 #include "common/forwarding/recent_latency.h"
 #include "common/forwarding/usual_latency.h"
@@ -27,11 +28,20 @@
   kFailed,     // A whole answer of this request that is a failure.
   kShed,       // The back end says that it did not run the request.
   kMisplaced,  // Another back end has the address; not run.
-  kUnsent,     // No connection: nothing left this process.
+  kUnsent,     // No connection came up: nothing left this process.
+  kRefused,    // A new connection was refused: nothing left this process.
+  kReset,      // A new connection was reset before an answer: may have run.
   kBroken,     // Sent, but no whole answer of this request came: may have run.
   kCancelled,  // Given up by the router.
 };
 
+// Whether a service has a back end for one more request.
+enum class Availability {
+  kNone,    // No back end, or none that is expected to take work soon.
+  kBusy,    // Every back end is in use; one is expected to become free soon.
+  kUsable,  // A back end can be chosen now.
+};
+
 struct PoolOptions {
   std::string zone;
   // Zone to region; a zone that is missing counts as another region's.
@@ -69,11 +79,14 @@
     RecentLatency latency;
     // Attempts under way, and when they were sent.
     std::map<AttemptId, MonotonicTime> under_way;
+    // How many of them there may be, within this router's share.
+    ConnectionAllowance connections;
     // Attempts that failed one after the other.
     std::uint32_t failures = 0;
     // After failures: gets nothing before this while another one can be had.
     MonotonicTime ejected_until = MonotonicTime::min();
-    // It shed a request, or its address is another's: gets nothing before this.
+    // It shed a request, refused a connection, or its address is another's:
+    // gets nothing before this.
     MonotonicTime paused_until = MonotonicTime::min();
     // Gone from the list or leaving, and only kept for what is under way.
     bool retired = false;
@@ -91,8 +104,11 @@
                         const std::vector<std::string>& excluded,
                         MonotonicTime now);
 
-  // Whether Choose could give one now.
-  bool HasUsable(const std::string& service, MonotonicTime now) const;
+  // Whether Choose could give one now, or is expected to soon.
+  // @param excluded as for Choose.
+  Availability AvailabilityOf(const std::string& service,
+                              const std::vector<std::string>& excluded,
+                              MonotonicTime now) const;
 
   void OnSent(const std::string& id, AttemptId attempt, MonotonicTime now);
   void OnEnded(const std::string& id, AttemptId attempt, AttemptResult result,
@@ -115,14 +131,17 @@
   // Whether it may be used at all, well or not.
   bool IsOpen(const Backend& backend, MonotonicTime now) const;
   static bool IsWell(const Backend& backend, MonotonicTime now);
-  std::size_t ConnectionLimit(const Backend& backend) const;
+  // Not open, but only because of what is under way or a short pause.
+  static bool IsBusy(const Backend& backend, MonotonicTime now);
+  // This router's share of the connections that the back end takes.
+  std::size_t ConnectionShare(const Backend& backend) const;
   // The median of its answers, or of its service's where it has not answered.
   static Duration MedianLatency(const Backend& backend, MonotonicTime now);
   static Duration ExpectedLatency(const Backend& backend, MonotonicTime now);
   Duration DistanceOf(const std::string& zone) const;
   Place PlaceOf(const std::string& zone) const;
-  static void OnAnswered(Backend& backend, MonotonicTime sent,
-                         MonotonicTime now);
+  void OnAnswered(Backend& backend, MonotonicTime sent,
+                  MonotonicTime now) const;
   // How long it is left alone after its latest failure; counts the failure.
   static Duration NextPause(Backend& backend, Duration first, Duration longest);
 
--- a/source/common/forwarding/exchange.cc
+++ b/source/common/forwarding/exchange.cc
@@ -87,7 +87,28 @@
     }
   });
   environment_.metrics.OnBegan();
-  run_.Start(request_.began);
+  run_.Start(ReadMonotonicClock(), request_.elapsed_before);
+  admitted_at_ = ReadMonotonicClock();
+  Pump();
+}
+
+bool Exchange::Admit() {
+  const MonotonicTime now = ReadMonotonicClock();
+  if (!run_.Admit(now)) {
+    return false;
+  }
+  admitted_at_ = now;
+  Pump();
+  return true;
+}
+
+void Exchange::StopWaiting() {
+  run_.StopWaiting(ReadMonotonicClock());
+  Pump();
+}
+
+void Exchange::OnCapacity() {
+  run_.OnCapacity(ReadMonotonicClock());
   Pump();
 }
 
@@ -146,6 +167,7 @@
   environment_.metrics.OnAttemptEnded(end.result);
   run_.OnEnded(action.attempt, std::move(end), ReadMonotonicClock());
   Pump();
+  environment_.on_progress(*this);
 }
 
 void Exchange::OnClientGone() {
@@ -221,6 +243,7 @@
     return;
   }
   const Duration allowed = request_.deadline - request_.began;
+  const Duration waited = admitted_at_ - request_.began;
   LogEvent(kRequestEnded, {{"request", request_.request_id},
                            {"route", request_.route->name},
                            {"table", request_.table->version},
@@ -232,6 +255,7 @@
                            {"attempts", run_.attempts()},
                            {"hedges", run_.hedges()},
                            {"allowed_ms", ToMilliseconds(allowed)},
+                           {"waited_ms", ToMilliseconds(waited)},
                            {"elapsed_ms", ToMilliseconds(elapsed)}});
 }
 
--- a/source/common/forwarding/exchange.h
+++ b/source/common/forwarding/exchange.h
@@ -28,11 +28,15 @@
     RouterMetrics& metrics;
     HeaderNames names;
     RunOptions run_options;
+    // What an exchange waits for may have changed, or an attempt has ended.
+    std::function<void(const Exchange& exchange)> on_progress;
     // An exchange is over: the client was answered or is gone.
     std::function<void(const Exchange& exchange)> on_over;
   };
 
   struct Request {
+    // Unique in this process, in the order of arrival.
+    std::uint64_t number = 0;
     // Keeps `route` alive.
     routes::RouteTablePointer table;
     const routes::Route* route = nullptr;
@@ -44,6 +48,8 @@
     std::uint64_t revision = 0;
     MonotonicTime began;
     MonotonicTime deadline;
+    // How long before `began` the client asked for the first time.
+    Duration elapsed_before{};
   };
 
   Exchange(Environment& environment, Request request,
@@ -51,6 +57,13 @@
            std::shared_ptr<routing::LatencyTracker> latency);
 
   void Start();
+  // Of a request that waits for back ends: sends it if enough are free.
+  // @return false when it has to go on waiting.
+  bool Admit();
+  // Of a request that waits for back ends: refuses it.
+  void StopWaiting();
+  // Back ends may have become free.
+  void OnCapacity();
   // Answers at once that nothing more is done (the end of a planned stop).
   void Abandon();
 
@@ -77,6 +90,8 @@
   RequestRun run_;
   asio::steady_timer timer_;
   std::map<AttemptId, net::HttpClient::RequestHandle> handles_;
+  // When the request stopped waiting for back ends.
+  MonotonicTime admitted_at_;
   bool over_ = false;
 };
 
--- a/source/common/forwarding/message_codec.cc
+++ b/source/common/forwarding/message_codec.cc
@@ -178,11 +178,13 @@
                                const HeaderNames& names) {
   AttemptEnd end;
   if (response.progress == net::HttpProgress::kNotSent) {
-    end.result = AttemptResult::kUnsent;
+    end.result = response.new_connection_refused ? AttemptResult::kRefused
+                                                 : AttemptResult::kUnsent;
     return end;
   }
   if (response.progress == net::HttpProgress::kSent) {
-    end.result = AttemptResult::kBroken;
+    end.result = response.new_connection_refused ? AttemptResult::kReset
+                                                 : AttemptResult::kBroken;
     return end;
   }
   if (response.status == kStatusMisdirected) {
--- a/source/common/forwarding/request_run.cc
+++ b/source/common/forwarding/request_run.cc
@@ -17,6 +17,11 @@
 // Shortest wait before a hedge.
 constexpr Duration kShortestHedgeDelay = milliseconds(5);
 
+Duration Scaled(Duration duration, double factor) {
+  return Duration(static_cast<Duration::rep>(
+      static_cast<double>(duration.count()) * factor));
+}
+
 // Numbers attempts over all runs of the process, which has one loop.
 AttemptId NextAttemptId() {
   static AttemptId last = 0;
@@ -52,24 +57,65 @@
       1, static_cast<std::size_t>(std::ceil(share - kRounding)));
 }
 
-void RequestRun::Start(MonotonicTime now) {
+void RequestRun::Start(MonotonicTime now, Duration elapsed_before) {
   deadline_ = std::min(deadline_, now + route_.timeout);
-  answer_by_ =
-      now + std::max(route_.target / 2, route_.target - options_.answer_margin);
-  if (IsScatter()) {
+  target_by_ = now + route_.target - elapsed_before;
+  wait_until_ =
+      now + Scaled(Duration(deadline_ - now), options_.longest_wait_share);
+  Admit(now);
+}
+
+bool RequestRun::Admit(MonotonicTime now) {
+  std::size_t usable = 0;
+  std::size_t busy = 0;
+  for (const Shard& shard : shards_) {
+    const Availability availability =
+        pool_.AvailabilityOf(shard.service, shard.tried, now);
+    usable += availability == Availability::kUsable ? 1 : 0;
+    busy += availability == Availability::kBusy ? 1 : 0;
+  }
+  const std::size_t required = IsScatter() ? RequiredShards() : 1;
+  if (usable + busy < required) {
     // Where too few shards can be asked, none is: the client may come back.
-    const auto usable = static_cast<std::size_t>(
-        std::ranges::count_if(shards_, [&](const Shard& shard) {
-          return pool_.HasUsable(shard.service, now);
-        }));
-    if (usable < RequiredShards()) {
-      Finish(RunResult::kNotRun, "too few shards have back ends", now);
-      return;
-    }
+    Finish(RunResult::kNotRun, "too few shards have back ends", now);
+    return true;
   }
+  if (usable < required) {
+    return false;
+  }
+  admitted_ = true;
+  // What is late already gets half of the target once more.
+  answer_by_ =
+      std::max(target_by_ - options_.answer_margin, now + route_.target / 2);
+  // A client that asks for the first time may have time for another try; one
+  // that has waited for long has none.
+  shards_wait_until_ = target_by_ < now ? wait_until_ : now + route_.target;
   for (Shard& shard : shards_) {
     pool_.OnFirstRequest(shard.service, now);
-    shard.failed = !Send(shard, now);
+    SendOrWait(shard, now);
+  }
+  Evaluate(now);
+  return true;
+}
+
+void RequestRun::StopWaiting(MonotonicTime now) {
+  if (waiting()) {
+    Finish(RunResult::kNotRun, "too many requests wait", now);
+  }
+}
+
+bool RequestRun::short_of_backends() const {
+  return !over_ && std::ranges::any_of(shards_, &Shard::waits_for_backend);
+}
+
+void RequestRun::OnCapacity(MonotonicTime now) {
+  if (over_) {
+    return;
+  }
+  for (Shard& shard : shards_) {
+    if (shard.waits_for_backend) {
+      SendOrWait(shard, now);
+    }
   }
   Evaluate(now);
 }
@@ -103,11 +149,21 @@
   return true;
 }
 
+void RequestRun::SendOrWait(Shard& shard, MonotonicTime now) {
+  shard.waits_for_backend = false;
+  if (Send(shard, now)) {
+    return;
+  }
+  shard.waits_for_backend = shard.extra_refusal == ExtraRefusal::kNoBackend &&
+                            now < shards_wait_until_ &&
+                            pool_.AvailabilityOf(shard.service, shard.tried,
+                                                 now) == Availability::kBusy;
+  shard.failed = !shard.waits_for_backend;
+}
+
 Duration RequestRun::HedgeDelay() const {
   const auto usual = latency_.Quantile(options_.hedge_quantile);
-  const Duration latest(
-      static_cast<Duration::rep>(static_cast<double>(route_.target.count()) *
-                                 options_.latest_hedge_share));
+  const Duration latest = Scaled(route_.target, options_.latest_hedge_share);
   return std::max(kShortestHedgeDelay,
                   usual ? std::min(*usual, latest) : latest);
 }
@@ -131,10 +187,15 @@
 
 // After an attempt of the shard ended without an answer.
 void RequestRun::Retry(Shard& shard, MonotonicTime now) {
-  if (MayRepeat(shard) && Send(shard, now)) {
-    return;
+  if (!shard.under_way.empty()) {
+    if (MayRepeat(shard)) {
+      Send(shard, now);
+    }
+  } else if (MayRepeat(shard)) {
+    SendOrWait(shard, now);
+  } else {
+    shard.failed = true;
   }
-  shard.failed = shard.under_way.empty();
 }
 
 void RequestRun::OnEnded(AttemptId attempt, AttemptEnd end, MonotonicTime now) {
@@ -150,7 +211,8 @@
     const Attempt ended = *found;
     shard.under_way.erase(found);
     pool_.OnEnded(ended.backend, attempt, end.result, now);
-    shard.arrived |= end.result != AttemptResult::kUnsent;
+    shard.arrived |= end.result != AttemptResult::kUnsent &&
+                     end.result != AttemptResult::kRefused;
     switch (end.result) {
       case AttemptResult::kAnswered:
         latency_.Record(now - ended.sent);
@@ -164,15 +226,20 @@
         }
         shard.under_way.clear();
         break;
+      case AttemptResult::kRefused:
+        // It may be asked again, once the pool offers it again.
+        std::erase(shard.tried, ended.backend);
+        [[fallthrough]];
+      case AttemptResult::kUnsent:
       case AttemptResult::kShed:
       case AttemptResult::kMisplaced:
-      case AttemptResult::kUnsent:
         --shard.runs;
         Retry(shard, now);
         break;
       case AttemptResult::kFailed:
         shard.failure = std::move(end.answer);
         [[fallthrough]];
+      case AttemptResult::kReset:
       case AttemptResult::kBroken:
       case AttemptResult::kCancelled:
         may_have_run_ = true;
@@ -192,8 +259,15 @@
   if (over_) {
     return;
   }
+  if (!admitted_) {
+    if (now >= wait_until_) {
+      Finish(RunResult::kNotRun, "no back end became free in time", now);
+    }
+    return;
+  }
   for (Shard& shard : shards_) {
-    if (!shard.in && !shard.failed && now >= shard.next_hedge) {
+    const bool open = !shard.in && !shard.failed && !shard.waits_for_backend;
+    if (open && now >= shard.next_hedge) {
       Hedge(shard, now);
     }
   }
@@ -299,6 +373,9 @@
   if (over_) {
     return MonotonicTime::max();
   }
+  if (!admitted_) {
+    return wait_until_;
+  }
   MonotonicTime next = deadline_;
   const bool enough =
       IsScatter() &&
@@ -309,7 +386,7 @@
     next = std::min(next, answer_by_);
   }
   for (const Shard& shard : shards_) {
-    if (!shard.in && !shard.failed) {
+    if (!shard.in && !shard.failed && !shard.waits_for_backend) {
       next = std::min(next, shard.next_hedge);
     }
   }
--- a/source/common/forwarding/request_run.h
+++ b/source/common/forwarding/request_run.h
@@ -6,6 +6,10 @@
 // Use: Start, then OnEnded for each attempt and OnTime at NextDeadline(); after
 // each, carry out TakeActions(). Once outcome() is there the run is over, and
 // what was under way has been cancelled by actions.
+//
+// While the back ends that it needs are all busy, a run waits: nothing is sent
+// before Admit() finds enough of them free. An admitted run that lacks back
+// ends for some shards looks for them again at OnCapacity().
 #pragma once
 
 #include <cstdint>
@@ -94,6 +98,9 @@
   // But none waits longer for its hedge than this share of the target: where
   // many back ends are slow, the quantile says nothing about the others.
   double latest_hedge_share = 0.5;
+  // A request waits for back ends that are busy no longer than this share of
+  // its time; then it is refused, and its client has time to try elsewhere.
+  double longest_wait_share = 0.75;
 };
 
 class RequestRun {
@@ -105,7 +112,15 @@
              MonotonicTime deadline, const RunOptions& options,
              BackendPool& pool, routing::LatencyTracker& latency);
 
-  void Start(MonotonicTime now);
+  // @param elapsed_before how long ago the client asked for the first time.
+  void Start(MonotonicTime now, Duration elapsed_before = Duration(0));
+  // Of a run that waits: sends the request if enough back ends are free now.
+  // @return false when it has to go on waiting.
+  bool Admit(MonotonicTime now);
+  // Of a run that waits: refuses the request.
+  void StopWaiting(MonotonicTime now);
+  // Back ends may have become free: sends what had to wait for one.
+  void OnCapacity(MonotonicTime now);
   void OnEnded(AttemptId attempt, AttemptEnd end, MonotonicTime now);
   void OnTime(MonotonicTime now);
   // The client left: everything is cancelled; there is no outcome.
@@ -115,6 +130,13 @@
   MonotonicTime NextDeadline() const;
   const std::optional<RunOutcome>& outcome() const { return outcome_; }
 
+  // Nothing was sent yet, because too many back ends are busy.
+  bool waiting() const { return !over_ && !admitted_; }
+  // Some shards wait for a back end.
+  bool short_of_backends() const;
+  // An answer after this is late.
+  MonotonicTime target_by() const { return target_by_; }
+
   std::size_t attempts() const { return attempts_sent_; }
   std::size_t hedges() const { return hedges_; }
 
@@ -134,6 +156,8 @@
     // is extra load.
     bool arrived = false;
     MonotonicTime next_hedge = MonotonicTime::max();
+    // Nothing is under way, and every back end that may be asked is busy.
+    bool waits_for_backend = false;
     bool in = false;
     bool failed = false;
     ExtraRefusal extra_refusal = ExtraRefusal::kNone;
@@ -144,6 +168,9 @@
 
   // @return false when no back end may be used, or the budget refused.
   bool Send(Shard& shard, MonotonicTime now);
+  // Of a shard with nothing under way: sends, or waits for a busy back end, or
+  // gives the shard up.
+  void SendOrWait(Shard& shard, MonotonicTime now);
   void Hedge(Shard& shard, MonotonicTime now);
   void Retry(Shard& shard, MonotonicTime now);
   Duration HedgeDelay() const;
@@ -164,6 +191,12 @@
   BackendPool& pool_;
   routing::LatencyTracker& latency_;
   MonotonicTime deadline_;
+  // A run that still waits then is refused.
+  MonotonicTime wait_until_;
+  MonotonicTime target_by_;
+  bool admitted_ = false;
+  // A shard that still lacks a back end then is given up.
+  MonotonicTime shards_wait_until_;
   // From then on a scatter that is complete enough is answered.
   MonotonicTime answer_by_;
   std::vector<Shard> shards_;
--- a/source/common/forwarding/router_metrics.cc
+++ b/source/common/forwarding/router_metrics.cc
@@ -59,6 +59,10 @@
       return "misplaced";
     case AttemptResult::kUnsent:
       return "unsent";
+    case AttemptResult::kRefused:
+      return "refused";
+    case AttemptResult::kReset:
+      return "reset";
     case AttemptResult::kBroken:
       return "broken";
     case AttemptResult::kCancelled:
--- a/source/common/forwarding/router_metrics.h
+++ b/source/common/forwarding/router_metrics.h
@@ -28,7 +28,7 @@
   kClientGone,
 };
 inline constexpr std::size_t kRequestEnds = 7;
-inline constexpr std::size_t kAttemptResults = 7;
+inline constexpr std::size_t kAttemptResults = 9;
 
 const char* NameOf(RequestEnd end);
 const char* NameOf(AttemptResult result);
--- a/source/common/forwarding/router_server.cc
+++ b/source/common/forwarding/router_server.cc
@@ -9,9 +9,12 @@
 #include "common/base/text.h"
 #include "common/forwarding/events.h"
 #include "common/forwarding/exchange.h"
+#include "common/forwarding/exchange_dispatcher.h"
 #include "common/forwarding/message_codec.h"
 #include "common/forwarding/split_chooser.h"
+#include "common/forwarding/startup_queue.h"
 #include "common/forwarding/stop_plan.h"
+#include "common/forwarding/usual_deadline.h"
 #include "common/net/address.h"
 #include "common/net/http_client.h"
 #include "common/net/http_server.h"
@@ -32,6 +35,10 @@
 // machine; after a loss of them all, once those have a leader again.
 constexpr Duration kStartingRetryAfter = milliseconds(1200);
 constexpr Duration kStoppingRetryAfter = milliseconds(50);
+// Back ends bound the connections that they take from all callers together: one
+// that is kept for a rare use takes another's place, also for a while after
+// this process has died. Those in use are used once a second and more.
+constexpr seconds kIdleConnectionTime(2);
 constexpr Duration kStopPollInterval = milliseconds(50);
 // Larger bodies are not even read; the route table's limit lies below.
 constexpr std::size_t kMaximumBodyBytes = 8U << 20;
@@ -51,17 +58,27 @@
       : options_(options),
         metrics_(registry),
         pool_(options.pool),
-        client_(context, /*maximum_connections_per_host=*/0),
+        client_(context, /*maximum_connections_per_host=*/0,
+                kIdleConnectionTime),
+        dispatcher_(context),
         environment_{.context = context,
                      .client = client_,
                      .pool = pool_,
                      .metrics = metrics_,
                      .names = options.headers,
                      .run_options = options.run,
+                     .on_progress =
+                         [this](const Exchange& exchange) {
+                           dispatcher_.OnProgress(exchange);
+                         },
                      .on_over =
                          [this](const Exchange& exchange) {
-                           exchanges_.erase(&exchange);
+                           dispatcher_.OnOver(exchange);
                          }},
+        startup_queue_(context,
+                       [this](const StartupQueue::HeldRequestPointer& held) {
+                         RefuseWithoutTable(held->message, *held->responder);
+                       }),
         stop_timer_(context),
         front_(context,
                net::HttpServerOptions{.endpoint = options.http_listen,
@@ -102,13 +119,21 @@
                 {"routes", view->route_table->routes.size()}});
     }
     NoteReadiness();
+    if (IsReady()) {
+      startup_queue_.Release([this](const auto& held) {
+        Route(held->message, held->responder, held->arrived);
+      });
+    }
   }
 
   void Stop(Duration timeout, std::function<void()> done) {
     stopping_ = true;
     stop_done_ = std::move(done);
     stop_plan_ = PlanStop(ReadMonotonicClock(), timeout, options_.stop_notice);
-    LogEvent(kRouterStopping, {{"requests", exchanges_.size()}});
+    LogEvent(kRouterStopping, {{"requests", dispatcher_.in_flight()}});
+    startup_queue_.Release([this](const auto& held) {
+      RefuseWithoutTable(held->message, *held->responder);
+    });
     NoteReadiness();
     front_.CloseAfterAnswers();
     ContinueStop();
@@ -132,11 +157,21 @@
              MakeRefusal(kStoppingRetryAfter, "this router stops"));
       return;
     }
+    const bool usable = index_ && pool_.live_backends() > 0;
+    if (!usable && startup_queue_.Hold(message, responder, now)) {
+      return;
+    }
     if (!index_) {
-      Refuse(message, *responder,
-             MakeRefusal(kStartingRetryAfter, "no route table yet"));
+      RefuseWithoutTable(message, *responder);
       return;
     }
+    Route(message, std::move(responder), now);
+  }
+
+  // @param arrived when the request came.
+  void Route(const net::HttpRequest& message,
+             std::shared_ptr<net::HttpResponder> responder,
+             MonotonicTime arrived) {
     const routes::RouteTablePointer& table = index_->table();
     if (HeaderBytes(message) > table->limits.maximum_header_bytes) {
       Refuse(message, *responder, Status(kStatusHeadersTooLarge));
@@ -152,12 +187,15 @@
       Refuse(message, *responder, Status(kStatusNotFound));
       return;
     }
-    Begin(message, *route, std::move(responder), now);
+    Begin(message, *route, std::move(responder), arrived);
   }
 
   void Begin(const net::HttpRequest& message, const routes::Route& route,
-             std::shared_ptr<net::HttpResponder> responder, MonotonicTime now) {
+             std::shared_ptr<net::HttpResponder> responder,
+             MonotonicTime arrived) {
+    const MonotonicTime now = ReadMonotonicClock();
     Exchange::Request request;
+    request.number = ++last_request_number_;
     request.table = index_->table();
     request.route = &route;
     if (std::holds_alternative<routes::SplitTarget>(route.destination)) {
@@ -166,18 +204,17 @@
     request.message = message;
     request.request_id = HeaderOf(message, options_.headers.request_id);
     request.revision = revision_;
-    request.began = now;
+    request.began = arrived;
     const auto deadline =
         ParseDeadline(HeaderOf(message, options_.headers.deadline));
-    request.deadline = now + deadline.value_or(route.timeout);
-    auto& latency = latencies_[route.name];
-    if (!latency) {
-      latency = std::make_shared<routing::LatencyTracker>();
-    }
-    const auto exchange = std::make_shared<Exchange>(
-        environment_, std::move(request), std::move(responder), latency);
-    exchanges_[exchange.get()] = exchange;
-    exchange->Start();
+    const Duration allowed = deadline.value_or(route.timeout);
+    request.deadline = arrived + std::min(allowed, route.timeout);
+    RouteHistory& history = histories_[route.name];
+    request.elapsed_before =
+        history.usual_deadline.ElapsedBefore(allowed, now) + (now - arrived);
+    dispatcher_.Start(
+        std::make_shared<Exchange>(environment_, std::move(request),
+                                   std::move(responder), history.latency));
   }
 
   static std::string HeaderOf(const net::HttpRequest& message,
@@ -185,6 +222,12 @@
     return message.Header(ToLower(name)).value_or("");
   }
 
+  void RefuseWithoutTable(const net::HttpRequest& message,
+                          net::HttpResponder& responder) {
+    Refuse(message, responder,
+           MakeRefusal(kStartingRetryAfter, "no route table yet"));
+  }
+
   void Refuse(const net::HttpRequest& message, net::HttpResponder& responder,
               net::HttpResponse response) {
     LogEvent(kRequestRefused,
@@ -228,7 +271,8 @@
   void ContinueStop() {
     const MonotonicTime now = ReadMonotonicClock();
     const bool noticed = now > stop_plan_.notice_until;
-    const bool idle = exchanges_.empty() && front_.unwritten_answers() == 0;
+    const bool idle =
+        dispatcher_.in_flight() == 0 && front_.unwritten_answers() == 0;
     if ((noticed && idle) || now >= stop_plan_.abandon_at) {
       EndStop();
       return;
@@ -242,11 +286,8 @@
   }
 
   void EndStop() {
-    LogEvent(kRouterDrained, {{"requests", exchanges_.size()}});
-    const auto rest = exchanges_;
-    for (const auto& [key, exchange] : rest) {
-      exchange->Abandon();
-    }
+    LogEvent(kRouterDrained, {{"requests", dispatcher_.in_flight()}});
+    dispatcher_.AbandonAll();
     front_.StopAccepting();
     if (stop_done_) {
       std::exchange(stop_done_, nullptr)();
@@ -257,12 +298,20 @@
   RouterMetrics metrics_;
   BackendPool pool_;
   net::HttpClient client_;
+  ExchangeDispatcher dispatcher_;
   Exchange::Environment environment_;
+  StartupQueue startup_queue_;
   SplitChooser splits_;
   std::shared_ptr<routes::RouteIndex> index_;
+  // What is known of a route's requests.
+  struct RouteHistory {
+    std::shared_ptr<routing::LatencyTracker> latency =
+        std::make_shared<routing::LatencyTracker>();
+    UsualDeadline usual_deadline;
+  };
   // By route name.
-  std::map<std::string, std::shared_ptr<routing::LatencyTracker>> latencies_;
-  std::map<const Exchange*, std::shared_ptr<Exchange>> exchanges_;
+  std::map<std::string, RouteHistory> histories_;
+  std::uint64_t last_request_number_ = 0;
   asio::steady_timer stop_timer_;
   std::uint64_t revision_ = 0;
   bool was_ready_ = false;
--- /dev/null
+++ b/source/common/forwarding/usual_deadline.cc
@@ -0,0 +1,20 @@
+#include "common/forwarding/usual_deadline.h"
+
+#include <algorithm>
+
+namespace juniperway::forwarding {
+
+Duration UsualDeadline::ElapsedBefore(Duration allowed, MonotonicTime now) {
+  // Also at the first request, whose clock has no period before it.
+  const bool over =
+      period_began_ == MonotonicTime::min() || now - period_began_ >= kPeriod;
+  if (over) {
+    longest_before_ = longest_;
+    longest_ = Duration(0);
+    period_began_ = now;
+  }
+  longest_ = std::max(longest_, allowed);
+  return std::max(longest_, longest_before_) - allowed;
+}
+
+}  // namespace juniperway::forwarding
--- a/source/common/net/http_client.cc
+++ b/source/common/net/http_client.cc
@@ -60,9 +60,11 @@
     std::deque<RequestHandle> queue;
   };
 
-  Implementation(asio::io_context& io_context, std::size_t per_host)
+  Implementation(asio::io_context& io_context, std::size_t per_host,
+                 seconds longest_idle)
       : context(io_context),
         maximum_connections_per_host(per_host),
+        kept_idle(longest_idle),
         timer(io_context) {
     InitializeCurl();
     multi = curl_multi_init();
@@ -379,6 +381,7 @@
     transfer->handle = next_handle++;
     transfer->deadline = std::chrono::steady_clock::now() + request.timeout;
     transfer->request = std::move(request);
+    transfer->kept_idle = kept_idle;
     transfer->callback = std::move(callback);
     transfers.emplace(transfer->handle, std::move(owned));
     if (EnterHost(transfer)) {
@@ -415,6 +418,7 @@
 
   asio::io_context& context;
   const std::size_t maximum_connections_per_host;
+  const seconds kept_idle;
   asio::steady_timer timer;
   CURLM* multi = nullptr;
   bool stopped = false;
@@ -428,9 +432,10 @@
 };
 
 HttpClient::HttpClient(asio::io_context& context,
-                       std::size_t maximum_connections_per_host)
+                       std::size_t maximum_connections_per_host,
+                       seconds kept_idle)
     : implementation_(std::make_shared<Implementation>(
-          context, maximum_connections_per_host)) {}
+          context, maximum_connections_per_host, kept_idle)) {}
 
 HttpClient::~HttpClient() { implementation_->Shutdown(); }
 
--- a/source/common/net/http_client.h
+++ b/source/common/net/http_client.h
@@ -56,6 +56,9 @@
   std::vector<std::pair<std::string, std::string>> fields;
   std::string body;
   bool timed_out = false;
+  // The peer refused or reset a connection that was opened for this exchange,
+  // before a byte of an answer came.
+  bool new_connection_refused = false;
   std::string transport_error;  // libcurl's text when not kAnswered
 };
 
@@ -66,8 +69,11 @@
 
   // @param maximum_connections_per_host bounds open connections to one ip:port
   //   (0: no bound). Idle ones are kept for reuse and count.
+  // @param kept_idle a connection that was idle for longer is not used again
+  //   and is closed when later exchanges start; 0: libcurl's own bound.
   HttpClient(asio::io_context& context,
-             std::size_t maximum_connections_per_host);
+             std::size_t maximum_connections_per_host,
+             seconds kept_idle = seconds(0));
   ~HttpClient();
   HttpClient(const HttpClient&) = delete;
   HttpClient& operator=(const HttpClient&) = delete;
--- a/source/common/net/http_transfer.cc
+++ b/source/common/net/http_transfer.cc
@@ -130,6 +130,10 @@
         easy, CURLOPT_CONNECTTIMEOUT_MS,
         static_cast<long>(ToMilliseconds(transfer->request.connect_timeout)));
   }
+  if (transfer->kept_idle > seconds(0)) {
+    curl_easy_setopt(easy, CURLOPT_MAXAGE_CONN,
+                     static_cast<long>(transfer->kept_idle.count()));
+  }
   curl_easy_setopt(easy, CURLOPT_NOSIGNAL, 1L);
   curl_easy_setopt(easy, CURLOPT_BUFFERSIZE, kReceiveBufferBytes);
   curl_easy_setopt(easy, CURLOPT_TCP_NODELAY, 1L);
@@ -155,6 +159,18 @@
   curl_easy_setopt(easy, CURLOPT_PREREQDATA, transfer);
 }
 
+// Whether the exchange ended because its new connection was refused or reset.
+bool IsNewConnectionRefused(const Transfer& transfer, CURLcode result) {
+  if (result == CURLE_COULDNT_CONNECT) {
+    return true;
+  }
+  const bool reset = result == CURLE_RECV_ERROR || result == CURLE_SEND_ERROR;
+  long opened = 0;
+  curl_easy_getinfo(transfer.easy, CURLINFO_NUM_CONNECTS, &opened);
+  return reset && opened > 0 && !transfer.repeat_refused &&
+         transfer.response.fields.empty();
+}
+
 }  // namespace
 
 HttpProgress Transfer::Progress() const {
@@ -190,6 +206,7 @@
   }
   response.progress = transfer->Progress();
   response.timed_out = result == CURLE_OPERATION_TIMEDOUT;
+  response.new_connection_refused = IsNewConnectionRefused(*transfer, result);
   response.transport_error = curl_easy_strerror(result);
   if (transfer->repeat_refused) {
     response.transport_error =
--- a/source/common/net/http_transfer.h
+++ b/source/common/net/http_transfer.h
@@ -30,6 +30,8 @@
   HttpClientResponse response;
   std::chrono::steady_clock::time_point deadline;
   std::string host;
+  // Bound on the idle time of connections; 0: libcurl's own.
+  seconds kept_idle{0};
   // Runs while it waits for a connection.
   std::optional<asio::steady_timer> queue_timer;
   // libcurl got as far as sending the request.
--- a/test/unit/forwarding/backend_pool_test.cc
+++ b/test/unit/forwarding/backend_pool_test.cc
@@ -41,6 +41,10 @@
     return backend == nullptr ? "" : backend->info.id;
   }
 
+  Availability AvailabilityNow(const std::vector<std::string>& excluded = {}) {
+    return pool.AvailabilityOf("s", excluded, now);
+  }
+
   void Run(const std::string& id, Duration latency,
            AttemptResult result = AttemptResult::kAnswered) {
     pool.OnSent(id, ++attempt, now);
@@ -133,7 +137,7 @@
     pool.Run(id, milliseconds(1), AttemptResult::kShed);
   }
   CHECK(pool.Choose() == "");
-  CHECK_FALSE(pool.pool.HasUsable("s", pool.now));
+  CHECK(pool.AvailabilityNow() == Availability::kBusy);
   pool.now += milliseconds(100);
   CHECK(pool.Choose() == "1");
 }
@@ -151,6 +155,10 @@
 
 TEST_CASE("routers share a back end's connections") {
   Pool pool;
+  // As many as its share allows are used only once it has answered often.
+  for (int i = 0; i < 1000; ++i) {
+    pool.Run("1", milliseconds(1));
+  }
   pool.routers = 10;
   pool.pool.Update(pool.view, 10);
   // 0.9 x 40 connections among 10 routers.
@@ -161,5 +169,73 @@
   CHECK(pool.Choose({"2", "3"}) == "");
 }
 
+TEST_CASE("a service is busy while its back ends are expected back soon") {
+  Pool pool;
+  const std::vector<std::string> others = {"2", "3"};
+  CHECK(pool.AvailabilityNow(others) == Availability::kUsable);
+  CHECK(pool.AvailabilityNow({"1", "2", "3"}) == Availability::kNone);
+  SUBCASE("in use") {
+    pool.pool.OnSent("1", 88, pool.now);
+    CHECK(pool.AvailabilityNow(others) == Availability::kBusy);
+    pool.pool.OnEnded("1", 88, AttemptResult::kAnswered,
+                      pool.now + milliseconds(5));
+    CHECK(pool.AvailabilityNow(others) == Availability::kUsable);
+  }
+  SUBCASE("in use by an attempt that gets no answer") {
+    pool.pool.OnSent("1", 88, pool.now);
+    pool.now += seconds(1);
+    CHECK(pool.AvailabilityNow(others) == Availability::kNone);
+  }
+  SUBCASE("leaving") {
+    pool.view.discovered["1"].draining = true;
+    pool.pool.Update(pool.view, pool.routers);
+    CHECK(pool.AvailabilityNow(others) == Availability::kNone);
+  }
+  SUBCASE("unknown") {
+    CHECK(pool.pool.AvailabilityOf("other", {}, pool.now) ==
+          Availability::kNone);
+  }
+}
+
+TEST_CASE("a back end that refuses connections pauses, then counts as down") {
+  for (const auto result : {AttemptResult::kRefused, AttemptResult::kReset}) {
+    Pool pool;
+    pool.Run("1", milliseconds(1), result);
+    CHECK(pool.Choose({"2", "3"}) == "");
+    CHECK(pool.AvailabilityNow({"2", "3"}) == Availability::kBusy);
+    // Much earlier than after a failure of another kind.
+    pool.now += milliseconds(40);
+    CHECK(pool.Choose() == "1");
+    for (int i = 0; i < 4; ++i) {
+      pool.Run("1", milliseconds(1), result);
+    }
+    CHECK(pool.AvailabilityNow({"2", "3"}) == Availability::kNone);
+    pool.now += seconds(2);
+    CHECK(pool.Choose() == "1");
+  }
+}
+
+TEST_CASE("connections to one back end grow with its answers") {
+  Pool pool;
+  pool.pool.OnSent("1", 88, pool.now);
+  CHECK(pool.Choose({"2", "3"}) == "");
+  pool.pool.OnEnded("1", 88, AttemptResult::kAnswered, pool.now);
+  for (int i = 0; i < 40; ++i) {
+    pool.Run("1", milliseconds(5));
+  }
+  const auto open = [&pool] {
+    std::size_t sent = 0;
+    while (pool.Choose({"2", "3"}) == "1") {
+      pool.pool.OnSent("1", ++pool.attempt, pool.now);
+      ++sent;
+    }
+    return sent;
+  };
+  const std::size_t before = open();
+  CHECK(before > 2);
+  // 0.9 of 40 connections for four routers.
+  CHECK(before <= 9);
+}
+
 }  // namespace
 }  // namespace juniperway::forwarding
--- a/test/unit/forwarding/message_codec_test.cc
+++ b/test/unit/forwarding/message_codec_test.cc
@@ -105,6 +105,10 @@
   CHECK(result(broken) == AttemptResult::kBroken);
   broken.progress = net::HttpProgress::kNotSent;
   CHECK(result(broken) == AttemptResult::kUnsent);
+  broken.new_connection_refused = true;
+  CHECK(result(broken) == AttemptResult::kRefused);
+  broken.progress = net::HttpProgress::kSent;
+  CHECK(result(broken) == AttemptResult::kReset);
 }
 
 TEST_CASE("a back end's answer keeps its headers, without the connection's") {
--- a/test/unit/forwarding/request_run_test.cc
+++ b/test/unit/forwarding/request_run_test.cc
@@ -369,5 +369,132 @@
   CHECK(world.now == began + milliseconds(500));
 }
 
+// Takes every connection of the services' back ends, as other requests would.
+class Occupied {
+ public:
+  Occupied(World& world, std::vector<std::string> services)
+      : world_(world), services_(std::move(services)) {
+    for (const std::string& service : services_) {
+      while (const auto* backend =
+                 world_.pool.Choose(service, {}, world_.now)) {
+        const AttemptId attempt = kFirstAttempt + attempts_.size();
+        attempts_.emplace_back(backend->info.id, attempt);
+        world_.pool.OnSent(backend->info.id, attempt, world_.now);
+      }
+    }
+  }
+
+  void Release() {
+    for (const auto& [backend, attempt] : attempts_) {
+      world_.pool.OnEnded(backend, attempt, AttemptResult::kAnswered,
+                          world_.now);
+    }
+    attempts_.clear();
+  }
+
+ private:
+  // Beyond those of the runs.
+  static constexpr AttemptId kFirstAttempt = 1'000'000'000;
+
+  World& world_;
+  std::vector<std::string> services_;
+  std::vector<std::pair<std::string, AttemptId>> attempts_;
+};
+
+TEST_CASE("a scatter waits while too many of its back ends are busy") {
+  World world;
+  Occupied occupied(world, {"s0", "s1"});
+  RequestRun& run = world.Start();
+  CHECK(run.waiting());
+  CHECK(world.sent.empty());
+  CHECK_FALSE(run.outcome());
+  SUBCASE("until they are free") {
+    CHECK_FALSE(run.Admit(world.now));
+    occupied.Release();
+    CHECK(run.Admit(world.now));
+    world.Take();
+    CHECK_FALSE(run.waiting());
+    CHECK(world.sent.size() == kShards);
+  }
+  SUBCASE("and is refused in time for its client to try elsewhere") {
+    const MonotonicTime began = world.now;
+    world.Wait();
+    REQUIRE(run.outcome());
+    CHECK(run.outcome()->result == RunResult::kNotRun);
+    CHECK(world.now < began + world.route.timeout);
+    CHECK(world.sent.empty());
+  }
+  SUBCASE("and is refused when it must not wait") {
+    run.StopWaiting(world.now);
+    REQUIRE(run.outcome());
+    CHECK(run.outcome()->result == RunResult::kNotRun);
+  }
+}
+
+TEST_CASE("a shard whose back ends are busy is asked when one is free") {
+  World world;
+  Occupied occupied(world, {"s0"});
+  RequestRun& run = world.Start();
+  CHECK(world.sent.size() == kShards - 1);
+  CHECK(run.short_of_backends());
+  for (int shard = 1; shard < kShards; ++shard) {
+    world.Answer(ShardName(shard));
+  }
+  CHECK_FALSE(run.outcome());
+  SUBCASE("in time") {
+    occupied.Release();
+    run.OnCapacity(world.now);
+    world.Take();
+    CHECK_FALSE(run.short_of_backends());
+    world.Answer("s0");
+    REQUIRE(run.outcome());
+    CHECK(run.outcome()->missing.empty());
+  }
+  SUBCASE("not in time: the others are answered at the target") {
+    const MonotonicTime began = world.now;
+    world.Wait();
+    REQUIRE(run.outcome());
+    CHECK(run.outcome()->result == RunResult::kSuccess);
+    CHECK(run.outcome()->missing.size() == 1);
+    CHECK(world.now - began < world.route.target);
+  }
+}
+
+TEST_CASE("a request that was tried before is late earlier") {
+  World world;
+  world.run =
+      std::make_unique<RequestRun>(world.route, "s0", world.now + seconds(3),
+                                   RunOptions{}, world.pool, world.latency);
+  world.run->Start(world.now, seconds(1));
+  CHECK(world.run->target_by() == world.now + world.route.target - seconds(1));
+  world.Take();
+  // It is not answered with parts at once all the same.
+  for (int shard = 1; shard < kShards; ++shard) {
+    world.Answer(ShardName(shard));
+  }
+  CHECK_FALSE(world.run->outcome());
+  CHECK(world.run->NextDeadline() > world.now);
+}
+
+TEST_CASE("what replaces a refused connection needs no budget, a reset does") {
+  for (const auto result : {AttemptResult::kRefused, AttemptResult::kReset}) {
+    World world(/*slack=*/0, /*ratio=*/0);
+    world.MakeSingle(/*repeatable=*/true);
+    world.Start();
+    world.End(world.AttemptAt("s0"), result);
+    CHECK(world.sent.size() == (result == AttemptResult::kRefused ? 2 : 1));
+  }
+}
+
+TEST_CASE("a request whose connection was reset may have run") {
+  World world;
+  world.MakeSingle(/*repeatable=*/false);
+  RequestRun& run = world.Start();
+  world.End(world.AttemptAt("s0"), AttemptResult::kReset);
+  CHECK(world.sent.size() == 1);
+  REQUIRE(run.outcome());
+  CHECK(run.outcome()->result == RunResult::kFailed);
+}
+
 }  // namespace
 }  // namespace juniperway::forwarding
--- a/test/unit/net/http_test.cc
+++ b/test/unit/net/http_test.cc
@@ -1,6 +1,7 @@
 // The HTTP client against the HTTP server, and each against a raw socket.
 #include <doctest/doctest.h>
 
+#include <array>
 #include <asio/read_until.hpp>
 #include <asio/steady_timer.hpp>
 #include <asio/write.hpp>
@@ -269,6 +270,77 @@
   CHECK(client.running() == 0);
 }
 
+TEST_CASE("a connection that is not used is closed, not kept for good") {
+  asio::io_context context;
+  RawServer rare(context);
+  RawServer busy(context);
+  std::shared_ptr<tcp::socket> idle;
+  rare.on_request = [&](const auto& socket) {
+    RawServer::Answer(*socket);
+    idle = socket;
+  };
+  busy.on_request = [](const auto& socket) { RawServer::Answer(*socket); };
+  HttpClient client(context, 0, /*kept_idle=*/seconds(1));
+  HttpClientRequest request;
+  request.url = UrlOf(rare.acceptor.local_endpoint(), "/x");
+  CHECK(Exchange(context, client, request).status == 200);
+  // The server's side sees the end of the connection.
+  const auto closed = [&idle] {
+    std::array<char, 1> byte{};
+    std::error_code error;
+    idle->non_blocking(true);
+    idle->receive(asio::buffer(byte), tcp::socket::message_peek, error);
+    return error == asio::error::eof;
+  };
+  request.url = UrlOf(busy.acceptor.local_endpoint(), "/x");
+  while (!closed()) {
+    REQUIRE(Exchange(context, client, request).status == 200);
+  }
+  CHECK(busy.connections == 1);
+}
+
+TEST_CASE("a refused or reset new connection is told from a broken one") {
+  asio::io_context context;
+  const auto reset = [](tcp::socket& socket) {
+    socket.set_option(asio::socket_base::linger(true, 0));
+    socket.close();
+  };
+  RawServer server(context);
+  HttpClient client(context, 0);
+  HttpClientRequest request;
+  request.url = UrlOf(server.acceptor.local_endpoint(), "/x");
+  SUBCASE("reset at its first request") {
+    server.on_request = [&](const auto& socket) { reset(*socket); };
+    const auto response = Exchange(context, client, request);
+    CHECK(response.progress == HttpProgress::kSent);
+    CHECK(response.new_connection_refused);
+  }
+  SUBCASE("reset at a later request") {
+    server.on_request = [&](const auto& socket) {
+      if (server.requests == 2) {
+        reset(*socket);
+      } else {
+        RawServer::Answer(*socket);
+      }
+    };
+    CHECK(Exchange(context, client, request).status == 200);
+    const auto response = Exchange(context, client, request);
+    CHECK(response.progress == HttpProgress::kSent);
+    CHECK_FALSE(response.new_connection_refused);
+  }
+  SUBCASE("nothing listens") {
+    server.acceptor.close();
+    const auto response = Exchange(context, client, request);
+    CHECK(response.progress == HttpProgress::kNotSent);
+    CHECK(response.new_connection_refused);
+  }
+  SUBCASE("silence") {
+    server.on_request = [](const auto&) {};
+    request.timeout = milliseconds(20);
+    CHECK_FALSE(Exchange(context, client, request).new_connection_refused);
+  }
+}
+
 TEST_CASE("a request is not sent twice when its kept connection breaks") {
   asio::io_context context;
   RawServer server(context);
