Let two of three answers tell of a slow back end where answers are rare

Change: RecentLatency takes the median of three unless five answers came within 1.5 s. Where answers are frequent nothing changes.

--- a/source/common/forwarding/recent_latency.cc
+++ b/source/common/forwarding/recent_latency.cc
@@ -15,15 +15,21 @@
 }
 
 Duration RecentLatency::Median(MonotonicTime now, Duration assumed) const {
+  const Sample& oldest = samples_.at(next_);
+  const bool often =
+      oldest.taken != MonotonicTime::min() && now - oldest.taken <= kOften;
+  const std::size_t count = often ? kSamples : kRareSamples;
   std::array<Duration, kSamples> latencies{};
-  std::ranges::transform(
-      samples_, latencies.begin(), [&](const Sample& sample) {
-        const bool counts = sample.taken != MonotonicTime::min() &&
-                            now - sample.taken <= kMemory;
-        return counts ? sample.latency : assumed;
-      });
-  const auto middle = latencies.begin() + kSamples / 2;
-  std::ranges::nth_element(latencies, middle);
+  for (std::size_t age = 0; age < count; ++age) {
+    const Sample& sample = samples_.at((next_ + kSamples - 1 - age) % kSamples);
+    const bool counts =
+        sample.taken != MonotonicTime::min() && now - sample.taken <= kMemory;
+    latencies.at(age) = counts ? sample.latency : assumed;
+  }
+  const auto middle =
+      latencies.begin() + static_cast<std::ptrdiff_t>(count / 2);
+  std::nth_element(latencies.begin(), middle,
+                   latencies.begin() + static_cast<std::ptrdiff_t>(count));
   return *middle;
 }
 
--- a/test/unit/forwarding/recent_latency_test.cc
+++ b/test/unit/forwarding/recent_latency_test.cc
@@ -32,6 +32,26 @@
   CHECK(latency.Median(end, kInitial) == kUsual);
 }
 
+TEST_CASE("where answers are rare one pause does not make a back end slow") {
+  RecentLatency latency;
+  MonotonicTime now = kStart;
+  for (const Duration sample : {kUsual, kUsual, kUsual, kUsual, kSlow}) {
+    latency.Record(sample, now, now + sample);
+    now += milliseconds(500);
+  }
+  CHECK(latency.Median(now, kInitial) == kUsual);
+}
+
+TEST_CASE("where answers are rare a slow back end shows after two") {
+  RecentLatency latency;
+  MonotonicTime now = kStart;
+  for (const Duration sample : {kUsual, kUsual, kUsual, kSlow, kSlow}) {
+    latency.Record(sample, now, now + sample);
+    now += milliseconds(500);
+  }
+  CHECK(latency.Median(now, kInitial) == kSlow);
+}
+
 TEST_CASE("all that are under way in a pause count as one") {
   RecentLatency latency;
   const MonotonicTime usual = RecordInTurn(latency, kUsual, 5, kStart);
