Name the router's constants by what they hold and say where they come from

kSafety, kStep and kUnrunAttempts become kUsedShare, kRelativeStep and kMaximumUnrunAttempts; the pauses and distances of BackendPool say why they have their size; comments that needed explaining are told plainly. waited_ms of a request that was never sent is the whole time. An integration case shows that a request waits for the only back end's pause after a shed (503 before).

--- a/source/common/forwarding/backend_pool.cc
+++ b/source/common/forwarding/backend_pool.cc
@@ -8,19 +8,24 @@
 namespace {
 
 // How much longer a back end of the same zone may take before one elsewhere is
-// preferred: more than the way there takes, because that way is dear.
+// preferred: more than the way there takes, because traffic between zones and
+// regions costs money (docs/EXPERIMENTS.md, p2 and p18).
 constexpr Duration kSameRegionDistance = milliseconds(10);
 constexpr Duration kOtherRegionDistance = milliseconds(60);
 // Share of a back end's connections that the routers use together; the rest
 // is for connections that are closing and routers that are not known yet.
 constexpr double kConnectionShare = 0.9;
 
+// After a failure, and doubled with each further one: about as long as a
+// restart of a back end's process takes, up to the age of the discovery list.
 constexpr Duration kFirstEjection = milliseconds(300);
 constexpr Duration kLongestEjection = seconds(3);
+// After a shed: a few times what a request takes, so that the queue shrinks.
 constexpr Duration kFirstShedPause = milliseconds(50);
 constexpr Duration kLongestShedPause = milliseconds(500);
-// After a refused or reset connection: that long until another caller has
-// closed one, or until it shows that nothing listens there any more.
+// After a refused or reset connection, and doubled with each further one: most
+// often the back end has as many connections as it takes, and another caller
+// soon closes one (docs/DECIDING.md).
 constexpr Duration kFirstRefusalPause = milliseconds(30);
 constexpr Duration kLongestRefusalPause = seconds(1);
 // After so many failures in a row a back end is down rather than busy.
--- a/source/common/forwarding/exchange.cc
+++ b/source/common/forwarding/exchange.cc
@@ -243,7 +243,8 @@
     return;
   }
   const Duration allowed = request_.deadline - request_.began;
-  const Duration waited = admitted_at_ - request_.began;
+  const Duration waited =
+      run_.attempts() == 0 ? elapsed : admitted_at_ - request_.began;
   LogEvent(kRequestEnded, {{"request", request_.request_id},
                            {"route", request_.route->name},
                            {"table", request_.table->version},
--- a/source/common/forwarding/exchange.h
+++ b/source/common/forwarding/exchange.h
@@ -90,7 +90,7 @@
   RequestRun run_;
   asio::steady_timer timer_;
   std::map<AttemptId, net::HttpClient::RequestHandle> handles_;
-  // When the request stopped waiting for back ends.
+  // When the request was first sent, if it was.
   MonotonicTime admitted_at_;
   bool over_ = false;
 };
--- a/source/common/forwarding/extra_budget.cc
+++ b/source/common/forwarding/extra_budget.cc
@@ -5,9 +5,10 @@
 namespace juniperway::forwarding {
 namespace {
 
-// Windows of the fleet and of this router do not lie alike, and other routers'
-// traffic moves: what is left is for that.
-constexpr double kSafety = 0.8;
+// Share of the budget that is used. The rest covers windows of the fleet that
+// begin at other moments than this router's, and traffic that moves from one
+// router to another. Ninety percent gained nothing (docs/EXPERIMENTS.md, p10).
+constexpr double kUsedShare = 0.8;
 
 }  // namespace
 
@@ -39,7 +40,7 @@
   const double routers =
       static_cast<double>(std::max<std::size_t>(1, limits.routers));
   const double allowed =
-      kSafety * (limits.ratio * requests + limits.slack / routers);
+      kUsedShare * (limits.ratio * requests + limits.slack / routers);
   if (extra + 1 > allowed) {
     return false;
   }
--- a/source/common/forwarding/message_codec.cc
+++ b/source/common/forwarding/message_codec.cc
@@ -23,6 +23,8 @@
 // When a refused client should come back: what is in the way (back ends that
 // restart, full queues) is seldom over at once, and a client has few tries.
 constexpr Duration kRetryAfter = milliseconds(500);
+// To open a connection to a back end: many times the way to another region;
+// one that is not there by then hangs.
 constexpr Duration kConnectTimeout = milliseconds(400);
 // The run ends an attempt at its deadline; the transfer's own timer lies behind
 // that and only bounds a fault of it.
--- a/source/common/forwarding/request_run.cc
+++ b/source/common/forwarding/request_run.cc
@@ -9,9 +9,9 @@
 namespace juniperway::forwarding {
 namespace {
 
-// Back ends that shed a request or could not be reached do not count as
-// attempts; this many more are tried all the same.
-constexpr std::size_t kUnrunAttempts = 2;
+// Attempts that a back end did not run (shed, or no connection) do not count
+// towards the route's maximum; at most this many of them are made for a shard.
+constexpr std::size_t kMaximumUnrunAttempts = 2;
 // A hedge that the budget refused is asked for again after this.
 constexpr Duration kHedgeRetryDelay = milliseconds(20);
 // Shortest wait before a hedge.
@@ -84,11 +84,11 @@
     return false;
   }
   admitted_ = true;
-  // What is late already gets half of the target once more.
+  // A request that is late already still gets half of a target to complete.
   answer_by_ =
       std::max(target_by_ - options_.answer_margin, now + route_.target / 2);
-  // A client that asks for the first time may have time for another try; one
-  // that has waited for long has none.
+  // A fresh request is given up early enough for its client to try again; one
+  // that is late already has most likely used up its client's tries.
   shards_wait_until_ = target_by_ < now ? wait_until_ : now + route_.target;
   for (Shard& shard : shards_) {
     pool_.OnFirstRequest(shard.service, now);
@@ -169,7 +169,7 @@
 }
 
 bool RequestRun::MayRepeat(const Shard& shard) const {
-  const std::size_t tries = route_.maximum_attempts + kUnrunAttempts;
+  const std::size_t tries = route_.maximum_attempts + kMaximumUnrunAttempts;
   return shard.runs < route_.maximum_attempts && shard.tried.size() < tries;
 }
 
@@ -227,7 +227,7 @@
         shard.under_way.clear();
         break;
       case AttemptResult::kRefused:
-        // It may be asked again, once the pool offers it again.
+        // Nothing was sent: it may be asked again after its pause.
         std::erase(shard.tried, ended.backend);
         [[fallthrough]];
       case AttemptResult::kUnsent:
--- a/source/common/forwarding/request_run.h
+++ b/source/common/forwarding/request_run.h
@@ -107,7 +107,8 @@
  public:
   // @param service picks the part of a split; not used by a scatter.
   // @param deadline when the client leaves.
-  // @param latency of the route's attempts; outlives the run, as do the others.
+  // @param latency of the route's attempts.
+  // All references must stay valid for the lifetime of the run.
   RequestRun(const routes::Route& route, const std::string& service,
              MonotonicTime deadline, const RunOptions& options,
              BackendPool& pool, routing::LatencyTracker& latency);
--- a/source/common/forwarding/router_server.h
+++ b/source/common/forwarding/router_server.h
@@ -29,8 +29,8 @@
   HeaderNames headers;
   PoolOptions pool;
   RunOptions run;
-  // In a planned stop: how long after its start new requests are still taken,
-  // for whoever has not noticed yet.
+  // In a planned stop: how long new requests are still taken, because load
+  // balancers take a while to see that the router is not ready any more.
   Duration stop_notice = milliseconds(2500);
 };
 
--- a/source/common/forwarding/stop_plan.h
+++ b/source/common/forwarding/stop_plan.h
@@ -7,7 +7,7 @@
 namespace juniperway::forwarding {
 
 struct StopPlan {
-  // Until then new requests are taken, for whoever has not noticed yet that
+  // Until then new requests are taken: load balancers take a while to see that
   // this router is not ready any more.
   MonotonicTime notice_until;
   // From then on what is under way is answered as given up. What is left of the
--- a/source/common/forwarding/usual_latency.cc
+++ b/source/common/forwarding/usual_latency.cc
@@ -15,8 +15,9 @@
     estimate_ = std::max(latency, kShortest);
     return;
   }
-  const double ratio = latency > *estimate_ ? 1 + kStep * kQuantile
-                                            : 1 - kStep * (1 - kQuantile);
+  const double ratio = latency > *estimate_
+                           ? 1 + kRelativeStep * kQuantile
+                           : 1 - kRelativeStep * (1 - kQuantile);
   const Duration moved(static_cast<Duration::rep>(
       static_cast<double>(estimate_->count()) * ratio));
   estimate_ = std::max(moved, kShortest);
--- a/source/common/forwarding/usual_latency.h
+++ b/source/common/forwarding/usual_latency.h
@@ -18,7 +18,7 @@
   // are, do not make the others of their service look slow too.
   static constexpr double kQuantile = 0.25;
   // Ratio of one step in each direction, before it is weighted by the quantile.
-  static constexpr double kStep = 0.05;
+  static constexpr double kRelativeStep = 0.05;
 
   void Record(Duration latency);
   // @return nothing before the first sample.
--- a/test/integration/forwarding/router_test.cc
+++ b/test/integration/forwarding/router_test.cc
@@ -78,6 +78,8 @@
   CHECK_FALSE(HeaderOf(shed, "retry-after").empty());
   one.SetAnswering(Answering::kWell);
   two.SetAnswering(Answering::kWell);
+  // The only back end pauses after the shed: the request waits for it.
+  CHECK(fleet.Request("/one/after-shed").status == 200);
 
   // A back end that leaves gets nothing more.
   REQUIRE(fleet.AwaitStatus("/one/", 200));
