--- a/source/common/forwarding/exchange_dispatcher.cc
+++ b/source/common/forwarding/exchange_dispatcher.cc
@@ -19,7 +19,7 @@
   exchanges_[exchange->request().number] = exchange;
   exchange->Start();
   if (!exchange->run().waiting()) {
-    Note(*exchange);
+    TrackShortage(*exchange);
     return;
   }
   if (admission_.size() >= kMaximumWaiting) {
@@ -34,7 +34,7 @@
 }
 
 void ExchangeDispatcher::OnProgress(const Exchange& exchange) {
-  Note(exchange);
+  TrackShortage(exchange);
   if (IsAnythingWaiting()) {
     ScheduleDispatch(Duration(0));
   }
@@ -57,7 +57,7 @@
   }
 }
 
-void ExchangeDispatcher::Note(const Exchange& exchange) {
+void ExchangeDispatcher::TrackShortage(const Exchange& exchange) {
   const RequestNumber number = exchange.request().number;
   if (exchange.run().short_of_backends()) {
     short_of_backends_.insert(number);
@@ -103,7 +103,7 @@
     if (found != exchanges_.end()) {
       const std::shared_ptr<Exchange> exchange = found->second;
       exchange->OnCapacity();
-      Note(*exchange);
+      TrackShortage(*exchange);
     }
   }
 }
@@ -114,7 +114,7 @@
     const std::shared_ptr<Exchange> exchange = exchanges_.at(next->number);
     if (exchange->Admit()) {
       admission_.Remove(next->number);
-      Note(*exchange);
+      TrackShortage(*exchange);
     } else {
       blocked.insert(next->route);
     }
--- a/source/common/forwarding/exchange_dispatcher.h
+++ b/source/common/forwarding/exchange_dispatcher.h
@@ -2,7 +2,8 @@
 // lets those that wait for back ends go on when some may have become free.
 //
 // Owns the exchanges and the order of what waits (AdmissionQueue). Runs on the
-// io_context's thread; nothing that waits is looked at inside a caller's call.
+// io_context's thread. Waiting exchanges go on only from its own timer, never
+// inside a call of OnProgress or OnOver.
 #pragma once
 
 #include <asio/io_context.hpp>
@@ -38,8 +39,8 @@
   std::size_t in_flight() const { return exchanges_.size(); }
 
  private:
-  // Notes whether the exchange waits for back ends.
-  void Note(const Exchange& exchange);
+  // Keeps short_of_backends_ up to date for this exchange.
+  void TrackShortage(const Exchange& exchange);
   bool IsAnythingWaiting() const;
   // Dispatches after `delay`, or earlier if that is due already.
   void ScheduleDispatch(Duration delay);
