Take a request's forwarded form in place of its message

An exchange held the client's message and what goes on of it: the body stood twice. Its owner now makes the forwarded form, and the exchange keeps only that.

--- a/source/common/forwarding/exchange.cc
+++ b/source/common/forwarding/exchange.cc
@@ -74,7 +74,6 @@
                    std::shared_ptr<routing::LatencyTracker> latency)
     : environment_(environment),
       request_(std::move(request)),
-      forwarded_(MakeForwardedRequest(request_.message, environment.names)),
       responder_(std::move(responder)),
       latency_(std::move(latency)),
       run_(*request_.route, request_.service, request_.deadline,
@@ -139,7 +138,7 @@
 
 void Exchange::Send(const SendAction& action) {
   net::HttpClientRequest request = MakeBackendRequest(
-      forwarded_, action, environment_.names, ReadMonotonicClock());
+      request_.forwarded, action, environment_.names, ReadMonotonicClock());
   handles_[action.attempt] = environment_.client.Start(
       std::move(request),
       [self = shared_from_this(), action](net::HttpClientResponse response) {
@@ -159,7 +158,7 @@
       std::move(response), environment_.names,
       run_.IsScatter() ? AnswerUse::kMerged : AnswerUse::kPassedOn);
   if (end.result != AttemptResult::kAnswered) {
-    LogEvent(kAttemptFailed, {{"request", request_.request_id},
+    LogEvent(kAttemptFailed, {{"request", request_.forwarded.request_id},
                               {"route", request_.route->name},
                               {"backend", action.backend},
                               {"address", action.address},
@@ -178,7 +177,7 @@
     return;
   }
   const MonotonicTime now = ReadMonotonicClock();
-  LogEvent(kClientGone, {{"request", request_.request_id},
+  LogEvent(kClientGone, {{"request", request_.forwarded.request_id},
                          {"route", request_.route->name},
                          {"after_ms", ToMilliseconds(now - request_.began)}});
   over_ = true;
@@ -241,7 +240,7 @@
 
 void Exchange::LogEnd(const RunOutcome& outcome, Duration elapsed) const {
   if (EndOf(outcome) == RequestEnd::kWhole) {
-    LogEvent(kRequestServed, {{"request", request_.request_id},
+    LogEvent(kRequestServed, {{"request", request_.forwarded.request_id},
                               {"route", request_.route->name},
                               {"table", request_.table->version},
                               {"revision", request_.revision},
@@ -253,7 +252,7 @@
   const Duration allowed = request_.deadline - request_.began;
   const Duration waited =
       run_.attempts() == 0 ? elapsed : admitted_at_ - request_.began;
-  LogEvent(kRequestEnded, {{"request", request_.request_id},
+  LogEvent(kRequestEnded, {{"request", request_.forwarded.request_id},
                            {"route", request_.route->name},
                            {"table", request_.table->version},
                            {"revision", request_.revision},
--- a/source/common/forwarding/exchange.h
+++ b/source/common/forwarding/exchange.h
@@ -42,8 +42,7 @@
     const routes::Route* route = nullptr;
     // Of a split: the chosen part.
     std::string service;
-    net::HttpRequest message;
-    std::string request_id;
+    ForwardedRequest forwarded;
     // Of the view that it was routed by.
     std::uint64_t revision = 0;
     MonotonicTime began;
@@ -85,7 +84,6 @@
 
   Environment& environment_;
   Request request_;
-  ForwardedRequest forwarded_;
   std::shared_ptr<net::HttpResponder> responder_;
   std::shared_ptr<routing::LatencyTracker> latency_;
   RequestRun run_;
--- a/source/common/forwarding/router_server.cc
+++ b/source/common/forwarding/router_server.cc
@@ -215,8 +215,7 @@
     if (std::holds_alternative<routes::SplitTarget>(route.destination)) {
       request.service = splits_.Choose(route);
     }
-    request.message = message;
-    request.request_id = HeaderOf(message, options_.headers.request_id);
+    request.forwarded = MakeForwardedRequest(message, options_.headers);
     request.revision = revision_;
     request.began = arrived;
     const auto deadline =
--- a/source/common/net/http_client.cc
+++ b/source/common/net/http_client.cc
@@ -18,8 +18,8 @@
 namespace juniperway::net {
 namespace {
 
-// About as many as a scatter and its hedges have under way: making a handle
-// costs more than using one.
+// About as many as a scatter and its hedges have under way. Handles beyond
+// these are made and freed with each transfer.
 constexpr std::size_t kKeptEasyHandles = 64;
 // Idle connections kept over all hosts.
 constexpr long kKeptConnections = 4096;
