--- a/source/common/control/control_state.cc
+++ b/source/common/control/control_state.cc
@@ -77,6 +77,9 @@
       case FleetItem::Kind::kDiscovered:
         AddDiscovered(item.name);
         break;
+      case FleetItem::Kind::kEvacuation:
+        AddEvacuation(item.name);
+        break;
     }
   }
 
@@ -97,6 +100,9 @@
     for (const auto& [id, backend] : fleet_.discovered) {
       AddDiscovered(id);
     }
+    for (const auto& [zone, evacuation] : fleet_.evacuations) {
+      AddEvacuation(zone);
+    }
   }
 
   protocol::FleetUpdateT Take() { return std::move(update_); }
@@ -187,6 +193,17 @@
             session::EncodeDiscovered(backend->second)));
   }
 
+  void AddEvacuation(const std::string& zone) {
+    auto evacuation = fleet_.evacuations.find(zone);
+    if (evacuation == fleet_.evacuations.end()) {
+      update_.ended_evacuations.push_back(zone);
+      return;
+    }
+    update_.evacuations.push_back(
+        std::make_unique<protocol::ZoneEvacuationRecordT>(
+            session::EncodeEvacuation(zone, evacuation->second)));
+  }
+
   const FleetStore& fleet_;
   protocol::FleetUpdateT update_;
 };
@@ -320,6 +337,11 @@
         std::make_unique<protocol::DiscoveredBackendRecordT>(
             session::EncodeDiscovered(backend)));
   }
+  for (const auto& [zone, evacuation] : fleet_.evacuations) {
+    snapshot.evacuations.push_back(
+        std::make_unique<protocol::ZoneEvacuationRecordT>(
+            session::EncodeEvacuation(zone, evacuation)));
+  }
   return Serialize(snapshot);
 }
 
@@ -369,6 +391,10 @@
   for (const auto& backend : snapshot.discovered) {
     state.fleet_.discovered[backend->id] = session::DecodeDiscovered(*backend);
   }
+  for (const auto& evacuation : snapshot.evacuations) {
+    state.fleet_.evacuations[evacuation->zone] =
+        session::DecodeEvacuation(*evacuation);
+  }
   return state;
 }
 
--- a/source/common/control/discovery_poller.cc
+++ b/source/common/control/discovery_poller.cc
@@ -52,6 +52,9 @@
     if (slots != element.end() && slots->is_number_unsigned()) {
       backend.slots = std::max(1U, slots->get<std::uint32_t>());
     }
+    const auto warmup = element.find("warmup_left_ms");
+    backend.cold = warmup != element.end() && warmup->is_number() &&
+                   warmup->get<double>() > 0;
     page.backends[backend.id] = std::move(backend);
   }
   return page;
--- a/source/common/control/discovery_poller.h
+++ b/source/common/control/discovery_poller.h
@@ -28,7 +28,8 @@
 };
 
 // Parses {"backends": [{"id", "service", "address", "zone", "slots", "state":
-// "live" | "leaving"}], "next_page": "…" | null}.
+// "live" | "leaving", "warmup_left_ms"}], "next_page": "…" | null}. A back end
+// with time left to warm up is cold.
 // @return kInvalidArgument with the field that is wrong.
 Result<DiscoveryPage> ParseDiscoveryPage(std::string_view text);
 
--- a/source/common/control/events.h
+++ b/source/common/control/events.h
@@ -55,6 +55,8 @@
                                           Severity::kInfo};
 inline constexpr EventType kRouteTableRefused{2142, "route_table_refused",
                                               Severity::kInfo};
+inline constexpr EventType kEvacuationOrdered{2143, "evacuation_ordered",
+                                              Severity::kWarning};
 inline constexpr EventType kJoinRequested{2150, "join_requested",
                                           Severity::kInfo};
 inline constexpr EventType kMemberRemoved{2151, "member_removed",
--- a/source/common/control/fleet_store.h
+++ b/source/common/control/fleet_store.h
@@ -63,6 +63,8 @@
   StoredRouteTable route_table;
   // Back ends for HTTP forwarding, by id.
   std::map<std::string, session::DiscoveredBackend> discovered;
+  // By zone.
+  std::map<std::string, session::ZoneEvacuation> evacuations;
 
  private:
   void Unindex(const resources::Resource& resource);
--- a/source/common/control/operation_applier.cc
+++ b/source/common/control/operation_applier.cc
@@ -80,6 +80,8 @@
       return Apply(*operation.AsPutRouteTable());
     case protocol::Operation::UpdateDiscovered:
       return Apply(*operation.AsUpdateDiscovered());
+    case protocol::Operation::SetZoneEvacuation:
+      return Apply(*operation.AsSetZoneEvacuation());
     case protocol::Operation::NONE:
       break;
   }
@@ -425,6 +427,35 @@
   return Done();
 }
 
+OperationApplier::Outcome OperationApplier::Apply(
+    const protocol::SetZoneEvacuationT& operation) {
+  // Between control machines a call may be sent twice, and its first copy come
+  // after an order that withdrew it.
+  if (auto first = FindFirstOutcome(operation.change_id, operation.digest)) {
+    return std::move(*first);
+  }
+  SetEvacuation(operation);
+  Outcome outcome = Done();
+  RememberChange(operation.change_id, operation.digest, outcome, {});
+  return outcome;
+}
+
+void OperationApplier::SetEvacuation(
+    const protocol::SetZoneEvacuationT& operation) {
+  auto& evacuations = state_.fleet_.evacuations;
+  const bool evacuated = evacuations.contains(operation.zone);
+  if (evacuated == operation.evacuated) {
+    return;
+  }
+  if (operation.evacuated) {
+    evacuations[operation.zone] = {.since = state_.wall_time_,
+                                   .change_id = operation.change_id};
+  } else {
+    evacuations.erase(operation.zone);
+  }
+  state_.Commit({NamedItem(FleetItem::Kind::kEvacuation, operation.zone)});
+}
+
 // --- Results -----------------------------------------------------------------
 
 OperationApplier::Outcome OperationApplier::Done() const {
--- a/source/common/control/operation_applier.h
+++ b/source/common/control/operation_applier.h
@@ -35,6 +35,9 @@
   Outcome Apply(const protocol::SetPlatformLeavingT& operation);
   Outcome Apply(const protocol::PutRouteTableT& operation);
   Outcome Apply(const protocol::UpdateDiscoveredT& operation);
+  Outcome Apply(const protocol::SetZoneEvacuationT& operation);
+  // Puts the order in force, or withdraws it.
+  void SetEvacuation(const protocol::SetZoneEvacuationT& operation);
 
   // The first outcome of a change id that was seen before, if it was.
   std::optional<Outcome> FindFirstOutcome(const std::string& change_id,
--- a/source/common/control/resource_api.cc
+++ b/source/common/control/resource_api.cc
@@ -30,6 +30,8 @@
 // Names of lagging daemons in one answer; the count is always whole.
 constexpr std::size_t kMaximumNames = 100;
 constexpr const char* kRouteTablePath = "/v1/route-table";
+constexpr const char* kEvacuationsPath = "/v1/evacuations";
+constexpr std::size_t kLongestZoneName = 128;
 
 std::optional<std::uint64_t> ParseNumber(const std::string& text) {
   std::uint64_t number = 0;
@@ -44,6 +46,11 @@
       {ErrorCode::kNotFound, "path", "there is no such call"});
 }
 
+// "/v1/evacuations/ZONE".
+bool IsEvacuationPath(const std::vector<std::string>& parts) {
+  return parts.size() == 3 && parts[1] == "evacuations";
+}
+
 // A fault of the whole body has no path in it.
 Error NameBody(Error error) {
   if (error.field.empty()) {
@@ -120,6 +127,10 @@
     Apply(call, answer);
   } else if (call.method == "POST" && call.path == kRouteTablePath) {
     PutRouteTable(call, answer);
+  } else if (call.method == "PUT" && IsEvacuationPath(parts)) {
+    SetEvacuation(call, parts[2], /*evacuated=*/true, answer);
+  } else if (call.method == "DELETE" && IsEvacuationPath(parts)) {
+    SetEvacuation(call, parts[2], /*evacuated=*/false, answer);
   } else if (call.method == "DELETE" && parts.size() == 4 &&
              parts[1] == "resources") {
     Delete(call, parts[2], parts[3], answer);
@@ -147,6 +158,9 @@
   if (call.path == kRouteTablePath) {
     return GetRouteTable();
   }
+  if (call.path == kEvacuationsPath) {
+    return ListEvacuations();
+  }
   if (parts.size() == 3 && parts[1] == "resources") {
     return List(parts[2]);
   }
@@ -432,6 +446,55 @@
   Submit(session::MakeOperation(std::move(operation)), call, answer);
 }
 
+// --- Evacuations -------------------------------------------------------------
+
+void ResourceApi::SetEvacuation(const ApiCall& call, const std::string& zone,
+                                bool evacuated,
+                                const ApiCallback& answer) const {
+  if (zone.size() > kLongestZoneName) {
+    answer(FailureResponse(
+        {ErrorCode::kInvalidArgument, "zone", "has more than 128 characters"}));
+    return;
+  }
+  protocol::SetZoneEvacuationT operation;
+  operation.change_id = call.change_id;
+  operation.digest = DigestOf(call);
+  operation.zone = zone;
+  operation.evacuated = evacuated;
+  logging::LogEvent(kEvacuationOrdered, {{"change", call.change_id},
+                                         {"zone", zone},
+                                         {"evacuated", evacuated},
+                                         {"backends", BackendsIn(zone)}});
+  Submit(session::MakeOperation(std::move(operation)), call, answer);
+}
+
+std::size_t ResourceApi::BackendsIn(const std::string& zone) const {
+  return static_cast<std::size_t>(std::ranges::count_if(
+      ports_.state().fleet().discovered,
+      [&zone](const auto& entry) { return entry.second.zone == zone; }));
+}
+
+net::HttpResponse ResourceApi::ListEvacuations() const {
+  const ControlState& state = ports_.state();
+  json items = json::array();
+  for (const auto& [zone, evacuation] : state.fleet().evacuations) {
+    json item = {
+        {"zone", zone},
+        {"since_ms", ToMilliseconds(evacuation.since.time_since_epoch())},
+        {"change_id", evacuation.change_id},
+        {"backends", BackendsIn(zone)}};
+    if (const auto* change = state.FindChange(evacuation.change_id)) {
+      const RevisionProgress progress =
+          ports_.leases().ProgressOf(change->revision);
+      item["daemons"] = progress.daemons;
+      item["confirmed"] = progress.confirmed;
+    }
+    items.push_back(std::move(item));
+  }
+  return JsonResponse(
+      kStatusOk, {{"revision", state.revision()}, {"items", std::move(items)}});
+}
+
 // --- Control machines --------------------------------------------------------
 
 namespace {
--- a/source/common/control/resource_api.h
+++ b/source/common/control/resource_api.h
@@ -47,6 +47,12 @@
               const std::string& name, const ApiCallback& answer) const;
   net::HttpResponse GetRouteTable() const;
   void PutRouteTable(const ApiCall& call, const ApiCallback& answer) const;
+  // @param evacuated false: the order is withdrawn.
+  void SetEvacuation(const ApiCall& call, const std::string& zone,
+                     bool evacuated, const ApiCallback& answer) const;
+  net::HttpResponse ListEvacuations() const;
+  // Discovered back ends of a zone: 0 shows an operator that a name is wrong.
+  std::size_t BackendsIn(const std::string& zone) const;
   net::HttpResponse AddMember(const ApiCall& call) const;
   net::HttpResponse RemoveMember(const std::string& id) const;
   void Submit(protocol::OperationItemT operation, const ApiCall& call,
--- a/source/common/control/revision_log.h
+++ b/source/common/control/revision_log.h
@@ -25,13 +25,14 @@
     kReport,
     kServing,
     kRouteTable,
-    kDiscovered
+    kDiscovered,
+    kEvacuation
   };
   Kind kind = Kind::kResource;
   // kResource only.
   resources::Kind resource_kind = resources::Kind::kService;
-  // Name of the resource, daemon, back end or service; id of a discovered back
-  // end.
+  // Name of the resource, daemon, back end, service or zone; id of a discovered
+  // back end.
   std::string name;
   // Index snapshots only: daemons know them by these.
   std::string service;
--- a/source/common/forwarding/backend_pool.cc
+++ b/source/common/forwarding/backend_pool.cc
@@ -45,7 +45,8 @@
     : options_(std::move(options)), random_(options_.seed) {}
 
 Duration BackendPool::DistanceOf(const std::string& zone) const {
-  switch (LocalityBetween(PlaceOf(options_.zone), PlaceOf(zone))) {
+  const Place own = {options_.zone, RegionOf(options_.zone)};
+  switch (LocalityBetween(own, {zone, RegionOf(zone)})) {
     case Locality::kSameZone:
       return Duration(0);
     case Locality::kSameRegion:
@@ -56,27 +57,46 @@
   return kOtherRegionDistance;
 }
 
-Place BackendPool::PlaceOf(const std::string& zone) const {
+std::string BackendPool::RegionOf(const std::string& zone) const {
   const auto region = options_.regions.find(zone);
-  return {zone, region == options_.regions.end() ? "" : region->second};
+  return region == options_.regions.end() ? "" : region->second;
 }
 
-void BackendPool::Update(const session::FleetView& view, std::size_t routers) {
+void BackendPool::Update(const session::FleetView& view, std::size_t routers,
+                         MonotonicTime now) {
   options_.extra.routers = std::max<std::size_t>(1, routers);
+  UpdateBackends(view, now);
+  UpdateServices(view);
+  UpdateColdShares(view);
+  ForgetServices();
+}
+
+void BackendPool::UpdateBackends(const session::FleetView& view,
+                                 MonotonicTime now) {
   for (auto& [id, backend] : backends_) {
     backend.retired = true;
   }
   for (const auto& [id, info] : view.discovered) {
     Backend& backend = backends_[id];
+    const bool was_evacuated = backend.evacuated;
     backend.info = info;
     backend.service = &services_[info.service];
     backend.distance = DistanceOf(info.zone);
-    backend.retired = info.draining;
+    backend.region = RegionOf(info.zone);
+    backend.evacuated =
+        view.evacuations.find(info.zone) != view.evacuations.end();
+    backend.retired = info.draining || backend.evacuated;
+    if (was_evacuated && !backend.evacuated) {
+      backend.taken_for_cold_until = now + backend.service->warmup;
+    }
   }
   std::erase_if(backends_, [&view](const auto& entry) {
     return entry.second.retired && entry.second.under_way.empty() &&
            view.discovered.find(entry.first) == view.discovered.end();
   });
+}
+
+void BackendPool::UpdateServices(const session::FleetView& view) {
   for (auto& [name, service] : services_) {
     service.backends.clear();
     service.maximum_connections = 0;
@@ -86,12 +106,30 @@
       backend.service->backends.push_back(&backend);
     }
   }
-  if (view.route_table) {
-    for (const auto& [name, service] : view.route_table->services) {
-      services_[name].maximum_connections = service.maximum_connections;
+  if (!view.route_table) {
+    return;
+  }
+  for (const auto& [name, routed] : view.route_table->services) {
+    Service& service = services_[name];
+    service.maximum_connections = routed.maximum_connections;
+    service.warmup = routed.warmup;
+    service.cold_requests_per_second = routed.cold_requests_per_second;
+  }
+}
+
+void BackendPool::UpdateColdShares(const session::FleetView& view) {
+  std::vector<std::string> routers;
+  for (const auto& [name, member] : view.members) {
+    if (member.router && !member.leaving) {
+      routers.push_back(name);
     }
   }
-  ForgetServices();
+  for (auto& [id, backend] : backends_) {
+    const double rate = backend.service->cold_requests_per_second;
+    backend.cold_share = rate > 0
+                             ? ColdShareOf(options_.router, routers, id, rate)
+                             : ColdShare();
+  }
 }
 
 void BackendPool::ForgetServices() {
@@ -111,12 +149,26 @@
   return std::max<std::size_t>(1, static_cast<std::size_t>(share));
 }
 
+bool BackendPool::MayServe(const Backend& backend, const BackendNeed& need) {
+  return need.home_regions.Allows(backend.region) &&
+         std::ranges::find(need.tried, backend.info.id) == need.tried.end();
+}
+
+bool BackendPool::IsColdLimited(const Backend& backend, MonotonicTime now) {
+  const bool cold = backend.info.cold || now < backend.taken_for_cold_until;
+  return cold && backend.service->cold_requests_per_second > 0;
+}
+
 bool BackendPool::IsOpen(const Backend& backend, MonotonicTime now) const {
   if (backend.retired || now < backend.paused_until ||
       backend.under_way.size() >=
           backend.connections.Get(ConnectionShare(backend))) {
     return false;
   }
+  if (IsColdLimited(backend, now) &&
+      !backend.cold_allowance.MaySend(backend.cold_share, now)) {
+    return false;
+  }
   // After failures one attempt at a time shows whether it is well again.
   return backend.failures == 0 || backend.under_way.empty();
 }
@@ -130,6 +182,9 @@
       backend.paused_until > now + kLongestShedPause) {
     return false;
   }
+  if (IsColdLimited(backend, now) && backend.cold_share.requests == 0) {
+    return false;
+  }
   const Duration stalled = std::max(
       kStalledAfter, MedianLatency(backend, now) * kStalledAfterMedians);
   return std::ranges::all_of(backend.under_way, [&](const auto& attempt) {
@@ -156,10 +211,9 @@
          backend.distance;
 }
 
-const BackendPool::Backend* BackendPool::Choose(
-    const std::string& service, const std::vector<std::string>& excluded,
-    MonotonicTime now) {
-  const auto found = services_.find(service);
+const BackendPool::Backend* BackendPool::Choose(const BackendNeed& need,
+                                                MonotonicTime now) {
+  const auto found = services_.find(need.service);
   if (found == services_.end()) {
     return nullptr;
   }
@@ -170,12 +224,12 @@
   // Where every one is ejected, that says little about each: all are tried.
   const bool any_well =
       std::ranges::any_of(backends, [&](const Backend* backend) {
-        return IsOpen(*backend, now) && IsWell(*backend, now) &&
-               std::ranges::find(excluded, backend->info.id) == excluded.end();
+        return MayServe(*backend, need) && IsOpen(*backend, now) &&
+               IsWell(*backend, now);
       });
   for (const Backend* backend : backends) {
-    if (!IsOpen(*backend, now) || (any_well && !IsWell(*backend, now)) ||
-        std::ranges::find(excluded, backend->info.id) != excluded.end()) {
+    if (!MayServe(*backend, need) || !IsOpen(*backend, now) ||
+        (any_well && !IsWell(*backend, now))) {
       continue;
     }
     const Duration latency = ExpectedLatency(*backend, now);
@@ -191,16 +245,15 @@
   return best;
 }
 
-Availability BackendPool::AvailabilityOf(
-    const std::string& service, const std::vector<std::string>& excluded,
-    MonotonicTime now) const {
-  const auto found = services_.find(service);
+Availability BackendPool::AvailabilityOf(const BackendNeed& need,
+                                         MonotonicTime now) const {
+  const auto found = services_.find(need.service);
   if (found == services_.end()) {
     return Availability::kNone;
   }
   auto availability = Availability::kNone;
   for (const Backend* backend : found->second.backends) {
-    if (std::ranges::find(excluded, backend->info.id) != excluded.end()) {
+    if (!MayServe(*backend, need)) {
       continue;
     }
     if (IsOpen(*backend, now)) {
@@ -216,8 +269,12 @@
 void BackendPool::OnSent(const std::string& id, AttemptId attempt,
                          MonotonicTime now) {
   const auto backend = backends_.find(id);
-  if (backend != backends_.end()) {
-    backend->second.under_way[attempt] = now;
+  if (backend == backends_.end()) {
+    return;
+  }
+  backend->second.under_way[attempt] = now;
+  if (IsColdLimited(backend->second, now)) {
+    backend->second.cold_allowance.OnSent(backend->second.cold_share, now);
   }
 }
 
--- a/source/common/forwarding/backend_pool.h
+++ b/source/common/forwarding/backend_pool.h
@@ -14,10 +14,12 @@
 
 #include "common/base/locality.h"
 #include "common/base/time.h"
+#include "common/forwarding/cold_allowance.h"
 #include "common/forwarding/connection_allowance.h"
 #include "common/forwarding/extra_budget.h"
 #include "common/forwarding/recent_latency.h"
 #include "common/forwarding/usual_latency.h"
+#include "common/routes/home_regions.h"
 #include "common/session/fleet_view.h"
 
 namespace juniperway::forwarding {
@@ -42,7 +44,18 @@
   kUsable,  // A back end can be chosen now.
 };
 
+// What a request needs of a back end.
+struct BackendNeed {
+  const std::string& service;
+  // Of its route: other regions must not get it.
+  const routes::HomeRegions& home_regions;
+  // Ids of back ends that were tried already.
+  const std::vector<std::string>& tried;
+};
+
 struct PoolOptions {
+  // This router, as the fleet's members name it.
+  std::string router{};
   std::string zone;
   // Zone to region; a zone that is missing counts as another region's.
   std::map<std::string, std::string> regions;
@@ -65,6 +78,9 @@
     std::vector<Backend*> backends;
     // From all callers, at each back end; 0: it is not in the route table.
     std::uint32_t maximum_connections = 0;
+    // See routes::RoutedService.
+    Duration warmup{};
+    double cold_requests_per_second = 0;
     UsualLatency usual_latency;
     ExtraBudget budget;
   };
@@ -88,27 +104,32 @@
     // It shed a request, refused a connection, or its address is another's:
     // gets nothing before this.
     MonotonicTime paused_until = MonotonicTime::min();
-    // Gone from the list or leaving, and only kept for what is under way.
+    // Of its zone; empty: not known.
+    std::string region;
+    // Gone from the list, leaving or in an evacuated zone, and only kept for
+    // what is under way.
     bool retired = false;
+    // Its zone is evacuated.
+    bool evacuated = false;
+    // Its zone's evacuation has ended: it may have turned cold before, and the
+    // list lags.
+    MonotonicTime taken_for_cold_until = MonotonicTime::min();
+    ColdShare cold_share;
+    ColdAllowance cold_allowance;
   };
 
   explicit BackendPool(PoolOptions options);
 
   // Takes in the newest view.
   // @param routers that share back ends' connections and the budget.
-  void Update(const session::FleetView& view, std::size_t routers);
+  void Update(const session::FleetView& view, std::size_t routers,
+              MonotonicTime now);
 
-  // @param excluded ids that were tried already.
   // @return the back end to use, or null when none may be used now.
-  const Backend* Choose(const std::string& service,
-                        const std::vector<std::string>& excluded,
-                        MonotonicTime now);
+  const Backend* Choose(const BackendNeed& need, MonotonicTime now);
 
   // Whether Choose could give one now, or is expected to soon.
-  // @param excluded as for Choose.
-  Availability AvailabilityOf(const std::string& service,
-                              const std::vector<std::string>& excluded,
-                              MonotonicTime now) const;
+  Availability AvailabilityOf(const BackendNeed& need, MonotonicTime now) const;
 
   void OnSent(const std::string& id, AttemptId attempt, MonotonicTime now);
   void OnEnded(const std::string& id, AttemptId attempt, AttemptResult result,
@@ -125,9 +146,18 @@
  private:
   using Backends = std::map<std::string, Backend>;
 
+  void UpdateBackends(const session::FleetView& view, MonotonicTime now);
+  void UpdateServices(const session::FleetView& view);
+  // Shares of what cold back ends take.
+  void UpdateColdShares(const session::FleetView& view);
   // Forgets services that neither the route table nor a back end names.
   void ForgetServices();
 
+  // Whether rules let this request go there, now or later. Every choice of a
+  // back end asks here.
+  static bool MayServe(const Backend& backend, const BackendNeed& need);
+  // Whether it is cold, and its service bounds what cold ones get.
+  static bool IsColdLimited(const Backend& backend, MonotonicTime now);
   // Whether it may be used at all, well or not.
   bool IsOpen(const Backend& backend, MonotonicTime now) const;
   static bool IsWell(const Backend& backend, MonotonicTime now);
@@ -139,7 +169,7 @@
   static Duration MedianLatency(const Backend& backend, MonotonicTime now);
   static Duration ExpectedLatency(const Backend& backend, MonotonicTime now);
   Duration DistanceOf(const std::string& zone) const;
-  Place PlaceOf(const std::string& zone) const;
+  std::string RegionOf(const std::string& zone) const;
   void OnAnswered(Backend& backend, MonotonicTime sent,
                   MonotonicTime now) const;
   // How long it is left alone after its latest failure; counts the failure.
--- /dev/null
+++ b/source/common/forwarding/cold_allowance.cc
@@ -0,0 +1,65 @@
+#include "common/forwarding/cold_allowance.h"
+
+#include <xxhash.h>
+
+#include <algorithm>
+#include <cmath>
+
+namespace juniperway::forwarding {
+namespace {
+
+// A share is for a window longer than the second that the rate speaks of:
+// requests of one second that arrive within another, later ones are delayed.
+constexpr double kWindowSeconds = 1.1;
+
+std::uint64_t DrawOf(const std::string& router, const std::string& backend) {
+  const std::string key = backend + "\n" + router;
+  return XXH3_64bits(key.data(), key.size());
+}
+
+// Routers that are drawn before this one.
+std::size_t RankOf(const std::string& router,
+                   const std::vector<std::string>& routers,
+                   const std::string& backend) {
+  const std::uint64_t own = DrawOf(router, backend);
+  return static_cast<std::size_t>(
+      std::ranges::count_if(routers, [&](const std::string& other) {
+        return other != router && DrawOf(other, backend) < own;
+      }));
+}
+
+}  // namespace
+
+ColdShare ColdShareOf(const std::string& router,
+                      const std::vector<std::string>& routers,
+                      const std::string& backend, double rate) {
+  // One that the others do not know of yet would come on top of their shares.
+  const bool known = std::ranges::find(routers, router) != routers.end();
+  const auto drawn = std::min(
+      routers.size(),
+      std::max<std::size_t>(1, static_cast<std::size_t>(std::floor(rate))));
+  if (!known || RankOf(router, routers, backend) >= drawn) {
+    return {};
+  }
+  const double each = rate / static_cast<double>(drawn);
+  const double seconds_each = kWindowSeconds * std::max(1.0, 1 / each);
+  return {.requests = std::max<std::size_t>(
+              1, static_cast<std::size_t>(std::floor(each))),
+          .window = std::chrono::duration_cast<Duration>(
+              std::chrono::duration<double>(seconds_each))};
+}
+
+bool ColdAllowance::MaySend(const ColdShare& share, MonotonicTime now) const {
+  const auto recent = static_cast<std::size_t>(std::ranges::count_if(
+      sent_, [&](MonotonicTime sent) { return now - sent < share.window; }));
+  return recent < share.requests;
+}
+
+void ColdAllowance::OnSent(const ColdShare& share, MonotonicTime now) {
+  while (!sent_.empty() && now - sent_.front() >= share.window) {
+    sent_.pop_front();
+  }
+  sent_.push_back(now);
+}
+
+}  // namespace juniperway::forwarding
--- a/source/common/forwarding/events.h
+++ b/source/common/forwarding/events.h
@@ -20,6 +20,10 @@
                                           Severity::kInfo};
 inline constexpr EventType kRouteTableTaken{3405, "route_table_taken",
                                             Severity::kInfo};
+inline constexpr EventType kZoneEvacuated{3406, "zone_evacuated",
+                                          Severity::kWarning};
+inline constexpr EventType kZoneReturned{3407, "zone_returned",
+                                         Severity::kInfo};
 inline constexpr EventType kRequestRefused{3410, "request_refused",
                                            Severity::kInfo, Volume::kRequest};
 inline constexpr EventType kRequestEnded{3411, "request_ended", Severity::kInfo,
--- a/source/common/forwarding/request_run.cc
+++ b/source/common/forwarding/request_run.cc
@@ -69,8 +69,7 @@
   std::size_t usable = 0;
   std::size_t busy = 0;
   for (const Shard& shard : shards_) {
-    const Availability availability =
-        pool_.AvailabilityOf(shard.service, shard.tried, now);
+    const Availability availability = pool_.AvailabilityOf(NeedOf(shard), now);
     usable += availability == Availability::kUsable ? 1 : 0;
     busy += availability == Availability::kBusy ? 1 : 0;
   }
@@ -122,9 +121,14 @@
 
 // --- Attempts ----------------------------------------------------------------
 
+BackendNeed RequestRun::NeedOf(const Shard& shard) const {
+  return {.service = shard.service,
+          .home_regions = route_.home_regions,
+          .tried = shard.tried};
+}
+
 bool RequestRun::Send(Shard& shard, MonotonicTime now) {
-  const BackendPool::Backend* backend =
-      pool_.Choose(shard.service, shard.tried, now);
+  const BackendPool::Backend* backend = pool_.Choose(NeedOf(shard), now);
   if (backend == nullptr) {
     shard.extra_refusal = ExtraRefusal::kNoBackend;
     return false;
@@ -154,10 +158,10 @@
   if (Send(shard, now)) {
     return;
   }
-  shard.waits_for_backend = shard.extra_refusal == ExtraRefusal::kNoBackend &&
-                            now < shards_wait_until_ &&
-                            pool_.AvailabilityOf(shard.service, shard.tried,
-                                                 now) == Availability::kBusy;
+  shard.waits_for_backend =
+      shard.extra_refusal == ExtraRefusal::kNoBackend &&
+      now < shards_wait_until_ &&
+      pool_.AvailabilityOf(NeedOf(shard), now) == Availability::kBusy;
   shard.failed = !shard.waits_for_backend;
 }
 
--- a/source/common/forwarding/request_run.h
+++ b/source/common/forwarding/request_run.h
@@ -173,6 +173,8 @@
     std::optional<BackendAnswer> failure;
   };
 
+  // What the shard's next attempt needs.
+  BackendNeed NeedOf(const Shard& shard) const;
   // @return false when no back end may be used, or the budget refused.
   bool Send(Shard& shard, MonotonicTime now);
   // Of a shard with nothing under way: sends, or waits for a busy back end, or
--- a/source/common/forwarding/router_metrics.cc
+++ b/source/common/forwarding/router_metrics.cc
@@ -110,6 +110,8 @@
                            "Back ends that may get requests")),
       routers_(PlainGauge(registry, "juniperway_router_routers",
                           "Routers that share connections and budgets")),
+      evacuated_zones_(PlainGauge(registry, "juniperway_router_evacuated_zones",
+                                  "Zones whose back ends get no new work")),
       revision_(PlainGauge(registry, "juniperway_router_view_revision",
                            "Revision in use here")),
       table_version_(PlainGauge(registry, "juniperway_router_table_version",
@@ -147,6 +149,10 @@
   attempts_.at(static_cast<std::size_t>(result))->Increment();
 }
 
+void RouterMetrics::OnEvacuations(std::size_t zones) {
+  evacuated_zones_->Set(static_cast<double>(zones));
+}
+
 void RouterMetrics::OnThrottled() { throttled_->Increment(); }
 
 void RouterMetrics::OnRefused(int status) {
--- a/source/common/forwarding/router_metrics.h
+++ b/source/common/forwarding/router_metrics.h
@@ -49,6 +49,8 @@
   void OnThrottled();
   void OnView(std::uint64_t revision, std::uint64_t table_version,
               const BackendPool& pool);
+  // @param zones that are evacuated now.
+  void OnEvacuations(std::size_t zones);
 
  private:
   std::array<prometheus::Counter*, kRequestEnds> requests_{};
@@ -61,6 +63,7 @@
   prometheus::Gauge* running_ = nullptr;
   prometheus::Gauge* backends_ = nullptr;
   prometheus::Gauge* routers_ = nullptr;
+  prometheus::Gauge* evacuated_zones_ = nullptr;
   prometheus::Gauge* revision_ = nullptr;
   prometheus::Gauge* table_version_ = nullptr;
 };
--- a/source/common/forwarding/router_server.cc
+++ b/source/common/forwarding/router_server.cc
@@ -118,7 +118,8 @@
         view->members.begin(), view->members.end(), [](const auto& entry) {
           return entry.second.router && !entry.second.leaving;
         }));
-    pool_.Update(*view, routers);
+    NoteEvacuations(*view);
+    pool_.Update(*view, routers, ReadMonotonicClock());
     revision_ = view->revision;
     metrics_.OnView(revision_,
                     view->route_table ? view->route_table->version : 0, pool_);
@@ -290,6 +291,25 @@
 
   // --- Readiness -------------------------------------------------------------
 
+  void NoteEvacuations(const session::FleetView& view) {
+    std::set<std::string> zones;
+    for (const auto& [zone, evacuation] : view.evacuations) {
+      zones.insert(zone);
+      if (!evacuated_zones_.contains(zone)) {
+        LogEvent(kZoneEvacuated, {{"zone", zone},
+                                  {"change", evacuation.change_id},
+                                  {"revision", view.revision}});
+      }
+    }
+    for (const std::string& zone : evacuated_zones_) {
+      if (!zones.contains(zone)) {
+        LogEvent(kZoneReturned, {{"zone", zone}, {"revision", view.revision}});
+      }
+    }
+    evacuated_zones_ = std::move(zones);
+    metrics_.OnEvacuations(evacuated_zones_.size());
+  }
+
   bool IsReady() const {
     return !stopping_ && index_ && pool_.live_backends() > 0;
   }
@@ -369,6 +389,8 @@
   std::uint64_t last_request_number_ = 0;
   asio::steady_timer stop_timer_;
   std::uint64_t revision_ = 0;
+  // As the newest view says.
+  std::set<std::string> evacuated_zones_;
   bool was_ready_ = false;
   bool stopping_ = false;
   StopPlan stop_plan_;
--- a/source/common/protocol/command_generated.h
+++ b/source/common/protocol/command_generated.h
@@ -62,6 +62,10 @@
 struct UpdateDiscoveredBuilder;
 struct UpdateDiscoveredT;
 
+struct SetZoneEvacuation;
+struct SetZoneEvacuationBuilder;
+struct SetZoneEvacuationT;
+
 struct OperationItem;
 struct OperationItemBuilder;
 struct OperationItemT;
@@ -107,11 +111,12 @@
   SetPlatformLeaving = 9,
   PutRouteTable = 10,
   UpdateDiscovered = 11,
+  SetZoneEvacuation = 12,
   MIN = NONE,
-  MAX = UpdateDiscovered
+  MAX = SetZoneEvacuation
 };
 
-inline const Operation (&EnumValuesOperation())[12] {
+inline const Operation (&EnumValuesOperation())[13] {
   static const Operation values[] = {
     Operation::NONE,
     Operation::ApplyResources,
@@ -124,13 +129,14 @@
     Operation::ReportBackends,
     Operation::SetPlatformLeaving,
     Operation::PutRouteTable,
-    Operation::UpdateDiscovered
+    Operation::UpdateDiscovered,
+    Operation::SetZoneEvacuation
   };
   return values;
 }
 
 inline const char * const *EnumNamesOperation() {
-  static const char * const names[13] = {
+  static const char * const names[14] = {
     "NONE",
     "ApplyResources",
     "DeleteResource",
@@ -143,13 +149,14 @@
     "SetPlatformLeaving",
     "PutRouteTable",
     "UpdateDiscovered",
+    "SetZoneEvacuation",
     nullptr
   };
   return names;
 }
 
 inline const char *EnumNameOperation(Operation e) {
-  if (flatbuffers::IsOutRange(e, Operation::NONE, Operation::UpdateDiscovered)) return "";
+  if (flatbuffers::IsOutRange(e, Operation::NONE, Operation::SetZoneEvacuation)) return "";
   const size_t index = static_cast<size_t>(e);
   return EnumNamesOperation()[index];
 }
@@ -202,6 +209,10 @@
   static const Operation enum_value = Operation::UpdateDiscovered;
 };
 
+template<> struct OperationTraits<juniperway::protocol::SetZoneEvacuation> {
+  static const Operation enum_value = Operation::SetZoneEvacuation;
+};
+
 template<typename T> struct OperationUnionTraits {
   static const Operation enum_value = Operation::NONE;
 };
@@ -250,6 +261,10 @@
   static const Operation enum_value = Operation::UpdateDiscovered;
 };
 
+template<> struct OperationUnionTraits<juniperway::protocol::SetZoneEvacuationT> {
+  static const Operation enum_value = Operation::SetZoneEvacuation;
+};
+
 struct OperationUnion {
   Operation type;
   void *value;
@@ -368,6 +383,14 @@
     return type == Operation::UpdateDiscovered ?
       reinterpret_cast<const juniperway::protocol::UpdateDiscoveredT *>(value) : nullptr;
   }
+  juniperway::protocol::SetZoneEvacuationT *AsSetZoneEvacuation() {
+    return type == Operation::SetZoneEvacuation ?
+      reinterpret_cast<juniperway::protocol::SetZoneEvacuationT *>(value) : nullptr;
+  }
+  const juniperway::protocol::SetZoneEvacuationT *AsSetZoneEvacuation() const {
+    return type == Operation::SetZoneEvacuation ?
+      reinterpret_cast<const juniperway::protocol::SetZoneEvacuationT *>(value) : nullptr;
+  }
 };
 
 bool VerifyOperation(flatbuffers::Verifier &verifier, const void *obj, Operation type);
@@ -1376,6 +1399,115 @@
 
 flatbuffers::Offset<UpdateDiscovered> CreateUpdateDiscovered(flatbuffers::FlatBufferBuilder &_fbb, const UpdateDiscoveredT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
 
+struct SetZoneEvacuationT : public flatbuffers::NativeTable {
+  typedef SetZoneEvacuation TableType;
+  std::string change_id{};
+  uint64_t digest = 0;
+  std::string zone{};
+  bool evacuated = false;
+};
+
+struct SetZoneEvacuation FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef SetZoneEvacuationT NativeTableType;
+  typedef SetZoneEvacuationBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_CHANGE_ID = 4,
+    VT_DIGEST = 6,
+    VT_ZONE = 8,
+    VT_EVACUATED = 10
+  };
+  const flatbuffers::String *change_id() const {
+    return GetPointer<const flatbuffers::String *>(VT_CHANGE_ID);
+  }
+  uint64_t digest() const {
+    return GetField<uint64_t>(VT_DIGEST, 0);
+  }
+  const flatbuffers::String *zone() const {
+    return GetPointer<const flatbuffers::String *>(VT_ZONE);
+  }
+  bool evacuated() const {
+    return GetField<uint8_t>(VT_EVACUATED, 0) != 0;
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_CHANGE_ID) &&
+           verifier.VerifyString(change_id()) &&
+           VerifyField<uint64_t>(verifier, VT_DIGEST, 8) &&
+           VerifyOffset(verifier, VT_ZONE) &&
+           verifier.VerifyString(zone()) &&
+           VerifyField<uint8_t>(verifier, VT_EVACUATED, 1) &&
+           verifier.EndTable();
+  }
+  SetZoneEvacuationT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(SetZoneEvacuationT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<SetZoneEvacuation> Pack(flatbuffers::FlatBufferBuilder &_fbb, const SetZoneEvacuationT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct SetZoneEvacuationBuilder {
+  typedef SetZoneEvacuation Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_change_id(flatbuffers::Offset<flatbuffers::String> change_id) {
+    fbb_.AddOffset(SetZoneEvacuation::VT_CHANGE_ID, change_id);
+  }
+  void add_digest(uint64_t digest) {
+    fbb_.AddElement<uint64_t>(SetZoneEvacuation::VT_DIGEST, digest, 0);
+  }
+  void add_zone(flatbuffers::Offset<flatbuffers::String> zone) {
+    fbb_.AddOffset(SetZoneEvacuation::VT_ZONE, zone);
+  }
+  void add_evacuated(bool evacuated) {
+    fbb_.AddElement<uint8_t>(SetZoneEvacuation::VT_EVACUATED, static_cast<uint8_t>(evacuated), 0);
+  }
+  explicit SetZoneEvacuationBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<SetZoneEvacuation> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<SetZoneEvacuation>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<SetZoneEvacuation> CreateSetZoneEvacuation(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::String> change_id = 0,
+    uint64_t digest = 0,
+    flatbuffers::Offset<flatbuffers::String> zone = 0,
+    bool evacuated = false) {
+  SetZoneEvacuationBuilder builder_(_fbb);
+  builder_.add_digest(digest);
+  builder_.add_zone(zone);
+  builder_.add_change_id(change_id);
+  builder_.add_evacuated(evacuated);
+  return builder_.Finish();
+}
+
+struct SetZoneEvacuation::Traits {
+  using type = SetZoneEvacuation;
+  static auto constexpr Create = CreateSetZoneEvacuation;
+};
+
+inline flatbuffers::Offset<SetZoneEvacuation> CreateSetZoneEvacuationDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const char *change_id = nullptr,
+    uint64_t digest = 0,
+    const char *zone = nullptr,
+    bool evacuated = false) {
+  auto change_id__ = change_id ? _fbb.CreateString(change_id) : 0;
+  auto zone__ = zone ? _fbb.CreateString(zone) : 0;
+  return juniperway::protocol::CreateSetZoneEvacuation(
+      _fbb,
+      change_id__,
+      digest,
+      zone__,
+      evacuated);
+}
+
+flatbuffers::Offset<SetZoneEvacuation> CreateSetZoneEvacuation(flatbuffers::FlatBufferBuilder &_fbb, const SetZoneEvacuationT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
 struct OperationItemT : public flatbuffers::NativeTable {
   typedef OperationItem TableType;
   juniperway::protocol::OperationUnion operation{};
@@ -1429,6 +1561,9 @@
   const juniperway::protocol::UpdateDiscovered *operation_as_UpdateDiscovered() const {
     return operation_type() == juniperway::protocol::Operation::UpdateDiscovered ? static_cast<const juniperway::protocol::UpdateDiscovered *>(operation()) : nullptr;
   }
+  const juniperway::protocol::SetZoneEvacuation *operation_as_SetZoneEvacuation() const {
+    return operation_type() == juniperway::protocol::Operation::SetZoneEvacuation ? static_cast<const juniperway::protocol::SetZoneEvacuation *>(operation()) : nullptr;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint8_t>(verifier, VT_OPERATION_TYPE, 1) &&
@@ -1485,6 +1620,10 @@
   return operation_as_UpdateDiscovered();
 }
 
+template<> inline const juniperway::protocol::SetZoneEvacuation *OperationItem::operation_as<juniperway::protocol::SetZoneEvacuation>() const {
+  return operation_as_SetZoneEvacuation();
+}
+
 struct OperationItemBuilder {
   typedef OperationItem Table;
   flatbuffers::FlatBufferBuilder &fbb_;
@@ -2218,6 +2357,7 @@
   std::vector<std::unique_ptr<juniperway::protocol::ChangeRecordT>> changes{};
   std::unique_ptr<juniperway::protocol::RouteTableRecordT> route_table{};
   std::vector<std::unique_ptr<juniperway::protocol::DiscoveredBackendRecordT>> discovered{};
+  std::vector<std::unique_ptr<juniperway::protocol::ZoneEvacuationRecordT>> evacuations{};
   StateSnapshotT() = default;
   StateSnapshotT(const StateSnapshotT &o);
   StateSnapshotT(StateSnapshotT&&) FLATBUFFERS_NOEXCEPT = default;
@@ -2240,7 +2380,8 @@
     VT_CLAIMS = 20,
     VT_CHANGES = 22,
     VT_ROUTE_TABLE = 24,
-    VT_DISCOVERED = 26
+    VT_DISCOVERED = 26,
+    VT_EVACUATIONS = 28
   };
   uint64_t revision() const {
     return GetField<uint64_t>(VT_REVISION, 0);
@@ -2278,6 +2419,9 @@
   const flatbuffers::Vector<flatbuffers::Offset<juniperway::protocol::DiscoveredBackendRecord>> *discovered() const {
     return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<juniperway::protocol::DiscoveredBackendRecord>> *>(VT_DISCOVERED);
   }
+  const flatbuffers::Vector<flatbuffers::Offset<juniperway::protocol::ZoneEvacuationRecord>> *evacuations() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<juniperway::protocol::ZoneEvacuationRecord>> *>(VT_EVACUATIONS);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_REVISION, 8) &&
@@ -2311,6 +2455,9 @@
            VerifyOffset(verifier, VT_DISCOVERED) &&
            verifier.VerifyVector(discovered()) &&
            verifier.VerifyVectorOfTables(discovered()) &&
+           VerifyOffset(verifier, VT_EVACUATIONS) &&
+           verifier.VerifyVector(evacuations()) &&
+           verifier.VerifyVectorOfTables(evacuations()) &&
            verifier.EndTable();
   }
   StateSnapshotT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -2358,6 +2505,9 @@
   void add_discovered(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<juniperway::protocol::DiscoveredBackendRecord>>> discovered) {
     fbb_.AddOffset(StateSnapshot::VT_DISCOVERED, discovered);
   }
+  void add_evacuations(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<juniperway::protocol::ZoneEvacuationRecord>>> evacuations) {
+    fbb_.AddOffset(StateSnapshot::VT_EVACUATIONS, evacuations);
+  }
   explicit StateSnapshotBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -2382,10 +2532,12 @@
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<juniperway::protocol::ClaimRecord>>> claims = 0,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<juniperway::protocol::ChangeRecord>>> changes = 0,
     flatbuffers::Offset<juniperway::protocol::RouteTableRecord> route_table = 0,
-    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<juniperway::protocol::DiscoveredBackendRecord>>> discovered = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<juniperway::protocol::DiscoveredBackendRecord>>> discovered = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<juniperway::protocol::ZoneEvacuationRecord>>> evacuations = 0) {
   StateSnapshotBuilder builder_(_fbb);
   builder_.add_wall_time_us(wall_time_us);
   builder_.add_revision(revision);
+  builder_.add_evacuations(evacuations);
   builder_.add_discovered(discovered);
   builder_.add_route_table(route_table);
   builder_.add_changes(changes);
@@ -2417,7 +2569,8 @@
     const std::vector<flatbuffers::Offset<juniperway::protocol::ClaimRecord>> *claims = nullptr,
     const std::vector<flatbuffers::Offset<juniperway::protocol::ChangeRecord>> *changes = nullptr,
     flatbuffers::Offset<juniperway::protocol::RouteTableRecord> route_table = 0,
-    const std::vector<flatbuffers::Offset<juniperway::protocol::DiscoveredBackendRecord>> *discovered = nullptr) {
+    const std::vector<flatbuffers::Offset<juniperway::protocol::DiscoveredBackendRecord>> *discovered = nullptr,
+    const std::vector<flatbuffers::Offset<juniperway::protocol::ZoneEvacuationRecord>> *evacuations = nullptr) {
   auto resources__ = resources ? _fbb.CreateVector<flatbuffers::Offset<juniperway::protocol::ResourceRecord>>(*resources) : 0;
   auto members__ = members ? _fbb.CreateVector<flatbuffers::Offset<juniperway::protocol::FleetMember>>(*members) : 0;
   auto reports__ = reports ? _fbb.CreateVector<flatbuffers::Offset<juniperway::protocol::BackendReportRecord>>(*reports) : 0;
@@ -2427,6 +2580,7 @@
   auto claims__ = claims ? _fbb.CreateVector<flatbuffers::Offset<juniperway::protocol::ClaimRecord>>(*claims) : 0;
   auto changes__ = changes ? _fbb.CreateVector<flatbuffers::Offset<juniperway::protocol::ChangeRecord>>(*changes) : 0;
   auto discovered__ = discovered ? _fbb.CreateVector<flatbuffers::Offset<juniperway::protocol::DiscoveredBackendRecord>>(*discovered) : 0;
+  auto evacuations__ = evacuations ? _fbb.CreateVector<flatbuffers::Offset<juniperway::protocol::ZoneEvacuationRecord>>(*evacuations) : 0;
   return juniperway::protocol::CreateStateSnapshot(
       _fbb,
       revision,
@@ -2440,7 +2594,8 @@
       claims__,
       changes__,
       route_table,
-      discovered__);
+      discovered__,
+      evacuations__);
 }
 
 flatbuffers::Offset<StateSnapshot> CreateStateSnapshot(flatbuffers::FlatBufferBuilder &_fbb, const StateSnapshotT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -2845,6 +3000,41 @@
       _removed);
 }
 
+inline SetZoneEvacuationT *SetZoneEvacuation::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<SetZoneEvacuationT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void SetZoneEvacuation::UnPackTo(SetZoneEvacuationT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = change_id(); if (_e) _o->change_id = _e->str(); }
+  { auto _e = digest(); _o->digest = _e; }
+  { auto _e = zone(); if (_e) _o->zone = _e->str(); }
+  { auto _e = evacuated(); _o->evacuated = _e; }
+}
+
+inline flatbuffers::Offset<SetZoneEvacuation> SetZoneEvacuation::Pack(flatbuffers::FlatBufferBuilder &_fbb, const SetZoneEvacuationT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateSetZoneEvacuation(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<SetZoneEvacuation> CreateSetZoneEvacuation(flatbuffers::FlatBufferBuilder &_fbb, const SetZoneEvacuationT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const SetZoneEvacuationT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _change_id = _o->change_id.empty() ? 0 : _fbb.CreateString(_o->change_id);
+  auto _digest = _o->digest;
+  auto _zone = _o->zone.empty() ? 0 : _fbb.CreateString(_o->zone);
+  auto _evacuated = _o->evacuated;
+  return juniperway::protocol::CreateSetZoneEvacuation(
+      _fbb,
+      _change_id,
+      _digest,
+      _zone,
+      _evacuated);
+}
+
 inline OperationItemT *OperationItem::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
   auto _o = std::make_unique<OperationItemT>();
   UnPackTo(_o.get(), _resolver);
@@ -3161,6 +3351,8 @@
   for (const auto &changes_ : o.changes) { changes.emplace_back((changes_) ? new juniperway::protocol::ChangeRecordT(*changes_) : nullptr); }
   discovered.reserve(o.discovered.size());
   for (const auto &discovered_ : o.discovered) { discovered.emplace_back((discovered_) ? new juniperway::protocol::DiscoveredBackendRecordT(*discovered_) : nullptr); }
+  evacuations.reserve(o.evacuations.size());
+  for (const auto &evacuations_ : o.evacuations) { evacuations.emplace_back((evacuations_) ? new juniperway::protocol::ZoneEvacuationRecordT(*evacuations_) : nullptr); }
 }
 
 inline StateSnapshotT &StateSnapshotT::operator=(StateSnapshotT o) FLATBUFFERS_NOEXCEPT {
@@ -3176,6 +3368,7 @@
   std::swap(changes, o.changes);
   std::swap(route_table, o.route_table);
   std::swap(discovered, o.discovered);
+  std::swap(evacuations, o.evacuations);
   return *this;
 }
 
@@ -3200,6 +3393,7 @@
   { auto _e = changes(); if (_e) { _o->changes.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->changes[_i] = std::unique_ptr<juniperway::protocol::ChangeRecordT>(_e->Get(_i)->UnPack(_resolver)); } } }
   { auto _e = route_table(); if (_e) _o->route_table = std::unique_ptr<juniperway::protocol::RouteTableRecordT>(_e->UnPack(_resolver)); }
   { auto _e = discovered(); if (_e) { _o->discovered.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->discovered[_i] = std::unique_ptr<juniperway::protocol::DiscoveredBackendRecordT>(_e->Get(_i)->UnPack(_resolver)); } } }
+  { auto _e = evacuations(); if (_e) { _o->evacuations.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->evacuations[_i] = std::unique_ptr<juniperway::protocol::ZoneEvacuationRecordT>(_e->Get(_i)->UnPack(_resolver)); } } }
 }
 
 inline flatbuffers::Offset<StateSnapshot> StateSnapshot::Pack(flatbuffers::FlatBufferBuilder &_fbb, const StateSnapshotT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -3222,6 +3416,7 @@
   auto _changes = _o->changes.size() ? _fbb.CreateVector<flatbuffers::Offset<juniperway::protocol::ChangeRecord>> (_o->changes.size(), [](size_t i, _VectorArgs *__va) { return CreateChangeRecord(*__va->__fbb, __va->__o->changes[i].get(), __va->__rehasher); }, &_va ) : 0;
   auto _route_table = _o->route_table ? CreateRouteTableRecord(_fbb, _o->route_table.get(), _rehasher) : 0;
   auto _discovered = _o->discovered.size() ? _fbb.CreateVector<flatbuffers::Offset<juniperway::protocol::DiscoveredBackendRecord>> (_o->discovered.size(), [](size_t i, _VectorArgs *__va) { return CreateDiscoveredBackendRecord(*__va->__fbb, __va->__o->discovered[i].get(), __va->__rehasher); }, &_va ) : 0;
+  auto _evacuations = _o->evacuations.size() ? _fbb.CreateVector<flatbuffers::Offset<juniperway::protocol::ZoneEvacuationRecord>> (_o->evacuations.size(), [](size_t i, _VectorArgs *__va) { return CreateZoneEvacuationRecord(*__va->__fbb, __va->__o->evacuations[i].get(), __va->__rehasher); }, &_va ) : 0;
   return juniperway::protocol::CreateStateSnapshot(
       _fbb,
       _revision,
@@ -3235,7 +3430,8 @@
       _claims,
       _changes,
       _route_table,
-      _discovered);
+      _discovered,
+      _evacuations);
 }
 
 inline bool VerifyOperation(flatbuffers::Verifier &verifier, const void *obj, Operation type) {
@@ -3287,6 +3483,10 @@
       auto ptr = reinterpret_cast<const juniperway::protocol::UpdateDiscovered *>(obj);
       return verifier.VerifyTable(ptr);
     }
+    case Operation::SetZoneEvacuation: {
+      auto ptr = reinterpret_cast<const juniperway::protocol::SetZoneEvacuation *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
     default: return true;
   }
 }
@@ -3350,6 +3550,10 @@
       auto ptr = reinterpret_cast<const juniperway::protocol::UpdateDiscovered *>(obj);
       return ptr->UnPack(resolver);
     }
+    case Operation::SetZoneEvacuation: {
+      auto ptr = reinterpret_cast<const juniperway::protocol::SetZoneEvacuation *>(obj);
+      return ptr->UnPack(resolver);
+    }
     default: return nullptr;
   }
 }
@@ -3401,6 +3605,10 @@
       auto ptr = reinterpret_cast<const juniperway::protocol::UpdateDiscoveredT *>(value);
       return CreateUpdateDiscovered(_fbb, ptr, _rehasher).Union();
     }
+    case Operation::SetZoneEvacuation: {
+      auto ptr = reinterpret_cast<const juniperway::protocol::SetZoneEvacuationT *>(value);
+      return CreateSetZoneEvacuation(_fbb, ptr, _rehasher).Union();
+    }
     default: return 0;
   }
 }
@@ -3451,6 +3659,10 @@
       value = new juniperway::protocol::UpdateDiscoveredT(*reinterpret_cast<juniperway::protocol::UpdateDiscoveredT *>(u.value));
       break;
     }
+    case Operation::SetZoneEvacuation: {
+      value = new juniperway::protocol::SetZoneEvacuationT(*reinterpret_cast<juniperway::protocol::SetZoneEvacuationT *>(u.value));
+      break;
+    }
     default:
       break;
   }
@@ -3513,6 +3725,11 @@
       delete ptr;
       break;
     }
+    case Operation::SetZoneEvacuation: {
+      auto ptr = reinterpret_cast<juniperway::protocol::SetZoneEvacuationT *>(value);
+      delete ptr;
+      break;
+    }
     default: break;
   }
   value = nullptr;
--- a/source/common/protocol/fleet_generated.h
+++ b/source/common/protocol/fleet_generated.h
@@ -34,6 +34,10 @@
 struct DiscoveredBackendRecordBuilder;
 struct DiscoveredBackendRecordT;
 
+struct ZoneEvacuationRecord;
+struct ZoneEvacuationRecordBuilder;
+struct ZoneEvacuationRecordT;
+
 struct RouteTableRecord;
 struct RouteTableRecordBuilder;
 struct RouteTableRecordT;
@@ -392,6 +396,7 @@
   std::string zone{};
   uint32_t slots = 0;
   bool draining = false;
+  bool cold = false;
 };
 
 struct DiscoveredBackendRecord FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -404,7 +409,8 @@
     VT_ADDRESS = 8,
     VT_ZONE = 10,
     VT_SLOTS = 12,
-    VT_DRAINING = 14
+    VT_DRAINING = 14,
+    VT_COLD = 16
   };
   const flatbuffers::String *id() const {
     return GetPointer<const flatbuffers::String *>(VT_ID);
@@ -424,6 +430,9 @@
   bool draining() const {
     return GetField<uint8_t>(VT_DRAINING, 0) != 0;
   }
+  bool cold() const {
+    return GetField<uint8_t>(VT_COLD, 0) != 0;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_ID) &&
@@ -436,6 +445,7 @@
            verifier.VerifyString(zone()) &&
            VerifyField<uint32_t>(verifier, VT_SLOTS, 4) &&
            VerifyField<uint8_t>(verifier, VT_DRAINING, 1) &&
+           VerifyField<uint8_t>(verifier, VT_COLD, 1) &&
            verifier.EndTable();
   }
   DiscoveredBackendRecordT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -465,6 +475,9 @@
   void add_draining(bool draining) {
     fbb_.AddElement<uint8_t>(DiscoveredBackendRecord::VT_DRAINING, static_cast<uint8_t>(draining), 0);
   }
+  void add_cold(bool cold) {
+    fbb_.AddElement<uint8_t>(DiscoveredBackendRecord::VT_COLD, static_cast<uint8_t>(cold), 0);
+  }
   explicit DiscoveredBackendRecordBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -483,13 +496,15 @@
     flatbuffers::Offset<flatbuffers::String> address = 0,
     flatbuffers::Offset<flatbuffers::String> zone = 0,
     uint32_t slots = 0,
-    bool draining = false) {
+    bool draining = false,
+    bool cold = false) {
   DiscoveredBackendRecordBuilder builder_(_fbb);
   builder_.add_slots(slots);
   builder_.add_zone(zone);
   builder_.add_address(address);
   builder_.add_service(service);
   builder_.add_id(id);
+  builder_.add_cold(cold);
   builder_.add_draining(draining);
   return builder_.Finish();
 }
@@ -506,7 +521,8 @@
     const char *address = nullptr,
     const char *zone = nullptr,
     uint32_t slots = 0,
-    bool draining = false) {
+    bool draining = false,
+    bool cold = false) {
   auto id__ = id ? _fbb.CreateString(id) : 0;
   auto service__ = service ? _fbb.CreateString(service) : 0;
   auto address__ = address ? _fbb.CreateString(address) : 0;
@@ -518,11 +534,108 @@
       address__,
       zone__,
       slots,
-      draining);
+      draining,
+      cold);
 }
 
 flatbuffers::Offset<DiscoveredBackendRecord> CreateDiscoveredBackendRecord(flatbuffers::FlatBufferBuilder &_fbb, const DiscoveredBackendRecordT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
 
+struct ZoneEvacuationRecordT : public flatbuffers::NativeTable {
+  typedef ZoneEvacuationRecord TableType;
+  std::string zone{};
+  int64_t since_us = 0;
+  std::string change_id{};
+};
+
+struct ZoneEvacuationRecord FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef ZoneEvacuationRecordT NativeTableType;
+  typedef ZoneEvacuationRecordBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_ZONE = 4,
+    VT_SINCE_US = 6,
+    VT_CHANGE_ID = 8
+  };
+  const flatbuffers::String *zone() const {
+    return GetPointer<const flatbuffers::String *>(VT_ZONE);
+  }
+  int64_t since_us() const {
+    return GetField<int64_t>(VT_SINCE_US, 0);
+  }
+  const flatbuffers::String *change_id() const {
+    return GetPointer<const flatbuffers::String *>(VT_CHANGE_ID);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_ZONE) &&
+           verifier.VerifyString(zone()) &&
+           VerifyField<int64_t>(verifier, VT_SINCE_US, 8) &&
+           VerifyOffset(verifier, VT_CHANGE_ID) &&
+           verifier.VerifyString(change_id()) &&
+           verifier.EndTable();
+  }
+  ZoneEvacuationRecordT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(ZoneEvacuationRecordT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<ZoneEvacuationRecord> Pack(flatbuffers::FlatBufferBuilder &_fbb, const ZoneEvacuationRecordT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct ZoneEvacuationRecordBuilder {
+  typedef ZoneEvacuationRecord Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_zone(flatbuffers::Offset<flatbuffers::String> zone) {
+    fbb_.AddOffset(ZoneEvacuationRecord::VT_ZONE, zone);
+  }
+  void add_since_us(int64_t since_us) {
+    fbb_.AddElement<int64_t>(ZoneEvacuationRecord::VT_SINCE_US, since_us, 0);
+  }
+  void add_change_id(flatbuffers::Offset<flatbuffers::String> change_id) {
+    fbb_.AddOffset(ZoneEvacuationRecord::VT_CHANGE_ID, change_id);
+  }
+  explicit ZoneEvacuationRecordBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<ZoneEvacuationRecord> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<ZoneEvacuationRecord>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<ZoneEvacuationRecord> CreateZoneEvacuationRecord(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::String> zone = 0,
+    int64_t since_us = 0,
+    flatbuffers::Offset<flatbuffers::String> change_id = 0) {
+  ZoneEvacuationRecordBuilder builder_(_fbb);
+  builder_.add_since_us(since_us);
+  builder_.add_change_id(change_id);
+  builder_.add_zone(zone);
+  return builder_.Finish();
+}
+
+struct ZoneEvacuationRecord::Traits {
+  using type = ZoneEvacuationRecord;
+  static auto constexpr Create = CreateZoneEvacuationRecord;
+};
+
+inline flatbuffers::Offset<ZoneEvacuationRecord> CreateZoneEvacuationRecordDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const char *zone = nullptr,
+    int64_t since_us = 0,
+    const char *change_id = nullptr) {
+  auto zone__ = zone ? _fbb.CreateString(zone) : 0;
+  auto change_id__ = change_id ? _fbb.CreateString(change_id) : 0;
+  return juniperway::protocol::CreateZoneEvacuationRecord(
+      _fbb,
+      zone__,
+      since_us,
+      change_id__);
+}
+
+flatbuffers::Offset<ZoneEvacuationRecord> CreateZoneEvacuationRecord(flatbuffers::FlatBufferBuilder &_fbb, const ZoneEvacuationRecordT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
 struct RouteTableRecordT : public flatbuffers::NativeTable {
   typedef RouteTableRecord TableType;
   uint64_t version = 0;
@@ -620,6 +733,8 @@
   std::unique_ptr<juniperway::protocol::RouteTableRecordT> route_table{};
   std::vector<std::unique_ptr<juniperway::protocol::DiscoveredBackendRecordT>> discovered{};
   std::vector<std::string> removed_discovered{};
+  std::vector<std::unique_ptr<juniperway::protocol::ZoneEvacuationRecordT>> evacuations{};
+  std::vector<std::string> ended_evacuations{};
   FleetUpdateT() = default;
   FleetUpdateT(const FleetUpdateT &o);
   FleetUpdateT(FleetUpdateT&&) FLATBUFFERS_NOEXCEPT = default;
@@ -644,7 +759,9 @@
     VT_REMOVED_SERVING = 24,
     VT_ROUTE_TABLE = 26,
     VT_DISCOVERED = 28,
-    VT_REMOVED_DISCOVERED = 30
+    VT_REMOVED_DISCOVERED = 30,
+    VT_EVACUATIONS = 32,
+    VT_ENDED_EVACUATIONS = 34
   };
   uint64_t from_revision() const {
     return GetField<uint64_t>(VT_FROM_REVISION, 0);
@@ -688,6 +805,12 @@
   const flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>> *removed_discovered() const {
     return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>> *>(VT_REMOVED_DISCOVERED);
   }
+  const flatbuffers::Vector<flatbuffers::Offset<juniperway::protocol::ZoneEvacuationRecord>> *evacuations() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<juniperway::protocol::ZoneEvacuationRecord>> *>(VT_EVACUATIONS);
+  }
+  const flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>> *ended_evacuations() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>> *>(VT_ENDED_EVACUATIONS);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_FROM_REVISION, 8) &&
@@ -727,6 +850,12 @@
            VerifyOffset(verifier, VT_REMOVED_DISCOVERED) &&
            verifier.VerifyVector(removed_discovered()) &&
            verifier.VerifyVectorOfStrings(removed_discovered()) &&
+           VerifyOffset(verifier, VT_EVACUATIONS) &&
+           verifier.VerifyVector(evacuations()) &&
+           verifier.VerifyVectorOfTables(evacuations()) &&
+           VerifyOffset(verifier, VT_ENDED_EVACUATIONS) &&
+           verifier.VerifyVector(ended_evacuations()) &&
+           verifier.VerifyVectorOfStrings(ended_evacuations()) &&
            verifier.EndTable();
   }
   FleetUpdateT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -780,6 +909,12 @@
   void add_removed_discovered(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> removed_discovered) {
     fbb_.AddOffset(FleetUpdate::VT_REMOVED_DISCOVERED, removed_discovered);
   }
+  void add_evacuations(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<juniperway::protocol::ZoneEvacuationRecord>>> evacuations) {
+    fbb_.AddOffset(FleetUpdate::VT_EVACUATIONS, evacuations);
+  }
+  void add_ended_evacuations(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> ended_evacuations) {
+    fbb_.AddOffset(FleetUpdate::VT_ENDED_EVACUATIONS, ended_evacuations);
+  }
   explicit FleetUpdateBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -806,10 +941,14 @@
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> removed_serving = 0,
     flatbuffers::Offset<juniperway::protocol::RouteTableRecord> route_table = 0,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<juniperway::protocol::DiscoveredBackendRecord>>> discovered = 0,
-    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> removed_discovered = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> removed_discovered = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<juniperway::protocol::ZoneEvacuationRecord>>> evacuations = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> ended_evacuations = 0) {
   FleetUpdateBuilder builder_(_fbb);
   builder_.add_to_revision(to_revision);
   builder_.add_from_revision(from_revision);
+  builder_.add_ended_evacuations(ended_evacuations);
+  builder_.add_evacuations(evacuations);
   builder_.add_removed_discovered(removed_discovered);
   builder_.add_discovered(discovered);
   builder_.add_route_table(route_table);
@@ -845,7 +984,9 @@
     const std::vector<flatbuffers::Offset<flatbuffers::String>> *removed_serving = nullptr,
     flatbuffers::Offset<juniperway::protocol::RouteTableRecord> route_table = 0,
     const std::vector<flatbuffers::Offset<juniperway::protocol::DiscoveredBackendRecord>> *discovered = nullptr,
-    const std::vector<flatbuffers::Offset<flatbuffers::String>> *removed_discovered = nullptr) {
+    const std::vector<flatbuffers::Offset<flatbuffers::String>> *removed_discovered = nullptr,
+    const std::vector<flatbuffers::Offset<juniperway::protocol::ZoneEvacuationRecord>> *evacuations = nullptr,
+    const std::vector<flatbuffers::Offset<flatbuffers::String>> *ended_evacuations = nullptr) {
   auto resources__ = resources ? _fbb.CreateVector<flatbuffers::Offset<juniperway::protocol::ResourceRecord>>(*resources) : 0;
   auto removed_resources__ = removed_resources ? _fbb.CreateVector<flatbuffers::Offset<juniperway::protocol::ResourceKey>>(*removed_resources) : 0;
   auto removed_snapshots__ = removed_snapshots ? _fbb.CreateVector<flatbuffers::Offset<juniperway::protocol::ServingVersion>>(*removed_snapshots) : 0;
@@ -857,6 +998,8 @@
   auto removed_serving__ = removed_serving ? _fbb.CreateVector<flatbuffers::Offset<flatbuffers::String>>(*removed_serving) : 0;
   auto discovered__ = discovered ? _fbb.CreateVector<flatbuffers::Offset<juniperway::protocol::DiscoveredBackendRecord>>(*discovered) : 0;
   auto removed_discovered__ = removed_discovered ? _fbb.CreateVector<flatbuffers::Offset<flatbuffers::String>>(*removed_discovered) : 0;
+  auto evacuations__ = evacuations ? _fbb.CreateVector<flatbuffers::Offset<juniperway::protocol::ZoneEvacuationRecord>>(*evacuations) : 0;
+  auto ended_evacuations__ = ended_evacuations ? _fbb.CreateVector<flatbuffers::Offset<flatbuffers::String>>(*ended_evacuations) : 0;
   return juniperway::protocol::CreateFleetUpdate(
       _fbb,
       from_revision,
@@ -872,7 +1015,9 @@
       removed_serving__,
       route_table,
       discovered__,
-      removed_discovered__);
+      removed_discovered__,
+      evacuations__,
+      ended_evacuations__);
 }
 
 flatbuffers::Offset<FleetUpdate> CreateFleetUpdate(flatbuffers::FlatBufferBuilder &_fbb, const FleetUpdateT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -1000,6 +1145,7 @@
   { auto _e = zone(); if (_e) _o->zone = _e->str(); }
   { auto _e = slots(); _o->slots = _e; }
   { auto _e = draining(); _o->draining = _e; }
+  { auto _e = cold(); _o->cold = _e; }
 }
 
 inline flatbuffers::Offset<DiscoveredBackendRecord> DiscoveredBackendRecord::Pack(flatbuffers::FlatBufferBuilder &_fbb, const DiscoveredBackendRecordT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -1016,6 +1162,7 @@
   auto _zone = _o->zone.empty() ? 0 : _fbb.CreateString(_o->zone);
   auto _slots = _o->slots;
   auto _draining = _o->draining;
+  auto _cold = _o->cold;
   return juniperway::protocol::CreateDiscoveredBackendRecord(
       _fbb,
       _id,
@@ -1023,7 +1170,40 @@
       _address,
       _zone,
       _slots,
-      _draining);
+      _draining,
+      _cold);
+}
+
+inline ZoneEvacuationRecordT *ZoneEvacuationRecord::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<ZoneEvacuationRecordT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void ZoneEvacuationRecord::UnPackTo(ZoneEvacuationRecordT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = zone(); if (_e) _o->zone = _e->str(); }
+  { auto _e = since_us(); _o->since_us = _e; }
+  { auto _e = change_id(); if (_e) _o->change_id = _e->str(); }
+}
+
+inline flatbuffers::Offset<ZoneEvacuationRecord> ZoneEvacuationRecord::Pack(flatbuffers::FlatBufferBuilder &_fbb, const ZoneEvacuationRecordT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateZoneEvacuationRecord(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<ZoneEvacuationRecord> CreateZoneEvacuationRecord(flatbuffers::FlatBufferBuilder &_fbb, const ZoneEvacuationRecordT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const ZoneEvacuationRecordT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _zone = _o->zone.empty() ? 0 : _fbb.CreateString(_o->zone);
+  auto _since_us = _o->since_us;
+  auto _change_id = _o->change_id.empty() ? 0 : _fbb.CreateString(_o->change_id);
+  return juniperway::protocol::CreateZoneEvacuationRecord(
+      _fbb,
+      _zone,
+      _since_us,
+      _change_id);
 }
 
 inline RouteTableRecordT *RouteTableRecord::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
@@ -1062,7 +1242,8 @@
         removed_reports(o.removed_reports),
         removed_serving(o.removed_serving),
         route_table((o.route_table) ? new juniperway::protocol::RouteTableRecordT(*o.route_table) : nullptr),
-        removed_discovered(o.removed_discovered) {
+        removed_discovered(o.removed_discovered),
+        ended_evacuations(o.ended_evacuations) {
   resources.reserve(o.resources.size());
   for (const auto &resources_ : o.resources) { resources.emplace_back((resources_) ? new juniperway::protocol::ResourceRecordT(*resources_) : nullptr); }
   removed_resources.reserve(o.removed_resources.size());
@@ -1077,6 +1258,8 @@
   for (const auto &serving_ : o.serving) { serving.emplace_back((serving_) ? new juniperway::protocol::ServingVersionT(*serving_) : nullptr); }
   discovered.reserve(o.discovered.size());
   for (const auto &discovered_ : o.discovered) { discovered.emplace_back((discovered_) ? new juniperway::protocol::DiscoveredBackendRecordT(*discovered_) : nullptr); }
+  evacuations.reserve(o.evacuations.size());
+  for (const auto &evacuations_ : o.evacuations) { evacuations.emplace_back((evacuations_) ? new juniperway::protocol::ZoneEvacuationRecordT(*evacuations_) : nullptr); }
 }
 
 inline FleetUpdateT &FleetUpdateT::operator=(FleetUpdateT o) FLATBUFFERS_NOEXCEPT {
@@ -1094,6 +1277,8 @@
   std::swap(route_table, o.route_table);
   std::swap(discovered, o.discovered);
   std::swap(removed_discovered, o.removed_discovered);
+  std::swap(evacuations, o.evacuations);
+  std::swap(ended_evacuations, o.ended_evacuations);
   return *this;
 }
 
@@ -1120,6 +1305,8 @@
   { auto _e = route_table(); if (_e) _o->route_table = std::unique_ptr<juniperway::protocol::RouteTableRecordT>(_e->UnPack(_resolver)); }
   { auto _e = discovered(); if (_e) { _o->discovered.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->discovered[_i] = std::unique_ptr<juniperway::protocol::DiscoveredBackendRecordT>(_e->Get(_i)->UnPack(_resolver)); } } }
   { auto _e = removed_discovered(); if (_e) { _o->removed_discovered.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->removed_discovered[_i] = _e->Get(_i)->str(); } } }
+  { auto _e = evacuations(); if (_e) { _o->evacuations.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->evacuations[_i] = std::unique_ptr<juniperway::protocol::ZoneEvacuationRecordT>(_e->Get(_i)->UnPack(_resolver)); } } }
+  { auto _e = ended_evacuations(); if (_e) { _o->ended_evacuations.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->ended_evacuations[_i] = _e->Get(_i)->str(); } } }
 }
 
 inline flatbuffers::Offset<FleetUpdate> FleetUpdate::Pack(flatbuffers::FlatBufferBuilder &_fbb, const FleetUpdateT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -1144,6 +1331,8 @@
   auto _route_table = _o->route_table ? CreateRouteTableRecord(_fbb, _o->route_table.get(), _rehasher) : 0;
   auto _discovered = _o->discovered.size() ? _fbb.CreateVector<flatbuffers::Offset<juniperway::protocol::DiscoveredBackendRecord>> (_o->discovered.size(), [](size_t i, _VectorArgs *__va) { return CreateDiscoveredBackendRecord(*__va->__fbb, __va->__o->discovered[i].get(), __va->__rehasher); }, &_va ) : 0;
   auto _removed_discovered = _o->removed_discovered.size() ? _fbb.CreateVectorOfStrings(_o->removed_discovered) : 0;
+  auto _evacuations = _o->evacuations.size() ? _fbb.CreateVector<flatbuffers::Offset<juniperway::protocol::ZoneEvacuationRecord>> (_o->evacuations.size(), [](size_t i, _VectorArgs *__va) { return CreateZoneEvacuationRecord(*__va->__fbb, __va->__o->evacuations[i].get(), __va->__rehasher); }, &_va ) : 0;
+  auto _ended_evacuations = _o->ended_evacuations.size() ? _fbb.CreateVectorOfStrings(_o->ended_evacuations) : 0;
   return juniperway::protocol::CreateFleetUpdate(
       _fbb,
       _from_revision,
@@ -1159,7 +1348,9 @@
       _removed_serving,
       _route_table,
       _discovered,
-      _removed_discovered);
+      _removed_discovered,
+      _evacuations,
+      _ended_evacuations);
 }
 
 }  // namespace protocol
--- a/source/common/routes/route_table.cc
+++ b/source/common/routes/route_table.cc
@@ -20,6 +20,8 @@
 constexpr std::uint64_t kMaximumAttempts = 100;
 constexpr std::uint64_t kMaximumBytes = 1U << 30;
 constexpr std::uint64_t kMaximumConnections = 1U << 20;
+constexpr double kMaximumWarmupSeconds = 24.0 * 3600;
+constexpr double kMaximumColdRequests = 1e9;
 
 // Reads the fields of one JSON object and keeps the first fault. Unlike
 // JsonReader it passes over fields it does not know: a newer operator's tool
@@ -162,6 +164,23 @@
   return target;
 }
 
+// A region that is named twice counts once. A name that no zone has is taken:
+// an operator may write the table before the region's first machine starts.
+HomeRegions ReadHomeRegions(ObjectReader& reader) {
+  std::set<std::string> regions;
+  if (reader.Field("home_regions") == nullptr) {
+    return HomeRegions();
+  }
+  for (const json& region : reader.List("home_regions")) {
+    if (!region.is_string() || region.get_ref<const std::string&>().empty()) {
+      reader.Fail("home_regions", "must be a list of names of regions");
+      return HomeRegions();
+    }
+    regions.insert(region.get<std::string>());
+  }
+  return HomeRegions(std::move(regions));
+}
+
 bool ReadRepeatable(ObjectReader& reader) {
   const std::string execution = reader.Text("execution");
   if (execution != "repeatable" && execution != "at_most_once") {
@@ -189,6 +208,7 @@
       static_cast<std::uint32_t>(reader.Unsigned("priority", 0, 1U << 20, 0));
   route.maximum_attempts = static_cast<std::uint32_t>(
       reader.Unsigned("maximum_attempts", 1, kMaximumAttempts, 1));
+  route.home_regions = ReadHomeRegions(reader);
   if (reader.Field("scatter") != nullptr) {
     route.destination = ReadScatter(reader);
   } else if (reader.Field("split") != nullptr) {
@@ -224,6 +244,11 @@
     }
     service.maximum_connections = static_cast<std::uint32_t>(
         reader.Unsigned("maximum_connections", 1, kMaximumConnections, 1));
+    service.warmup =
+        std::chrono::duration_cast<Duration>(std::chrono::duration<double>(
+            reader.Number("warmup_s", kMaximumWarmupSeconds, 0.0)));
+    service.cold_requests_per_second =
+        reader.Number("cold_requests_per_second", kMaximumColdRequests, 0.0);
     if (reader.fault()) {
       return tl::unexpected(*reader.fault());
     }
--- a/source/common/routes/route_table.h
+++ b/source/common/routes/route_table.h
@@ -15,6 +15,7 @@
 
 #include "common/base/error.h"
 #include "common/base/time.h"
+#include "common/routes/home_regions.h"
 
 namespace juniperway::routes {
 
@@ -62,6 +63,8 @@
   std::uint32_t priority = 0;
   // Back ends that may be asked for one request (for each shard).
   std::uint32_t maximum_attempts = 1;
+  // Only back ends of these regions may get its requests.
+  HomeRegions home_regions;
   std::variant<SplitTarget, ScatterTarget> destination;
 
   bool operator==(const Route&) const = default;
@@ -71,6 +74,11 @@
   std::string health_path;
   // Connections that each back end takes from all callers together.
   std::uint32_t maximum_connections = 1;
+  // How long a back end stays cold after it has started.
+  Duration warmup{};
+  // Requests a second that a cold back end takes from all callers together; 0:
+  // it is slow while it is cold, but takes as many as ever.
+  double cold_requests_per_second = 0;
 
   bool operator==(const RoutedService&) const = default;
 };
--- a/source/common/session/fleet_codec.cc
+++ b/source/common/session/fleet_codec.cc
@@ -290,6 +290,7 @@
   record.zone = backend.zone;
   record.slots = backend.slots;
   record.draining = backend.draining;
+  record.cold = backend.cold;
   return record;
 }
 
@@ -302,9 +303,24 @@
   backend.zone = record.zone;
   backend.slots = record.slots;
   backend.draining = record.draining;
+  backend.cold = record.cold;
   return backend;
 }
 
+protocol::ZoneEvacuationRecordT EncodeEvacuation(
+    const std::string& zone, const ZoneEvacuation& evacuation) {
+  protocol::ZoneEvacuationRecordT record;
+  record.zone = zone;
+  record.since_us = evacuation.since.time_since_epoch().count();
+  record.change_id = evacuation.change_id;
+  return record;
+}
+
+ZoneEvacuation DecodeEvacuation(const protocol::ZoneEvacuationRecordT& record) {
+  return {.since = WallTime{Duration(record.since_us)},
+          .change_id = record.change_id};
+}
+
 bool IsApplicable(const protocol::FleetUpdateT& update,
                   resources::Revision revision) {
   return update.from_revision <= revision && update.to_revision > revision;
@@ -353,6 +369,12 @@
   for (const auto& backend : update.discovered) {
     view->discovered[backend->id] = DecodeDiscovered(*backend);
   }
+  for (const auto& zone : update.ended_evacuations) {
+    view->evacuations.erase(zone);
+  }
+  for (const auto& evacuation : update.evacuations) {
+    view->evacuations[evacuation->zone] = DecodeEvacuation(*evacuation);
+  }
   if (update.route_table) {
     const auto text = Decompress(update.route_table->content);
     if (!text) {
--- a/source/common/session/fleet_codec.h
+++ b/source/common/session/fleet_codec.h
@@ -30,6 +30,10 @@
 DiscoveredBackend DecodeDiscovered(
     const protocol::DiscoveredBackendRecordT& record);
 
+protocol::ZoneEvacuationRecordT EncodeEvacuation(
+    const std::string& zone, const ZoneEvacuation& evacuation);
+ZoneEvacuation DecodeEvacuation(const protocol::ZoneEvacuationRecordT& record);
+
 // Whether `update` may be put on top of a view at `revision`: it starts at or
 // before that revision and leads past it.
 bool IsApplicable(const protocol::FleetUpdateT& update,
--- a/source/common/session/fleet_view.h
+++ b/source/common/session/fleet_view.h
@@ -11,6 +11,7 @@
 #include <vector>
 
 #include "common/base/copy_on_write_map.h"
+#include "common/base/time.h"
 #include "common/resources/resource.h"
 #include "common/routes/route_table.h"
 
@@ -53,10 +54,22 @@
   std::uint32_t slots = 1;
   // It is leaving: it gets no new work.
   bool draining = false;
+  // It has started a short while ago, and takes less work for now.
+  bool cold = false;
 
   bool operator==(const DiscoveredBackend&) const = default;
 };
 
+// An operator's order that no back end of a zone gets new work.
+struct ZoneEvacuation {
+  // When it was accepted, by the leader's clock.
+  WallTime since{};
+  // The change that ordered it.
+  std::string change_id;
+
+  bool operator==(const ZoneEvacuation&) const = default;
+};
+
 struct FleetView {
   resources::Revision revision = 0;
   CopyOnWriteMap<std::string, resources::Service> services;
@@ -75,6 +88,8 @@
   routes::RouteTablePointer route_table;
   // By id.
   CopyOnWriteMap<std::string, DiscoveredBackend> discovered;
+  // By zone.
+  CopyOnWriteMap<std::string, ZoneEvacuation> evacuations;
 };
 
 using FleetViewPointer = std::shared_ptr<const FleetView>;
--- a/source/ctl/command_table.cc
+++ b/source/ctl/command_table.cc
@@ -80,6 +80,15 @@
        {"change-id", "wait"},
        false,
        RunUndrain},
+      {"evacuate",
+       "list | start ZONE | end ZONE",
+       "Take all back ends of a zone out of use, or back into use.",
+       "juniperwayctl evacuate start tpe-a --wait",
+       1,
+       2,
+       {"change-id", "wait"},
+       false,
+       RunEvacuate},
   };
 }
 
--- a/source/daemon/router_role.cc
+++ b/source/daemon/router_role.cc
@@ -41,6 +41,7 @@
   options.http_listen = settings.router->http_listen;
   options.ready_listen = settings.router->ready_listen;
   options.headers = settings.router->headers;
+  options.pool.router = settings.name;
   options.pool.zone = settings.zone;
   options.pool.regions = settings.router->zones;
   options.pool.extra = settings.router->extra;
--- /dev/null
+++ b/test/unit/control/evacuation_test.cc
@@ -0,0 +1,81 @@
+// Orders to evacuate zones in the replicated state.
+#include <doctest/doctest.h>
+
+#include <string>
+
+#include "common/control/control_state.h"
+#include "common/session/control_frames.h"
+#include "common/session/fleet_codec.h"
+
+namespace juniperway::control {
+namespace {
+
+protocol::OperationResultT Order(ControlState& state, const std::string& change,
+                                 const std::string& zone, bool evacuated) {
+  protocol::SetZoneEvacuationT operation;
+  operation.change_id = change;
+  operation.zone = zone;
+  operation.evacuated = evacuated;
+  protocol::CommandT command;
+  command.wall_time_us = 5'000'000;
+  command.operations.push_back(std::make_unique<protocol::OperationItemT>(
+      session::MakeOperation(std::move(operation))));
+  AppliedCommand applied = state.Apply(EncodeCommand(command));
+  CHECK_FALSE(applied.results.front().error);
+  return std::move(applied.results.front());
+}
+
+session::FleetViewPointer ViewOf(const ControlState& state,
+                                 const session::FleetViewPointer& base) {
+  auto view = session::ApplyUpdate(*base, state.UpdateSince(base->revision));
+  REQUIRE(view);
+  return *view;
+}
+
+TEST_CASE("an evacuation is started once and ended once") {
+  ControlState state;
+  CHECK(Order(state, "c1", "z", true).revision == 1);
+  CHECK(Order(state, "c2", "z", true).revision == 1);
+  CHECK(state.fleet().evacuations.at("z").change_id == "c1");
+  CHECK(Order(state, "c3", "z", false).revision == 2);
+  CHECK(Order(state, "c4", "z", false).revision == 2);
+  CHECK(state.fleet().evacuations.empty());
+}
+
+TEST_CASE("a second copy of an order that was withdrawn changes nothing") {
+  ControlState state;
+  Order(state, "c1", "z", true);
+  Order(state, "c2", "z", false);
+  const auto copy = Order(state, "c1", "z", true);
+  CHECK(copy.resent);
+  CHECK(copy.revision == 1);
+  CHECK(state.fleet().evacuations.empty());
+}
+
+TEST_CASE("daemons learn of evacuations, whole and as changes") {
+  ControlState state;
+  Order(state, "c1", "y", true);
+  auto view = ViewOf(state, std::make_shared<session::FleetView>());
+  REQUIRE(view->evacuations.find("y") != view->evacuations.end());
+  CHECK(view->evacuations.find("y")->second.change_id == "c1");
+  Order(state, "c2", "z", true);
+  Order(state, "c3", "y", false);
+  view = ViewOf(state, view);
+  CHECK(view->evacuations.find("y") == view->evacuations.end());
+  CHECK(view->evacuations.find("z") != view->evacuations.end());
+}
+
+TEST_CASE("a snapshot holds the orders and the changes that made them") {
+  ControlState state;
+  Order(state, "c1", "y", true);
+  Order(state, "c2", "z", true);
+  Order(state, "c3", "y", false);
+  auto restored = ControlState::DecodeSnapshot(state.EncodeSnapshot());
+  REQUIRE(restored);
+  CHECK(restored->fleet().evacuations == state.fleet().evacuations);
+  Order(*restored, "c1", "y", true);
+  CHECK_FALSE(restored->fleet().evacuations.contains("y"));
+}
+
+}  // namespace
+}  // namespace juniperway::control
--- a/test/unit/ctl/commands_test.cc
+++ b/test/unit/ctl/commands_test.cc
@@ -191,4 +191,26 @@
   CHECK(ctl.Run({"apply", "-f", "-"}, kServiceText).exit_code == 4);
 }
 
+TEST_CASE("a zone is evacuated, listed and taken back into use") {
+  CtlFixture ctl;
+  const RunResult started =
+      ctl.Run({"evacuate", "start", "tpe-a", "--change-id", "e1"});
+  CAPTURE(started.error);
+  CHECK(started.exit_code == 0);
+  CHECK(ctl.Has(started.out, "e1 accepted at revision 1"));
+  CHECK(ctl.Run({"evacuate", "start", "tpe-a"}).exit_code == 0);
+  const RunResult listed = ctl.Run({"evacuate", "list"});
+  CHECK(ctl.Has(listed.out, "tpe-a"));
+  CHECK(ctl.Has(listed.out, "e1"));
+  CHECK(ctl.Run({"evacuate", "end", "tpe-a"}).exit_code == 0);
+  CHECK_FALSE(ctl.Has(ctl.Run({"evacuate", "list"}).out, "tpe-a"));
+  for (const std::vector<std::string>& wrong :
+       {std::vector<std::string>{"evacuate", "start"},
+        {"evacuate", "list", "tpe-a"},
+        {"evacuate", "pause", "tpe-a"}}) {
+    CHECK(ctl.Run(wrong).exit_code == 2);
+  }
+  CHECK(ctl.Run({"evacuate", "start", std::string(200, 'z')}).exit_code == 1);
+}
+
 }  // namespace juniperway::ctl
--- a/test/unit/forwarding/backend_pool_test.cc
+++ b/test/unit/forwarding/backend_pool_test.cc
@@ -33,16 +33,21 @@
 
   void Add(const session::DiscoveredBackend& backend) {
     view.discovered[backend.id] = backend;
-    pool.Update(view, routers);
+    pool.Update(view, routers, now);
+  }
+
+  BackendNeed Need(const std::string& service,
+                   const std::vector<std::string>& tried) const {
+    return {.service = service, .home_regions = home_regions, .tried = tried};
   }
 
   std::string Choose(const std::vector<std::string>& excluded = {}) {
-    const auto* backend = pool.Choose("s", excluded, now);
+    const auto* backend = pool.Choose(Need("s", excluded), now);
     return backend == nullptr ? "" : backend->info.id;
   }
 
   Availability AvailabilityNow(const std::vector<std::string>& excluded = {}) {
-    return pool.AvailabilityOf("s", excluded, now);
+    return pool.AvailabilityOf(Need("s", excluded), now);
   }
 
   void Run(const std::string& id, Duration latency,
@@ -52,6 +57,7 @@
     now += latency;
   }
 
+  routes::HomeRegions home_regions;
   session::FleetView view;
   BackendPool pool;
   std::size_t routers = 4;
@@ -145,10 +151,10 @@
 TEST_CASE("a draining back end and one that left get nothing more") {
   Pool pool;
   pool.view.discovered["1"].draining = true;
-  pool.pool.Update(pool.view, 4);
+  pool.pool.Update(pool.view, 4, pool.now);
   CHECK(pool.Choose() == "2");
   pool.view.discovered.erase("2");
-  pool.pool.Update(pool.view, 4);
+  pool.pool.Update(pool.view, 4, pool.now);
   CHECK(pool.Choose() == "3");
   CHECK(pool.pool.live_backends() == 1);
 }
@@ -160,7 +166,7 @@
     pool.Run("1", milliseconds(1));
   }
   pool.routers = 10;
-  pool.pool.Update(pool.view, 10);
+  pool.pool.Update(pool.view, 10, pool.now);
   // 0.9 x 40 connections among 10 routers.
   for (AttemptId attempt = 1; attempt <= 3; ++attempt) {
     CHECK(pool.Choose({"2", "3"}) == "1");
@@ -188,11 +194,11 @@
   }
   SUBCASE("leaving") {
     pool.view.discovered["1"].draining = true;
-    pool.pool.Update(pool.view, pool.routers);
+    pool.pool.Update(pool.view, pool.routers, pool.now);
     CHECK(pool.AvailabilityNow(others) == Availability::kNone);
   }
   SUBCASE("unknown") {
-    CHECK(pool.pool.AvailabilityOf("other", {}, pool.now) ==
+    CHECK(pool.pool.AvailabilityOf(pool.Need("other", {}), pool.now) ==
           Availability::kNone);
   }
 }
--- a/test/unit/forwarding/request_run_test.cc
+++ b/test/unit/forwarding/request_run_test.cc
@@ -40,7 +40,7 @@
     scatter.top_k = 3;
     scatter.minimum_coverage = 0.7;
     view.route_table = table;
-    pool.Update(view, 1);
+    pool.Update(view, 1, now);
     route.name = "r";
     route.repeatable = true;
     route.timeout = seconds(4);
@@ -216,7 +216,7 @@
   for (const char* id : {"s0-0", "s0-1", "s0-2", "s1-0", "s1-1", "s1-2"}) {
     world.view.discovered[id].draining = true;
   }
-  world.pool.Update(world.view, 1);
+  world.pool.Update(world.view, 1, world.now);
   RequestRun& run = world.Start();
   CHECK(world.sent.empty());
   REQUIRE(run.outcome());
@@ -228,7 +228,7 @@
   for (const char* id : {"s0-0", "s0-1", "s0-2"}) {
     world.view.discovered[id].draining = true;
   }
-  world.pool.Update(world.view, 1);
+  world.pool.Update(world.view, 1, world.now);
   RequestRun& run = world.Start();
   for (int shard = 1; shard < kShards; ++shard) {
     world.Answer(ShardName(shard));
@@ -374,9 +374,11 @@
  public:
   Occupied(World& world, std::vector<std::string> services)
       : world_(world), services_(std::move(services)) {
+    const routes::HomeRegions anywhere;
+    const std::vector<std::string> none;
     for (const std::string& service : services_) {
       while (const auto* backend =
-                 world_.pool.Choose(service, {}, world_.now)) {
+                 world_.pool.Choose({service, anywhere, none}, world_.now)) {
         const AttemptId attempt = kFirstAttempt + attempts_.size();
         attempts_.emplace_back(backend->info.id, attempt);
         world_.pool.OnSent(backend->info.id, attempt, world_.now);
--- a/test/unit/routes/route_table_test.cc
+++ b/test/unit/routes/route_table_test.cc
@@ -92,6 +92,45 @@
   CHECK(FaultOf(With("\"routes\": [", "\"paths\": [")) == "routes");
 }
 
+TEST_CASE("a route is limited to its home regions") {
+  const auto regions_of = [](const std::string& field) {
+    const auto table = ParseRouteTable(
+        With("\"timeout_ms\": 4000", field + "\"timeout_ms\": 4000"));
+    REQUIRE(table);
+    return table->routes[0].home_regions;
+  };
+  CHECK_FALSE(regions_of("").IsLimited());
+  CHECK_FALSE(regions_of("\"home_regions\": [], ").IsLimited());
+  CHECK_FALSE(regions_of("\"home_regions\": null, ").IsLimited());
+  const HomeRegions homes =
+      regions_of("\"home_regions\": [\"a\", \"b\", \"a\"], ");
+  CHECK(homes == HomeRegions({"a", "b"}));
+  CHECK(homes.Allows("a"));
+  CHECK_FALSE(homes.Allows("c"));
+  CHECK_FALSE(homes.Allows(""));
+  for (const std::string wrong :
+       {"\"a\"", "[3]", "[\"\"]", "{}", "[\"a\", null]"}) {
+    CAPTURE(wrong);
+    CHECK(FaultOf(With("\"timeout_ms\": 4000", "\"home_regions\": " + wrong +
+                                                   ", \"timeout_ms\": 4000")) ==
+          "routes[0].home_regions");
+  }
+}
+
+TEST_CASE("what cold back ends take is read with its service") {
+  const auto table =
+      ParseRouteTable(With("\"maximum_connections\": 5",
+                           "\"maximum_connections\": 5, \"warmup_s\": 2.5, "
+                           "\"cold_requests_per_second\": 6"));
+  REQUIRE(table);
+  CHECK(table->services.at("two").warmup == milliseconds(2500));
+  CHECK(table->services.at("two").cold_requests_per_second == 6);
+  CHECK(table->services.at("one").cold_requests_per_second == 0);
+  CHECK(FaultOf(With("\"maximum_connections\": 5",
+                     "\"maximum_connections\": 5, \"warmup_s\": -1")) ==
+        "services[1].warmup_s");
+}
+
 TEST_CASE("fields that are not known are passed over") {
   CHECK(ParseRouteTable(With("\"version\": 7", "\"version\": 7, \"new\": {}")));
 }
