--- a/test/integration/forwarding/route_fleet.cc
+++ b/test/integration/forwarding/route_fleet.cc
@@ -244,6 +244,22 @@
   return status;
 }
 
+int RouteFleet::CallControl(const std::string& method,
+                            const std::string& path) {
+  int status = 0;
+  int machine = 0;
+  lab::WaitFor(kLimit, [&] {
+    net::HttpClientRequest request;
+    request.method = method;
+    request.url = fmt::format(
+        "http://{}:{}{}", AddressOf(machine++ % machines()), http_port_, path);
+    request.timeout = seconds(5);
+    status = http_.Call(std::move(request)).status;
+    return status == 200 || status == 400;
+  });
+  return status;
+}
+
 std::string RouteFleet::GetTable() {
   std::string body;
   int machine = 0;
--- a/test/integration/forwarding/route_fleet.h
+++ b/test/integration/forwarding/route_fleet.h
@@ -73,6 +73,9 @@
   // Writes a table until it is acknowledged. @return the status of a refusal.
   int PutTable(const std::string& table);
   std::string GetTable();
+  // Sends an order to one control machine after the other until it is answered
+  // with 200 or 400. @return the status.
+  int CallControl(const std::string& method, const std::string& path);
   // Waits until the router answers this target with this status.
   bool AwaitStatus(const std::string& target, int status);
 
--- a/test/unit/forwarding/cold_allowance_test.cc
+++ b/test/unit/forwarding/cold_allowance_test.cc
@@ -44,6 +44,7 @@
     ColdAllowance allowance;
   };
   std::vector<Router> routers;
+  routers.reserve(views.size());
   for (const auto& [router, known] : views) {
     routers.push_back({ColdShareOf(router, known, backend, rate), {}});
   }
