Keep the budget's share of routers that are gone for a window, whenever they go

Cause: the share was kept only where the view before had come within a window; after a quiet time the others took it at once, and what the routers that are gone had used in that window came on top. Now the window starts when they go (unit.forwarding/backend_pool failed without, 9 extra requests for 0). Says where the weights of failures come from.

--- a/source/common/forwarding/backend_pool.cc
+++ b/source/common/forwarding/backend_pool.cc
@@ -41,7 +41,10 @@
 // What an attempt that brings no answer costs its request, beside one that
 // does: with another attempt its time, as long as the service's budget for that
 // lasts; without one, most often the whole request. In between it grows as the
-// budget runs out.
+// budget runs out. Mean worth of five days with trouble, 70 machines and 100
+// machines with shorter slots: 0.622 and 0.672 with 0.8 and 1 s at all times,
+// 0.632 and 0.707 so, with hedges that adapt too (simulated). The 30 ms, about
+// the way to another region and back, were chosen.
 constexpr Duration kRetryCost = milliseconds(30);
 constexpr Duration kLostRequestCost = seconds(1);
 
@@ -79,13 +82,23 @@
 
 void BackendPool::NoteRouters(std::size_t routers, MonotonicTime now) {
   routers_ = std::max<std::size_t>(1, routers);
-  // What a router that is gone has taken counts for a window more.
-  if (routers_ >= options_.extra.routers || now >= fewer_routers_from_) {
+  if (routers_ >= options_.extra.routers) {
     options_.extra.routers = routers_;
+    fewer_routers_from_ = MonotonicTime::max();
+  } else if (fewer_routers_from_ == MonotonicTime::max()) {
+    // What a router that is gone has taken counts for a window more.
     fewer_routers_from_ = now + options_.extra.window;
   }
 }
 
+const ExtraBudgetLimits& BackendPool::ExtraLimits(MonotonicTime now) {
+  if (now >= fewer_routers_from_) {
+    options_.extra.routers = routers_;
+    fewer_routers_from_ = MonotonicTime::max();
+  }
+  return options_.extra;
+}
+
 void BackendPool::UpdateBackends(const session::FleetView& view,
                                  MonotonicTime now) {
   for (auto& [id, backend] : backends_) {
@@ -240,7 +253,8 @@
     return nullptr;
   }
   const std::vector<Backend*>& backends = found->second.backends;
-  const double spent = 1 - found->second.budget.LeftShare(options_.extra, now);
+  const double spent =
+      1 - found->second.budget.LeftShare(ExtraLimits(now), now);
   const Duration failed_attempt = std::max(
       kRetryCost, Duration(static_cast<Duration::rep>(
                       static_cast<double>(kLostRequestCost.count()) * spent)));
@@ -374,11 +388,11 @@
 
 void BackendPool::OnFirstRequest(const std::string& service,
                                  MonotonicTime now) {
-  services_[service].budget.OnRequest(options_.extra, now);
+  services_[service].budget.OnRequest(ExtraLimits(now), now);
 }
 
 bool BackendPool::TakeExtra(const std::string& service, MonotonicTime now) {
-  return services_[service].budget.TryTake(options_.extra, now);
+  return services_[service].budget.TryTake(ExtraLimits(now), now);
 }
 
 std::size_t BackendPool::live_backends() const {
--- a/source/common/forwarding/backend_pool.h
+++ b/source/common/forwarding/backend_pool.h
@@ -150,6 +150,8 @@
   using Backends = std::map<std::string, Backend>;
 
   void NoteRouters(std::size_t routers, MonotonicTime now);
+  // Of the budgets, by the routers that share them now.
+  const ExtraBudgetLimits& ExtraLimits(MonotonicTime now);
   void UpdateBackends(const session::FleetView& view, MonotonicTime now);
   void UpdateServices(const session::FleetView& view);
   // Shares of what cold back ends take.
@@ -187,8 +189,8 @@
   std::mt19937_64 random_;
   // That share back ends' connections.
   std::size_t routers_ = 1;
-  // Until then as many routers share the budget as before.
-  MonotonicTime fewer_routers_from_ = MonotonicTime::min();
+  // Some are gone: until then as many share the budget as before; max(): none.
+  MonotonicTime fewer_routers_from_ = MonotonicTime::max();
   Backends backends_;
   std::map<std::string, Service> services_;
 };
--- a/source/common/forwarding/cold_allowance.cc
+++ b/source/common/forwarding/cold_allowance.cc
@@ -8,8 +8,8 @@
 namespace juniperway::forwarding {
 namespace {
 
-// A share is for a window longer than the second that the rate speaks of:
-// requests of one second that arrive within another, later ones are delayed.
+// A share is for a longer window than the second that the rate speaks of: two
+// requests that leave a second apart arrive closer when the first is delayed.
 constexpr double kWindowSeconds = 1.1;
 
 std::uint64_t DrawOf(const std::string& router, const std::string& backend) {
--- a/source/common/forwarding/failure_rate.h
+++ b/source/common/forwarding/failure_rate.h
@@ -12,7 +12,8 @@
 
 class FailureRate {
  public:
-  // What was seen fades to 1 / e in this time.
+  // What was seen fades to 1 / e in this time: several requests of a router
+  // that asks a back end twice a second. Chosen, not measured alone.
   static constexpr Duration kMemory = seconds(8);
 
   void Record(bool failed, MonotonicTime now);
--- a/test/unit/forwarding/backend_pool_test.cc
+++ b/test/unit/forwarding/backend_pool_test.cc
@@ -302,7 +302,8 @@
   const auto extra_after = [](Duration passed) {
     Pool pool;
     pool.pool.Update(pool.view, 10, pool.now);
-    pool.pool.Update(pool.view, 1, pool.now + passed);
+    pool.now += seconds(100);
+    pool.pool.Update(pool.view, 1, pool.now);
     int taken = 0;
     while (pool.pool.TakeExtra("s", pool.now + passed)) {
       ++taken;
