Tell in the log which requests are the same one and which connections were lost

Change: 3411 and 3412 carry the request's fingerprint (method, host, target, body, caller), 3411 the caller, 3412 whether the connection was lost while the back end had the request and how long it had been running.

--- a/source/common/forwarding/exchange.cc
+++ b/source/common/forwarding/exchange.cc
@@ -141,12 +141,13 @@
       request_.forwarded, action, environment_.names, ReadMonotonicClock());
   handles_[action.attempt] = environment_.client.Start(
       std::move(request),
-      [self = shared_from_this(), action](net::HttpClientResponse response) {
-        self->OnResponse(action, std::move(response));
+      [self = shared_from_this(), action,
+       sent = ReadMonotonicClock()](net::HttpClientResponse response) {
+        self->OnResponse(action, sent, std::move(response));
       });
 }
 
-void Exchange::OnResponse(const SendAction& action,
+void Exchange::OnResponse(const SendAction& action, MonotonicTime sent,
                           net::HttpClientResponse response) {
   handles_.erase(action.attempt);
   if (over_) {
@@ -154,6 +155,7 @@
   }
   const int status = response.status;
   const std::string transport_error = response.transport_error;
+  const Duration under_way = ReadMonotonicClock() - sent;
   AttemptEnd end = ReadBackendResponse(
       std::move(response), environment_.names,
       run_.IsScatter() ? AnswerUse::kMerged : AnswerUse::kPassedOn);
@@ -164,7 +166,10 @@
                               {"address", action.address},
                               {"result", NameOf(end.result)},
                               {"status", status},
-                              {"error", transport_error}});
+                              {"error", transport_error},
+                              {"connection_lost", end.connection_lost},
+                              {"after_ms", ToMilliseconds(under_way)},
+                              {"fingerprint", Fingerprint()}});
   }
   environment_.metrics.OnAttemptEnded(end.result);
   run_.OnEnded(action.attempt, std::move(end), ReadMonotonicClock());
@@ -238,6 +243,10 @@
   environment_.on_over(*this);
 }
 
+std::string Exchange::Fingerprint() const {
+  return ToText(request_.fingerprint);
+}
+
 void Exchange::LogEnd(const RunOutcome& outcome, Duration elapsed) const {
   if (EndOf(outcome) == RequestEnd::kWhole) {
     LogEvent(kRequestServed, {{"request", request_.forwarded.request_id},
@@ -262,6 +271,8 @@
                            {"missing_shards", DescribeMissing(outcome.missing)},
                            {"attempts", run_.attempts()},
                            {"hedges", run_.hedges()},
+                           {"fingerprint", Fingerprint()},
+                           {"caller", request_.caller},
                            {"allowed_ms", ToMilliseconds(allowed)},
                            {"waited_ms", ToMilliseconds(waited)},
                            {"elapsed_ms", ToMilliseconds(elapsed)}});
--- a/source/common/forwarding/exchange.h
+++ b/source/common/forwarding/exchange.h
@@ -9,6 +9,7 @@
 #include <memory>
 #include <string>
 
+#include "common/base/request_fingerprint.h"
 #include "common/forwarding/header_names.h"
 #include "common/forwarding/message_codec.h"
 #include "common/forwarding/request_run.h"
@@ -43,6 +44,9 @@
     // Of a split: the chosen part.
     std::string service;
     ForwardedRequest forwarded;
+    RequestFingerprint fingerprint;
+    // The client's address, without its port.
+    std::string caller;
     // Of the view that it was routed by.
     std::uint64_t revision = 0;
     MonotonicTime began;
@@ -74,12 +78,16 @@
   // over, and arms the timer.
   void Pump();
   void Send(const SendAction& action);
-  void OnResponse(const SendAction& action, net::HttpClientResponse response);
+  // @param sent when the attempt was started.
+  void OnResponse(const SendAction& action, MonotonicTime sent,
+                  net::HttpClientResponse response);
   void OnClientGone();
   void ArmTimer();
   void Finish();
   // Tells the client, the log and the metrics.
   void Answer(RunOutcome outcome);
+  // For the log.
+  std::string Fingerprint() const;
   void LogEnd(const RunOutcome& outcome, Duration elapsed) const;
 
   Environment& environment_;
--- /dev/null
+++ b/source/common/forwarding/fingerprint_request.cc
@@ -0,0 +1,27 @@
+#include "common/forwarding/fingerprint_request.h"
+
+#include <xxhash.h>
+
+#include <string_view>
+
+#include "common/base/text.h"
+
+namespace juniperway::forwarding {
+
+RequestFingerprint FingerprintOf(const net::HttpRequest& request) {
+  std::uint64_t hash = 0;
+  // Each part's hash is the seed of the next one's, so that bytes which move
+  // from one part to its neighbour change the result.
+  const auto add = [&hash](std::string_view part) {
+    hash = XXH3_64bits_withSeed(part.data(), part.size(), hash);
+  };
+  add(request.method);
+  add(ToLower(request.Header("host").value_or("")));
+  add(request.target);
+  add(request.body);
+  // Without the port, which changes with each connection.
+  add(request.remote.address().to_string());
+  return {hash};
+}
+
+}  // namespace juniperway::forwarding
--- a/source/common/forwarding/message_codec.cc
+++ b/source/common/forwarding/message_codec.cc
@@ -196,6 +196,7 @@
                                                  : AttemptResult::kUnsent;
     return end;
   }
+  end.connection_lost = response.connection_lost;
   if (response.progress == net::HttpProgress::kSent) {
     end.result = response.new_connection_refused ? AttemptResult::kReset
                                                  : AttemptResult::kBroken;
--- a/source/common/forwarding/request_run.h
+++ b/source/common/forwarding/request_run.h
@@ -50,6 +50,9 @@
 
 struct AttemptEnd {
   AttemptResult result = AttemptResult::kBroken;
+  // Of kReset and kBroken: the connection was lost while the back end had the
+  // request, without a byte of an answer.
+  bool connection_lost = false;
   // Of kAnswered and kFailed.
   BackendAnswer answer;
 };
--- a/source/common/forwarding/router_server.cc
+++ b/source/common/forwarding/router_server.cc
@@ -12,6 +12,7 @@
 #include "common/forwarding/events.h"
 #include "common/forwarding/exchange.h"
 #include "common/forwarding/exchange_dispatcher.h"
+#include "common/forwarding/fingerprint_request.h"
 #include "common/forwarding/message_codec.h"
 #include "common/forwarding/split_chooser.h"
 #include "common/forwarding/startup_queue.h"
@@ -217,6 +218,8 @@
       request.service = splits_.Choose(route);
     }
     request.forwarded = MakeForwardedRequest(message, options_.headers);
+    request.fingerprint = FingerprintOf(message);
+    request.caller = message.remote.address().to_string();
     request.revision = revision_;
     request.began = arrived;
     const auto deadline =
--- a/source/common/net/http_client.h
+++ b/source/common/net/http_client.h
@@ -59,6 +59,9 @@
   // The peer refused or reset a connection that was opened for this exchange,
   // before a byte of an answer came.
   bool new_connection_refused = false;
+  // The connection was lost after the request was sent and before a byte of an
+  // answer came.
+  bool connection_lost = false;
   std::string transport_error;  // libcurl's text when not kAnswered
 };
 
--- a/source/common/net/http_transfer.cc
+++ b/source/common/net/http_transfer.cc
@@ -170,6 +170,17 @@
          transfer.response.fields.empty();
 }
 
+// Whether the connection was lost while the peer had the request, and not given
+// up by this side. libcurl opens another one where a kept connection was lost:
+// it then reports what became of that.
+bool IsConnectionLost(const Transfer& transfer, CURLcode result) {
+  const bool lost = result == CURLE_RECV_ERROR || result == CURLE_SEND_ERROR ||
+                    result == CURLE_GOT_NOTHING ||
+                    result == CURLE_COULDNT_CONNECT || transfer.repeat_refused;
+  return lost && transfer.response.progress == HttpProgress::kSent &&
+         transfer.response.fields.empty();
+}
+
 }  // namespace
 
 HttpProgress Transfer::Progress() const {
@@ -216,6 +227,7 @@
   response.progress = transfer->Progress();
   response.timed_out = result == CURLE_OPERATION_TIMEDOUT;
   response.new_connection_refused = IsNewConnectionRefused(*transfer, result);
+  response.connection_lost = IsConnectionLost(*transfer, result);
   response.transport_error = curl_easy_strerror(result);
   if (transfer->repeat_refused) {
     response.transport_error =
--- a/test/unit/net/http_test.cc
+++ b/test/unit/net/http_test.cc
@@ -364,6 +364,7 @@
     const auto response = Exchange(context, client, request);
     CHECK(response.progress == HttpProgress::kSent);
     CHECK(response.new_connection_refused);
+    CHECK(response.connection_lost);
   }
   SUBCASE("reset at a later request") {
     server.on_request = [&](const auto& socket) {
@@ -377,17 +378,44 @@
     const auto response = Exchange(context, client, request);
     CHECK(response.progress == HttpProgress::kSent);
     CHECK_FALSE(response.new_connection_refused);
+    CHECK(response.connection_lost);
+  }
+  SUBCASE("its server ends at a later request") {
+    server.on_request = [&](const auto& socket) {
+      if (server.requests == 2) {
+        server.acceptor.close();
+        reset(*socket);
+      } else {
+        RawServer::Answer(*socket);
+      }
+    };
+    CHECK(Exchange(context, client, request).status == 200);
+    const auto response = Exchange(context, client, request);
+    CHECK(response.progress == HttpProgress::kSent);
+    CHECK(response.connection_lost);
+  }
+  SUBCASE("cut within an answer") {
+    server.on_request = [&](const auto& socket) {
+      asio::write(*socket,
+                  asio::buffer(std::string(
+                      "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\n")));
+      socket->close();
+    };
+    CHECK_FALSE(Exchange(context, client, request).connection_lost);
   }
   SUBCASE("nothing listens") {
     server.acceptor.close();
     const auto response = Exchange(context, client, request);
     CHECK(response.progress == HttpProgress::kNotSent);
     CHECK(response.new_connection_refused);
+    CHECK_FALSE(response.connection_lost);
   }
   SUBCASE("silence") {
     server.on_request = [](const auto&) {};
     request.timeout = milliseconds(20);
-    CHECK_FALSE(Exchange(context, client, request).new_connection_refused);
+    const auto response = Exchange(context, client, request);
+    CHECK_FALSE(response.new_connection_refused);
+    CHECK_FALSE(response.connection_lost);
   }
 }
 
