A request that ends its back ends reaches all of them: failing test

Two routers, four shards of three replicas, and stand-ins that end while they run the fatal request.

--- a/test/integration/forwarding/route_fleet.cc
+++ b/test/integration/forwarding/route_fleet.cc
@@ -20,6 +20,8 @@
 using nlohmann::json;
 
 constexpr Duration kLimit = seconds(60);
+// A back end runs a request that ends it for this long.
+constexpr Duration kTimeToEnd = milliseconds(10);
 const tcp::endpoint kLoopback(asio::ip::address_v4::loopback(), 0);
 
 }  // namespace
@@ -31,6 +33,7 @@
     : context_(context),
       id_(std::move(id)),
       service_(std::move(service)),
+      end_timer_(context),
       server_(context, {.endpoint = kLoopback, .connection_listener = {}},
               [this](const net::HttpRequest& request, const auto& responder) {
                 Handle(request, responder);
@@ -51,6 +54,23 @@
   });
 }
 
+void StandInBackend::EndOn(const std::string& target_prefix) {
+  const std::lock_guard lock(mutex_);
+  fatal_prefix_ = target_prefix;
+}
+
+bool StandInBackend::IsFatal(const std::string& target) const {
+  const std::lock_guard lock(mutex_);
+  return !fatal_prefix_.empty() && target.starts_with(fatal_prefix_);
+}
+
+void StandInBackend::End() {
+  if (!ended_) {
+    ended_ = true;
+    server_.Close();
+  }
+}
+
 std::vector<std::string> StandInBackend::Targets() const {
   const std::lock_guard lock(mutex_);
   return targets_;
@@ -67,6 +87,16 @@
     const std::lock_guard lock(mutex_);
     targets_.push_back(request.target);
   }
+  if (IsFatal(request.target)) {
+    held_.emplace_back(request, responder);
+    end_timer_.expires_after(kTimeToEnd);
+    end_timer_.async_wait([this](const asio::error_code& error) {
+      if (!error) {
+        End();
+      }
+    });
+    return;
+  }
   if (answering_ == Answering::kHolds) {
     held_.emplace_back(request, responder);
     return;
@@ -97,7 +127,7 @@
 
 // --- Fleet -------------------------------------------------------------------
 
-RouteFleet::RouteFleet(int machines)
+RouteFleet::RouteFleet(int machines, int routers)
     : work_(context_.get_executor()),
       list_(R"({"backends": [], "next_page": null})"),
       network_(lab::OwnLoopbackNetwork()) {
@@ -117,11 +147,13 @@
   for (int number = 0; number < machines; ++number) {
     StartControl(number, /*bootstrap=*/true);
   }
-  StartRouter();
+  for (int number = 0; number < routers; ++number) {
+    StartRouter(number);
+  }
 }
 
 RouteFleet::~RouteFleet() {
-  router_.reset();
+  routers_.clear();
   controls_.clear();
   work_.reset();
   context_.stop();
@@ -140,12 +172,15 @@
   return (folder_.path() / fmt::format("control-{}.log", number)).string();
 }
 
-std::string RouteFleet::RouterLog() const {
-  return (folder_.path() / "router.log").string();
+std::string RouteFleet::RouterLog(int number) const {
+  return (folder_.path() / fmt::format("router-{}.log", number)).string();
 }
 
 std::vector<std::string> RouteFleet::LogFiles() const {
-  std::vector<std::string> files = {RouterLog()};
+  std::vector<std::string> files;
+  for (int number = 0; number < routers(); ++number) {
+    files.push_back(RouterLog(number));
+  }
   for (int number = 0; number < machines(); ++number) {
     files.push_back(LogOf(number));
   }
@@ -183,37 +218,51 @@
   controls_.at(number).emplace(std::move(*process));
 }
 
-void RouteFleet::StartRouter() {
-  const auto file = folder_.path() / "router.toml";
+void RouteFleet::StartRouter(int number) {
+  const auto file = folder_.path() / fmt::format("router-{}.toml", number);
   std::ofstream(file) << fmt::format(
-      "name = \"router\"\ncluster = \"test\"\nzone = \"z\"\n"
+      "name = \"router-{}\"\ncluster = \"test\"\nzone = \"z\"\n"
       "roles = [\"router\"]\ncontrol_seeds = [{}]\ncontrol_peer_port = {}\n"
       "stop_timeout_s = 30\n[router]\nhttp_listen = \"127.0.0.1:0\"\n"
-      "ready_listen = \"127.0.0.1:0\"\nextra_slack = 1000\n",
-      Seeds(), peer_port_);
+      "ready_listen = \"127.0.0.1:0\"\nextra_slack = 1000\n"
+      "extra_window_s = 1\n",
+      number, Seeds(), peer_port_);
   auto process = lab::ChildProcess::Start(
       std::string(JUNIPERWAY_BINARY_FOLDER) + "/juniperwayd",
-      {"--settings", file.string()}, RouterLog());
+      {"--settings", file.string()}, RouterLog(number));
   REQUIRE(process);
   const auto listeners = process->WaitUntilReady(kLimit);
   REQUIRE(listeners);
-  router_address_ = listeners->at("router.http");
-  ready_address_ = listeners->at("router.ready");
-  router_.emplace(std::move(*process));
+  routers_.push_back({std::move(*process), listeners->at("router.http")});
 }
 
-StandInBackend& RouteFleet::AddBackend(const std::string& id,
-                                       const std::string& service) {
+std::unique_ptr<StandInBackend> RouteFleet::MakeBackend(
+    const std::string& id, const std::string& service) {
   // Made on the thread that its listener runs on.
   std::promise<std::unique_ptr<StandInBackend>> made;
   asio::post(context_, [&] {
     made.set_value(std::make_unique<StandInBackend>(context_, id, service));
   });
-  backends_.push_back(made.get_future().get());
+  return made.get_future().get();
+}
+
+StandInBackend& RouteFleet::AddBackend(const std::string& id,
+                                       const std::string& service) {
+  backends_.push_back(MakeBackend(id, service));
   PublishList();
   return *backends_.back();
 }
 
+void RouteFleet::RestartEnded() {
+  for (auto& backend : backends_) {
+    if (backend->ended()) {
+      auto next = MakeBackend(backend->id() + "'", backend->service());
+      ended_.push_back(std::exchange(backend, std::move(next)));
+    }
+  }
+  PublishList();
+}
+
 void RouteFleet::PublishList() {
   json list = {{"backends", json::array()}, {"next_page", nullptr}};
   for (const auto& backend : backends_) {
@@ -274,9 +323,9 @@
 }
 
 net::HttpClientResponse RouteFleet::Request(const std::string& target,
-                                            const std::string& id) {
+                                            const std::string& id, int router) {
   net::HttpClientRequest request;
-  request.url = "http://" + router_address_ + "/";
+  request.url = "http://" + routers_.at(router).address + "/";
   request.target = target;
   request.headers = {{"Host", "test.example"},
                      {"X-Request-Id", id},
--- a/test/integration/forwarding/route_fleet.h
+++ b/test/integration/forwarding/route_fleet.h
@@ -1,10 +1,12 @@
 // Real juniperwayd processes that forward HTTP requests: control machines that
-// form their group from seeds, one router, and in this process the stand-ins of
+// form their group from seeds, routers, and in this process the stand-ins of
 // what lies around them: back ends and the discovery list.
 #pragma once
 
 #include <asio/executor_work_guard.hpp>
 #include <asio/io_context.hpp>
+#include <asio/steady_timer.hpp>
+#include <atomic>
 #include <map>
 #include <memory>
 #include <mutex>
@@ -39,6 +41,10 @@
   const std::string& service() const { return service_; }
   std::string address() const;
   void SetAnswering(Answering answering);
+  // From now on it ends while it runs a request whose target begins so: its
+  // connections are lost and nothing listens at its address any more.
+  void EndOn(const std::string& target_prefix);
+  bool ended() const { return ended_; }
   bool draining = false;
   // Requests that it ran or was asked to run, by target.
   std::vector<std::string> Targets() const;
@@ -47,6 +53,8 @@
   void Handle(const net::HttpRequest& request,
               const std::shared_ptr<net::HttpResponder>& responder);
   void Answer(const net::HttpRequest& request, net::HttpResponder& responder);
+  bool IsFatal(const std::string& target) const;
+  void End();
 
   asio::io_context& context_;
   std::string id_;
@@ -57,18 +65,27 @@
   std::vector<std::string> targets_;
   std::vector<std::pair<net::HttpRequest, std::shared_ptr<net::HttpResponder>>>
       held_;
+  // Empty: nothing ends it.
+  std::string fatal_prefix_;
+  std::atomic<bool> ended_ = false;
+  asio::steady_timer end_timer_;
   net::HttpServer server_;
 };
 
 class RouteFleet {
  public:
   // @param machines of the control group.
-  explicit RouteFleet(int machines);
+  explicit RouteFleet(int machines, int routers = 1);
   ~RouteFleet();
 
   StandInBackend& AddBackend(const std::string& id, const std::string& service);
   // Called after a back end's `draining` was changed.
   void PublishList();
+  // Starts each back end that has ended again, under a new id.
+  void RestartEnded();
+  const std::vector<std::unique_ptr<StandInBackend>>& backends() const {
+    return backends_;
+  }
 
   // Writes a table until it is acknowledged. @return the status of a refusal.
   int PutTable(const std::string& table);
@@ -79,8 +96,10 @@
   // Waits until the router answers this target with this status.
   bool AwaitStatus(const std::string& target, int status);
 
+  // @param router number of the one that is asked.
   net::HttpClientResponse Request(const std::string& target,
-                                  const std::string& id = "request-1");
+                                  const std::string& id = "request-1",
+                                  int router = 0);
 
   // Kills a control machine, empties its disk and starts it again.
   void WipeControl(int number);
@@ -91,10 +110,11 @@
   // loss the group still takes itself for whole: that alone is no sign.
   bool AwaitRepaired();
 
-  // Logs of the router and of every control machine.
+  // Logs of the routers and of every control machine.
   std::vector<std::string> LogFiles() const;
 
-  lab::ChildProcess& router() { return *router_; }
+  lab::ChildProcess& router() { return routers_.front().process; }
+  int routers() const { return static_cast<int>(routers_.size()); }
   lab::ChildProcess& control(int number) { return *controls_.at(number); }
   int machines() const { return static_cast<int>(controls_.size()); }
 
@@ -102,14 +122,16 @@
   std::string AddressOf(int number) const;
   std::filesystem::path FolderOf(int number) const;
   std::string LogOf(int number) const;
-  std::string RouterLog() const;
+  std::string RouterLog(int number) const;
   std::string Seeds() const;
   // What the group says of itself; no object while no leader answers.
   nlohmann::json Status();
   // The number of the voter at this machine's address; 0: none or not known.
   std::uint64_t VoterAt(int number, const nlohmann::json& status) const;
   void StartControl(int number, bool bootstrap);
-  void StartRouter();
+  void StartRouter(int number);
+  std::unique_ptr<StandInBackend> MakeBackend(const std::string& id,
+                                              const std::string& service);
 
   TemporaryFolder folder_;
   asio::io_context context_;
@@ -118,6 +140,8 @@
   std::string list_;
   std::unique_ptr<net::HttpServer> list_server_;
   std::vector<std::unique_ptr<StandInBackend>> backends_;
+  // Those that others have replaced.
+  std::vector<std::unique_ptr<StandInBackend>> ended_;
   std::thread thread_;
   lab::BlockingHttp http_;
   std::string network_;
@@ -127,9 +151,11 @@
   int wiped_ = -1;
   std::uint64_t wiped_id_ = 0;
   std::vector<std::optional<lab::ChildProcess>> controls_;
-  std::optional<lab::ChildProcess> router_;
-  std::string router_address_;
-  std::string ready_address_;
+  struct Router {
+    lab::ChildProcess process;
+    std::string address;
+  };
+  std::vector<Router> routers_;
 };
 
 }  // namespace juniperway::test
