--- a/test/integration/forwarding/crashing_requests_test.cc
+++ b/test/integration/forwarding/crashing_requests_test.cc
@@ -2,10 +2,11 @@
 //
 // Users saw a whole service go away for seconds, three times in a row and again
 // minutes later: a caller had sent one query that crashed each back end which
-// began to run it. The router took each lost connection for a lost answer and
-// repeated the attempt at the shard's next replica, for every shard at once, so
-// that one try ended all replicas of all shards; the caller then sent the same
-// query again, to another router, which knew nothing of it.
+// began to run it, from several of its machines. The router took each lost
+// connection for a lost answer and repeated the attempt at the shard's next
+// replica, for every shard at once, so that one try ended all replicas of all
+// shards; the caller then sent the same query again, to another router, which
+// knew nothing of it.
 //
 // Evidence: no back end ever answered any attempt of these queries; their
 // connections were lost after the query had been sent, and right after that
@@ -68,10 +69,12 @@
     std::this_thread::sleep_for(kExtraWindow);
   }
 
-  // The fatal request, from the one caller of this test.
-  net::HttpClientResponse SendFatal(int router,
-                                    const std::string& target = kFatal) {
-    return fleet_.Request(target, fmt::format("fatal-{}", ++tries_), router);
+  // The fatal request, each try from another address: a caller has several
+  // machines, and sends it again from any of them.
+  net::HttpClientResponse SendFatal(int router) {
+    ++tries_;
+    return fleet_.RequestFrom(fmt::format("127.0.1.{}", tries_), kFatal,
+                              fmt::format("fatal-{}", tries_), router);
   }
 
   // Every shard's part of an ordinary request is in, at each router.
--- a/test/integration/forwarding/route_fleet.cc
+++ b/test/integration/forwarding/route_fleet.cc
@@ -324,6 +324,22 @@
 
 net::HttpClientResponse RouteFleet::Request(const std::string& target,
                                             const std::string& id, int router) {
+  return http_.Call(MakeRequest(target, id, router));
+}
+
+net::HttpClientResponse RouteFleet::RequestFrom(
+    const std::string& client_address, const std::string& target,
+    const std::string& id, int router) {
+  net::SetSourceAddress(asio::ip::make_address(client_address));
+  lab::BlockingHttp http;
+  const auto response = http.Call(MakeRequest(target, id, router));
+  net::SetSourceAddress(kLoopback.address());
+  return response;
+}
+
+net::HttpClientRequest RouteFleet::MakeRequest(const std::string& target,
+                                               const std::string& id,
+                                               int router) const {
   net::HttpClientRequest request;
   request.url = "http://" + routers_.at(router).address + "/";
   request.target = target;
@@ -331,7 +347,7 @@
                      {"X-Request-Id", id},
                      {"X-Deadline-Ms", "20000"}};
   request.timeout = seconds(30);
-  return http_.Call(std::move(request));
+  return request;
 }
 
 bool RouteFleet::AwaitStatus(const std::string& target, int status) {
--- a/test/integration/forwarding/route_fleet.h
+++ b/test/integration/forwarding/route_fleet.h
@@ -100,6 +100,10 @@
   net::HttpClientResponse Request(const std::string& target,
                                   const std::string& id = "request-1",
                                   int router = 0);
+  // The same, by a client of its own at another address of this machine.
+  net::HttpClientResponse RequestFrom(const std::string& client_address,
+                                      const std::string& target,
+                                      const std::string& id, int router);
 
   // Kills a control machine, empties its disk and starts it again.
   void WipeControl(int number);
@@ -130,6 +134,8 @@
   std::uint64_t VoterAt(int number, const nlohmann::json& status) const;
   void StartControl(int number, bool bootstrap);
   void StartRouter(int number);
+  net::HttpClientRequest MakeRequest(const std::string& target,
+                                     const std::string& id, int router) const;
   std::unique_ptr<StandInBackend> MakeBackend(const std::string& id,
                                               const std::string& service);
 
