Know a request again wherever its caller sends it from

Cause: the fingerprint held the client's address, and a caller sends a request that ends back ends from several machines: each try was a new request, at routers of several zones at once.

Change: method, host, target, body and credentials make a request the same one. A back end's failure does not clear it any more: one that fails requests before it runs them would have hidden it.

--- a/source/common/base/request_fingerprint.h
+++ b/source/common/base/request_fingerprint.h
@@ -10,8 +10,8 @@
 
 namespace juniperway {
 
-// A hash of method, host, target, body and the caller's address. Two requests
-// of which one was not sent again share it with a probability of 2^-64.
+// A hash of method, host, target, body and credentials. Two requests of which
+// one was not sent again share it with a probability of 2^-64.
 struct RequestFingerprint {
   std::uint64_t value = 0;
 
--- a/source/common/forwarding/fingerprint_request.cc
+++ b/source/common/forwarding/fingerprint_request.cc
@@ -19,8 +19,10 @@
   add(ToLower(request.Header("host").value_or("")));
   add(request.target);
   add(request.body);
-  // Without the port, which changes with each connection.
-  add(request.remote.address().to_string());
+  // Who asks, as far as the request says so. Not the client's address: a caller
+  // repeats a request from any of its machines, and each would then end back
+  // ends anew.
+  add(request.Header("authorization").value_or(""));
   return {hash};
 }
 
--- a/source/common/forwarding/request_run.cc
+++ b/source/common/forwarding/request_run.cc
@@ -201,8 +201,9 @@
 
 void RequestRun::NoteCrashEvidence(const Attempt& attempt,
                                    const AttemptEnd& end) {
-  crash_evidence_.survived |= end.result == AttemptResult::kAnswered ||
-                              end.result == AttemptResult::kFailed;
+  // Not a failure: a back end that fails requests may do so before it runs
+  // them.
+  crash_evidence_.survived |= end.result == AttemptResult::kAnswered;
   if (end.connection_lost) {
     crash_evidence_.lost.push_back({attempt.backend, attempt.address});
   }
--- a/source/common/forwarding/request_run.h
+++ b/source/common/forwarding/request_run.h
@@ -48,7 +48,7 @@
 // What a run shows of whether its request ends the back ends that run it.
 struct CrashEvidence {
   std::vector<LostBackend> lost;
-  // Some back end ran the request and answered.
+  // Some back end ran the request to a successful answer.
   bool survived = false;
 };
 
--- a/test/unit/forwarding/crashing_run_test.cc
+++ b/test/unit/forwarding/crashing_run_test.cc
@@ -51,6 +51,18 @@
   CHECK(run.crash_evidence().survived);
 }
 
+TEST_CASE("a back end that fails the request has not shown that it survives") {
+  World world;
+  RequestRun& run = world.Start();
+  for (int shard = 0; shard < 3; ++shard) {
+    world.Lose(world.AttemptAt(ShardName(shard)));
+  }
+  world.End(world.AttemptAt(ShardName(3)), AttemptResult::kFailed);
+  // Only the one attempt that goes ahead.
+  CHECK(world.sent.size() == kShards + 1);
+  CHECK_FALSE(run.crash_evidence().survived);
+}
+
 TEST_CASE("one lost back end is replaced as soon as another one answers") {
   World world;
   world.Start();
