Count the time in which a machine is suspended

Cause: every time came from std::chrono::steady_clock, which stands while a machine is suspended. A leader that wakes takes its lease for valid while another one leads.

Ruled out: a second clock for leases only (ages of observations, connections and deadlines go wrong the same way).

--- a/source/common/base/time.h
+++ b/source/common/base/time.h
@@ -13,7 +13,7 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
-// Tag of the per-process clock that never steps. It has no now(): only the I/O
+// Tag of the machine's clock that never steps. It has no now(): only the I/O
 // shell (ReadMonotonicClock) and the simulation may produce values.
 struct MonotonicClock {
   using duration = Duration;
@@ -34,7 +34,11 @@
 };
 using WallTime = WallClock::time_point;
 
-// Reads the machine's steady clock. For I/O shells only.
+// Reads the machine's clock that never steps and counts the time in which the
+// machine is suspended, as all others see it pass: a lease, or what else a
+// process believes for a time, has then run out when it wakes. Timers of the
+// event loop do not count that time and fire late; whoever handles one reads
+// this clock again. For I/O shells only.
 MonotonicTime ReadMonotonicClock();
 // Reads the machine's system clock. For I/O shells only.
 WallTime ReadWallClock();
--- a/source/common/gateway/query_executor.cc
+++ b/source/common/gateway/query_executor.cc
@@ -18,10 +18,6 @@
   return std::visit([](const auto& kind) { return kind.execution; }, outcome);
 }
 
-std::chrono::steady_clock::time_point ToSteadyClock(MonotonicTime time) {
-  return std::chrono::steady_clock::time_point(time.time_since_epoch());
-}
-
 }  // namespace
 
 struct QueryExecutor::ActiveQuery {
@@ -258,7 +254,7 @@
     return;
   }
   query->armed_for = wanted;
-  query->timer.expires_at(ToSteadyClock(wanted));
+  query->timer.expires_after(wanted - ReadMonotonicClock());
   query->timer.async_wait([this, query](const std::error_code& error) {
     if (error || query->finished) {
       return;
--- a/source/sim/raft_cluster.cc
+++ b/source/sim/raft_cluster.cc
@@ -126,7 +126,12 @@
 }
 
 void RaftCluster::Freeze(raft::NodeId id, Duration duration) {
-  nodes_.at(id).frozen_until = now_ + duration;
+  Node& node = nodes_.at(id);
+  const Duration until = now_ + duration;
+  if (Has(RaftDefect::kClockStandsWhileSuspended)) {
+    node.clock_offset -= until - std::max(now_, node.frozen_until);
+  }
+  node.frozen_until = until;
 }
 
 void RaftCluster::Cut(raft::NodeId from, raft::NodeId to) {
--- a/source/sim/raft_cluster.h
+++ b/source/sim/raft_cluster.h
@@ -29,6 +29,8 @@
   kSendsBeforeSync,   // messages leave before what they depend on is synced
   kSkipsRestartWait,  // a restarted node votes at once
   kMixesUpSnapshots,  // a snapshot restores an older state
+  // The clock stands while the machine is suspended, as CLOCK_MONOTONIC does.
+  kClockStandsWhileSuspended,
 };
 
 struct RaftClusterOptions {
@@ -71,7 +73,8 @@
   // As Crash, and the node comes back at once with the empty disk that it had
   // at its first start.
   void LoseDisk(raft::NodeId id);
-  // The process stands still; its clock runs on and messages wait.
+  // The process stands still or its machine is suspended: its clock runs on and
+  // messages wait.
   void Freeze(raft::NodeId id, Duration duration);
   // Cuts one direction between two nodes.
   void Cut(raft::NodeId from, raft::NodeId to);
--- a/test/property/raft/planted_defect_test.cc
+++ b/test/property/raft/planted_defect_test.cc
@@ -41,6 +41,15 @@
   CHECK(FindViolation(options) == RaftInvariant::kLeaderCompleteness);
 }
 
+TEST_CASE("A clock that stands while its machine is suspended is found") {
+  RaftClusterOptions options;
+  options.defects = {RaftDefect::kClockStandsWhileSuspended};
+  const auto violation = FindViolation(options);
+  // A leader that wakes takes its lease for valid.
+  CHECK((violation == RaftInvariant::kLeaseSafety ||
+         violation == RaftInvariant::kLeaseReads));
+}
+
 TEST_CASE("Messages that leave before the sync are found") {
   RaftClusterOptions options;
   options.defects = {RaftDefect::kSendsBeforeSync};
