Refuse an answer that names no request where its service names them

Cause: an answer of another request, sent late in the place of the next one, is refused by the request it names; one that names none was taken.

Change: once a back end of a service has named the request that it answered, a success without that header ends the attempt and its connection. Failures are not asked for it: a back end may refuse a request before it has read its id.

Ruled out: asking every service for it (a service of back ends that never name requests would serve nothing).

Measured: integration.forwarding/router, new case, 200 with another's records before, 502 and one shard missing after; fails on the code before.

--- a/source/common/forwarding/backend_pool.cc
+++ b/source/common/forwarding/backend_pool.cc
@@ -386,6 +386,13 @@
   }
 }
 
+void BackendPool::OnNamedRequest(const std::string& service) {
+  const auto found = services_.find(service);
+  if (found != services_.end()) {
+    found->second.names_requests = true;
+  }
+}
+
 void BackendPool::OnFirstRequest(const std::string& service,
                                  MonotonicTime now) {
   services_[service].budget.OnRequest(ExtraLimits(now), now);
--- a/source/common/forwarding/backend_pool.h
+++ b/source/common/forwarding/backend_pool.h
@@ -83,6 +83,8 @@
     Duration warmup{};
     double cold_requests_per_second = 0;
     UsualLatency usual_latency;
+    // A back end has named the request that it answered.
+    bool names_requests = false;
     ExtraBudget budget;
   };
 
@@ -138,6 +140,9 @@
   void OnEnded(const std::string& id, AttemptId attempt, AttemptResult result,
                MonotonicTime now);
 
+  // A back end of the service has named the request that it answered.
+  void OnNamedRequest(const std::string& service);
+
   // Budget of a service for hedges and retries.
   void OnFirstRequest(const std::string& service, MonotonicTime now);
   bool TakeExtra(const std::string& service, MonotonicTime now);
--- a/source/common/forwarding/message_codec.cc
+++ b/source/common/forwarding/message_codec.cc
@@ -190,6 +190,8 @@
   if (!request.request_id.empty()) {
     forwarded.echoed_header = names.request_id;
     forwarded.echoed_value = request.request_id;
+    // Back ends send an answer late at times, in the place of the next one.
+    forwarded.echo_required = action.names_request;
   }
   forwarded.connect_timeout = kConnectTimeout;
   forwarded.timeout = left + kTransferSlack;
@@ -227,6 +229,7 @@
   }
   end.result = IsSuccess(response.status) ? AttemptResult::kAnswered
                                           : AttemptResult::kFailed;
+  end.names_request = Find(response.headers, names.request_id) != nullptr;
   end.answer.status = response.status;
   end.answer.signature = *signature;
   if (use == AnswerUse::kPassedOn) {
--- a/source/common/forwarding/request_run.cc
+++ b/source/common/forwarding/request_run.cc
@@ -159,7 +159,11 @@
   const Duration delay = HedgeDelay();
   shard.next_hedge = now + delay;
   actions_.emplace_back(
-      SendAction{attempt, id, backend->info.address, deadline_});
+      SendAction{.attempt = attempt,
+                 .backend = id,
+                 .address = backend->info.address,
+                 .deadline = deadline_,
+                 .names_request = backend->service->names_requests});
   pool_.OnSent(id, attempt, now);
   return true;
 }
@@ -339,6 +343,9 @@
     sheds_ += end.result == AttemptResult::kShed ? 1 : 0;
     switch (end.result) {
       case AttemptResult::kAnswered:
+        if (end.names_request) {
+          pool_.OnNamedRequest(shard.service);
+        }
         latency_.attempts.Record(now - ended.sent);
         if (ended.hedge) {
           latency_.hedges.Record(now - ended.sent);
--- a/source/common/forwarding/request_run.h
+++ b/source/common/forwarding/request_run.h
@@ -32,6 +32,9 @@
   std::string address;
   // The client's, shortened by the route's timeout.
   MonotonicTime deadline;
+  // Back ends of this service name the request in their answers: an answer that
+  // names none is another request's.
+  bool names_request = false;
 };
 // Break an attempt off.
 struct CancelAction {
@@ -66,6 +69,8 @@
   // Of kReset and kBroken: the connection was lost while the back end had the
   // request, without a byte of an answer.
   bool connection_lost = false;
+  // Of kAnswered: the answer names the request.
+  bool names_request = false;
   // Of kAnswered and kFailed.
   BackendAnswer answer;
 };
--- a/source/common/net/http_client.h
+++ b/source/common/net/http_client.h
@@ -34,6 +34,8 @@
   // closed. Empty: not checked.
   std::string echoed_header;
   std::string echoed_value;
+  // A successful answer (2xx) without that header is another request's too.
+  bool echo_required = false;
   // Bound on opening the connection; 0: only `timeout` bounds it.
   Duration connect_timeout{};
   Duration timeout = seconds(10);
--- a/source/common/net/http_transfer.cc
+++ b/source/common/net/http_transfer.cc
@@ -42,6 +42,20 @@
          EqualsIgnoringCase(name, request.echoed_header);
 }
 
+// Whether the headers that have just ended are those of a successful answer
+// which names no request though it has to.
+bool LacksEcho(const Transfer& transfer) {
+  if (!transfer.request.echo_required ||
+      transfer.request.echoed_header.empty() ||
+      transfer.response.headers.contains(
+          ToLower(transfer.request.echoed_header))) {
+    return false;
+  }
+  long status = 0;
+  curl_easy_getinfo(transfer.easy, CURLINFO_RESPONSE_CODE, &status);
+  return status >= 200 && status < 300;
+}
+
 std::size_t OnHeader(char* data, std::size_t size, std::size_t count,
                      void* user_data) {
   auto* transfer = static_cast<Transfer*>(user_data);
@@ -51,6 +65,10 @@
     // Headers of an interim answer (1xx) do not belong to the final one.
     transfer->response.headers.clear();
     transfer->response.fields.clear();
+  } else if (Trim(line).empty()) {
+    if (LacksEcho(*transfer)) {
+      return 0;
+    }
   } else if (colon != std::string_view::npos) {
     const std::string name = ToLower(line.substr(0, colon));
     const std::string_view value = Trim(line.substr(colon + 1));
--- a/test/integration/forwarding/route_fleet.cc
+++ b/test/integration/forwarding/route_fleet.cc
@@ -109,7 +109,9 @@
   net::HttpResponse response;
   const std::string id = request.Header("x-request-id").value_or("");
   const bool foreign = answering_ == Answering::kForeignId;
-  response.headers = {{"X-Request-Id", foreign ? "another" : id}};
+  if (answering_ != Answering::kUnnamed) {
+    response.headers = {{"X-Request-Id", foreign ? "another" : id}};
+  }
   if (answering_ == Answering::kSheds) {
     response.status = 503;
     response.headers.emplace_back("X-Not-Run", "1");
--- a/test/integration/forwarding/route_fleet.h
+++ b/test/integration/forwarding/route_fleet.h
@@ -29,6 +29,7 @@
   kSheds,      // 503, says that it did not run the request
   kFails,      // 500, signed
   kForeignId,  // as for another request
+  kUnnamed,    // well, but without the request's id
   kHolds,      // not until it answers well again
 };
 
--- a/test/integration/forwarding/router_test.cc
+++ b/test/integration/forwarding/router_test.cc
@@ -41,6 +41,30 @@
   return found == response.headers.end() ? "" : found->second;
 }
 
+// A back end that sent one answer late, in the place of the next one, gave a
+// client another request's records: answers that named no request were taken.
+// All other answers of these back ends did name theirs.
+TEST_CASE("an answer that names no request is none where others do") {
+  RouteFleet fleet(1);
+  auto& one = fleet.AddBackend("b1", "s1");
+  auto& two = fleet.AddBackend("b2", "s2");
+  one.SetAnswering(Answering::kUnnamed);
+  two.SetAnswering(Answering::kUnnamed);
+  REQUIRE(fleet.PutTable(Table(5)) == 200);
+  // Back ends that never name a request are taken at their word.
+  REQUIRE(fleet.AwaitStatus("/one/x", 200));
+  REQUIRE(fleet.AwaitStatus("/all/x", 200));
+
+  one.SetAnswering(Answering::kWell);
+  CHECK(fleet.Request("/one/named").status == 200);
+  one.SetAnswering(Answering::kUnnamed);
+  CHECK(fleet.Request("/one/unnamed").status == 502);
+  const auto scatter = fleet.Request("/all/unnamed", "id-8");
+  CHECK(scatter.status == 200);
+  CHECK(HeaderOf(scatter, "x-shard-signatures") == "b2/id-8");
+  CHECK(HeaderOf(scatter, "x-missing-shards") == "1");
+}
+
 TEST_CASE("requests go where the route table says") {
   RouteFleet fleet(1);
   auto& one = fleet.AddBackend("b1", "s1");
