Let operators list and release requests under which back ends ended

Cause: a quarantine could be seen in logs and metrics only, and ended by itself alone.

Change: GET and DELETE under /v1/crashing-requests, juniperwayctl crashing-requests list and release; a release carries a change id, so that a second copy of it does not undo a later quarantine.

Measured: unit.ctl/commands, unit.control/crash_record.

--- a/source/common/control/operation_applier.cc
+++ b/source/common/control/operation_applier.cc
@@ -494,6 +494,21 @@
 
 OperationApplier::Outcome OperationApplier::Apply(
     const protocol::JudgeCrashesT& operation) {
+  if (operation.change_id.empty()) {
+    Judge(operation);
+    return Done();
+  }
+  // A second copy of an order must not release what was quarantined since.
+  if (auto first = FindFirstOutcome(operation.change_id, operation.digest)) {
+    return std::move(*first);
+  }
+  Judge(operation);
+  Outcome outcome = Done();
+  RememberChange(operation.change_id, operation.digest, outcome, {});
+  return outcome;
+}
+
+void OperationApplier::Judge(const protocol::JudgeCrashesT& operation) {
   CrashRecords& crashes = state_.fleet_.crashes;
   for (const std::uint64_t value : operation.quarantine) {
     const auto record = crashes.find(RequestFingerprint{value});
@@ -508,7 +523,6 @@
       CommitCrash(request);
     }
   }
-  return Done();
 }
 
 void OperationApplier::ExpireCrashes() {
--- a/source/common/control/operation_applier.h
+++ b/source/common/control/operation_applier.h
@@ -44,6 +44,7 @@
   // Puts the order in force, or withdraws it.
   void SetEvacuation(const protocol::SetZoneEvacuationT& operation);
 
+  void Judge(const protocol::JudgeCrashesT& operation);
   // Makes room for one more record.
   void DropOldestCrash();
   void CommitCrash(RequestFingerprint request);
--- a/source/common/control/resource_api.cc
+++ b/source/common/control/resource_api.cc
@@ -31,7 +31,7 @@
 constexpr std::size_t kMaximumNames = 100;
 constexpr const char* kRouteTablePath = "/v1/route-table";
 constexpr const char* kEvacuationsPath = "/v1/evacuations";
-constexpr std::size_t kLongestZoneName = 128;
+constexpr const char* kCrashingRequestsPath = "/v1/crashing-requests";
 
 std::optional<std::uint64_t> ParseNumber(const std::string& text) {
   std::uint64_t number = 0;
@@ -51,6 +51,11 @@
   return parts.size() == 3 && parts[1] == "evacuations";
 }
 
+// "/v1/crashing-requests/FINGERPRINT".
+bool IsCrashingRequestPath(const std::vector<std::string>& parts) {
+  return parts.size() == 3 && parts[1] == "crashing-requests";
+}
+
 // A fault of the whole body has no path in it.
 Error NameBody(Error error) {
   if (error.field.empty()) {
@@ -59,17 +64,6 @@
   return error;
 }
 
-// Tells a resend from another call that uses the same change id.
-std::uint64_t DigestOf(const ApiCall& call) {
-  std::string content = call.method + " " + call.path + "\n";
-  auto version = call.parameters.find("version");
-  if (version != call.parameters.end()) {
-    content += version->second;
-  }
-  content += "\n" + call.body;
-  return XXH3_64bits(content.data(), content.size());
-}
-
 json FirstNames(const std::vector<std::string>& names) {
   const std::size_t count = std::min(names.size(), kMaximumNames);
   return json(std::vector<std::string>(
@@ -108,6 +102,16 @@
   return response;
 }
 
+std::uint64_t DigestOf(const ApiCall& call) {
+  std::string content = call.method + " " + call.path + "\n";
+  auto version = call.parameters.find("version");
+  if (version != call.parameters.end()) {
+    content += version->second;
+  }
+  content += "\n" + call.body;
+  return XXH3_64bits(content.data(), content.size());
+}
+
 net::HttpResponse FailureResponse(const Error& error) {
   return net::ErrorResponse(net::HttpStatusOf(error.code), error, "not-run");
 }
@@ -131,6 +135,8 @@
     SetEvacuation(call, parts[2], /*evacuated=*/true, answer);
   } else if (call.method == "DELETE" && IsEvacuationPath(parts)) {
     SetEvacuation(call, parts[2], /*evacuated=*/false, answer);
+  } else if (call.method == "DELETE" && IsCrashingRequestPath(parts)) {
+    ReleaseRequest(call, parts[2], answer);
   } else if (call.method == "DELETE" && parts.size() == 4 &&
              parts[1] == "resources") {
     Delete(call, parts[2], parts[3], answer);
@@ -161,6 +167,9 @@
   if (call.path == kEvacuationsPath) {
     return ListEvacuations();
   }
+  if (call.path == kCrashingRequestsPath) {
+    return ListCrashingRequests();
+  }
   if (parts.size() == 3 && parts[1] == "resources") {
     return List(parts[2]);
   }
@@ -446,55 +455,6 @@
   Submit(session::MakeOperation(std::move(operation)), call, answer);
 }
 
-// --- Evacuations -------------------------------------------------------------
-
-void ResourceApi::SetEvacuation(const ApiCall& call, const std::string& zone,
-                                bool evacuated,
-                                const ApiCallback& answer) const {
-  if (zone.size() > kLongestZoneName) {
-    answer(FailureResponse(
-        {ErrorCode::kInvalidArgument, "zone", "has more than 128 characters"}));
-    return;
-  }
-  protocol::SetZoneEvacuationT operation;
-  operation.change_id = call.change_id;
-  operation.digest = DigestOf(call);
-  operation.zone = zone;
-  operation.evacuated = evacuated;
-  logging::LogEvent(kEvacuationOrdered, {{"change", call.change_id},
-                                         {"zone", zone},
-                                         {"evacuated", evacuated},
-                                         {"backends", BackendsIn(zone)}});
-  Submit(session::MakeOperation(std::move(operation)), call, answer);
-}
-
-std::size_t ResourceApi::BackendsIn(const std::string& zone) const {
-  return static_cast<std::size_t>(std::ranges::count_if(
-      ports_.state().fleet().discovered,
-      [&zone](const auto& entry) { return entry.second.zone == zone; }));
-}
-
-net::HttpResponse ResourceApi::ListEvacuations() const {
-  const ControlState& state = ports_.state();
-  json items = json::array();
-  for (const auto& [zone, evacuation] : state.fleet().evacuations) {
-    json item = {
-        {"zone", zone},
-        {"since_ms", ToMilliseconds(evacuation.since.time_since_epoch())},
-        {"change_id", evacuation.change_id},
-        {"backends", BackendsIn(zone)}};
-    if (const auto* change = state.FindChange(evacuation.change_id)) {
-      const RevisionProgress progress =
-          ports_.leases().ProgressOf(change->revision);
-      item["daemons"] = progress.daemons;
-      item["confirmed"] = progress.confirmed;
-    }
-    items.push_back(std::move(item));
-  }
-  return JsonResponse(
-      kStatusOk, {{"revision", state.revision()}, {"items", std::move(items)}});
-}
-
 // --- Control machines --------------------------------------------------------
 
 namespace {
--- a/source/common/control/resource_api.h
+++ b/source/common/control/resource_api.h
@@ -51,6 +51,10 @@
   void SetEvacuation(const ApiCall& call, const std::string& zone,
                      bool evacuated, const ApiCallback& answer) const;
   net::HttpResponse ListEvacuations() const;
+  net::HttpResponse ListCrashingRequests() const;
+  // Forgets what is held against a request; it may be sent again.
+  void ReleaseRequest(const ApiCall& call, const std::string& fingerprint,
+                      const ApiCallback& answer) const;
   // Discovered back ends of a zone: 0 shows an operator that a name is wrong.
   std::size_t BackendsIn(const std::string& zone) const;
   net::HttpResponse AddMember(const ApiCall& call) const;
@@ -65,6 +69,9 @@
 // The parts of a path between slashes: "/v1/status" has two.
 std::vector<std::string> SplitPath(const std::string& path);
 
+// Tells a resend from another call that uses the same change id.
+std::uint64_t DigestOf(const ApiCall& call);
+
 net::HttpResponse JsonResponse(int status, const nlohmann::json& body);
 
 // The answer for a failed call, with the HTTP status of its code.
--- a/source/common/protocol/command_generated.h
+++ b/source/common/protocol/command_generated.h
@@ -1655,6 +1655,8 @@
 
 struct JudgeCrashesT : public flatbuffers::NativeTable {
   typedef JudgeCrashes TableType;
+  std::string change_id{};
+  uint64_t digest = 0;
   std::vector<uint64_t> quarantine{};
   std::vector<uint64_t> release{};
 };
@@ -1664,9 +1666,17 @@
   typedef JudgeCrashesBuilder Builder;
   struct Traits;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
-    VT_QUARANTINE = 4,
-    VT_RELEASE = 6
+    VT_CHANGE_ID = 4,
+    VT_DIGEST = 6,
+    VT_QUARANTINE = 8,
+    VT_RELEASE = 10
   };
+  const flatbuffers::String *change_id() const {
+    return GetPointer<const flatbuffers::String *>(VT_CHANGE_ID);
+  }
+  uint64_t digest() const {
+    return GetField<uint64_t>(VT_DIGEST, 0);
+  }
   const flatbuffers::Vector<uint64_t> *quarantine() const {
     return GetPointer<const flatbuffers::Vector<uint64_t> *>(VT_QUARANTINE);
   }
@@ -1675,6 +1685,9 @@
   }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_CHANGE_ID) &&
+           verifier.VerifyString(change_id()) &&
+           VerifyField<uint64_t>(verifier, VT_DIGEST, 8) &&
            VerifyOffset(verifier, VT_QUARANTINE) &&
            verifier.VerifyVector(quarantine()) &&
            VerifyOffset(verifier, VT_RELEASE) &&
@@ -1690,6 +1703,12 @@
   typedef JudgeCrashes Table;
   flatbuffers::FlatBufferBuilder &fbb_;
   flatbuffers::uoffset_t start_;
+  void add_change_id(flatbuffers::Offset<flatbuffers::String> change_id) {
+    fbb_.AddOffset(JudgeCrashes::VT_CHANGE_ID, change_id);
+  }
+  void add_digest(uint64_t digest) {
+    fbb_.AddElement<uint64_t>(JudgeCrashes::VT_DIGEST, digest, 0);
+  }
   void add_quarantine(flatbuffers::Offset<flatbuffers::Vector<uint64_t>> quarantine) {
     fbb_.AddOffset(JudgeCrashes::VT_QUARANTINE, quarantine);
   }
@@ -1709,11 +1728,15 @@
 
 inline flatbuffers::Offset<JudgeCrashes> CreateJudgeCrashes(
     flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::String> change_id = 0,
+    uint64_t digest = 0,
     flatbuffers::Offset<flatbuffers::Vector<uint64_t>> quarantine = 0,
     flatbuffers::Offset<flatbuffers::Vector<uint64_t>> release = 0) {
   JudgeCrashesBuilder builder_(_fbb);
+  builder_.add_digest(digest);
   builder_.add_release(release);
   builder_.add_quarantine(quarantine);
+  builder_.add_change_id(change_id);
   return builder_.Finish();
 }
 
@@ -1724,12 +1747,17 @@
 
 inline flatbuffers::Offset<JudgeCrashes> CreateJudgeCrashesDirect(
     flatbuffers::FlatBufferBuilder &_fbb,
+    const char *change_id = nullptr,
+    uint64_t digest = 0,
     const std::vector<uint64_t> *quarantine = nullptr,
     const std::vector<uint64_t> *release = nullptr) {
+  auto change_id__ = change_id ? _fbb.CreateString(change_id) : 0;
   auto quarantine__ = quarantine ? _fbb.CreateVector<uint64_t>(*quarantine) : 0;
   auto release__ = release ? _fbb.CreateVector<uint64_t>(*release) : 0;
   return juniperway::protocol::CreateJudgeCrashes(
       _fbb,
+      change_id__,
+      digest,
       quarantine__,
       release__);
 }
@@ -3455,6 +3483,8 @@
 inline void JudgeCrashes::UnPackTo(JudgeCrashesT *_o, const flatbuffers::resolver_function_t *_resolver) const {
   (void)_o;
   (void)_resolver;
+  { auto _e = change_id(); if (_e) _o->change_id = _e->str(); }
+  { auto _e = digest(); _o->digest = _e; }
   { auto _e = quarantine(); if (_e) { _o->quarantine.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->quarantine[_i] = _e->Get(_i); } } }
   { auto _e = release(); if (_e) { _o->release.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->release[_i] = _e->Get(_i); } } }
 }
@@ -3467,10 +3497,14 @@
   (void)_rehasher;
   (void)_o;
   struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const JudgeCrashesT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _change_id = _o->change_id.empty() ? 0 : _fbb.CreateString(_o->change_id);
+  auto _digest = _o->digest;
   auto _quarantine = _o->quarantine.size() ? _fbb.CreateVector(_o->quarantine) : 0;
   auto _release = _o->release.size() ? _fbb.CreateVector(_o->release) : 0;
   return juniperway::protocol::CreateJudgeCrashes(
       _fbb,
+      _change_id,
+      _digest,
       _quarantine,
       _release);
 }
--- a/source/ctl/command_table.cc
+++ b/source/ctl/command_table.cc
@@ -89,6 +89,15 @@
        {"change-id", "wait"},
        false,
        RunEvacuate},
+      {"crashing-requests",
+       "list | release FINGERPRINT",
+       "Show requests under which back ends ended, or let one be sent again.",
+       "juniperwayctl crashing-requests list",
+       1,
+       2,
+       {"change-id", "wait"},
+       false,
+       RunCrashingRequests},
   };
 }
 
--- a/test/unit/control/crash_record_test.cc
+++ b/test/unit/control/crash_record_test.cc
@@ -88,6 +88,21 @@
         view->crashing_requests.end());
 }
 
+TEST_CASE("a second copy of a release does not undo a later quarantine") {
+  ControlState state;
+  protocol::JudgeCrashesT order;
+  order.change_id = "r1";
+  order.release = {kRequest.value};
+  Report(state, kRequest, {"a", "b", "c"});
+  Quarantine(state, kRequest);
+  Apply(state, order, seconds(2));
+  CHECK(state.fleet().crashes.empty());
+  Report(state, kRequest, {"d", "e", "f"}, seconds(3));
+  Quarantine(state, kRequest, seconds(4));
+  Apply(state, order, seconds(5));
+  CHECK(state.fleet().crashes.at(kRequest).quarantined);
+}
+
 TEST_CASE("a snapshot holds them") {
   ControlState state;
   Report(state, kRequest, {"a", "b", "c"});
--- a/test/unit/ctl/commands_test.cc
+++ b/test/unit/ctl/commands_test.cc
@@ -213,4 +213,19 @@
   CHECK(ctl.Run({"evacuate", "start", std::string(200, 'z')}).exit_code == 1);
 }
 
+TEST_CASE("requests under which back ends ended are listed and released") {
+  CtlFixture ctl;
+  const std::string fingerprint = "00000000000000a7";
+  CHECK(ctl.Run({"crashing-requests", "list"}).exit_code == 0);
+  // One that is not known is released all the same: it may be sent.
+  const RunResult released = ctl.Run(
+      {"crashing-requests", "release", fingerprint, "--change-id", "r1"});
+  CAPTURE(released.error);
+  CHECK(released.exit_code == 0);
+  CHECK(ctl.Has(released.out, "r1 accepted"));
+  CHECK(ctl.Run({"crashing-requests", "release", "a7"}).exit_code == 1);
+  CHECK(ctl.Run({"crashing-requests", "release"}).exit_code == 2);
+  CHECK(ctl.Run({"crashing-requests", "list", fingerprint}).exit_code == 2);
+}
+
 }  // namespace juniperway::ctl
