--- a/source/ctl/command_table.cc
+++ b/source/ctl/command_table.cc
@@ -89,6 +89,11 @@
        {"change-id", "wait"},
        false,
        RunEvacuate},
+  };
+}
+
+std::vector<Command> OperationCommands() {
+  return {
       {"crashing-requests",
        "list | release FINGERPRINT",
        "Show requests under which back ends ended, or let one be sent again.",
@@ -98,11 +103,6 @@
        {"change-id", "wait"},
        false,
        RunCrashingRequests},
-  };
-}
-
-std::vector<Command> OperationCommands() {
-  return {
       {"status",
        "",
        "Show the state of the control machines.",
--- a/test/integration/forwarding/route_fleet.cc
+++ b/test/integration/forwarding/route_fleet.cc
@@ -180,6 +180,7 @@
 
 std::vector<std::string> RouteFleet::LogFiles() const {
   std::vector<std::string> files;
+  files.reserve(routers_.size() + controls_.size());
   for (int number = 0; number < routers(); ++number) {
     files.push_back(RouterLog(number));
   }
@@ -334,7 +335,7 @@
     const std::string& id, int router) {
   net::SetSourceAddress(asio::ip::make_address(client_address));
   lab::BlockingHttp http;
-  const auto response = http.Call(MakeRequest(target, id, router));
+  net::HttpClientResponse response = http.Call(MakeRequest(target, id, router));
   net::SetSourceAddress(kLoopback.address());
   return response;
 }
