Read the discovery list entry by entry; tell a restarted back end by its start

Cause: one entry of another writer (a field missing or of another type, an unknown state, bytes that are no text) made the whole reading fail or named a back end that cannot be used: without a state that is known it counted as leaving, without slots or a zone it was used. And a back end that starts again under its id was taken for the process before it: its ejection, pauses, halved connections and attempts under way went on, and a request that ends one back end three times counted one.

--- a/source/common/control/control_metrics.cc
+++ b/source/common/control/control_metrics.cc
@@ -31,7 +31,22 @@
       sessions_(AddGauge(registry, "juniperway_control_sessions",
                          "Daemons with a session here")),
       list_age_(AddGauge(registry, "juniperway_control_list_age_seconds",
-                         "Since the discovery list was read whole here")) {}
+                         "Since the discovery list was read whole here")) {
+  auto& faults =
+      prometheus::BuildCounter()
+          .Name("juniperway_control_discovery_entry_faults_total")
+          .Help("Entries of the discovery list that cannot be used, by reason")
+          .Register(registry);
+  for (const EntryFault fault : kEntryFaults) {
+    discovery_faults_[fault] = &faults.Add({{"reason", NameOf(fault)}});
+  }
+}
+
+void ControlMetrics::OnDiscoveryFaults(const EntryFaults& faults) {
+  for (const auto& [fault, entries] : faults) {
+    discovery_faults_.at(fault)->Increment(static_cast<double>(entries));
+  }
+}
 
 void ControlMetrics::Update(const raft::Status& status, std::uint64_t revision,
                             std::uint64_t table_version, std::size_t sessions,
--- a/source/common/control/control_metrics.h
+++ b/source/common/control/control_metrics.h
@@ -2,13 +2,16 @@
 // Page: docs/operations/metrics.md.
 #pragma once
 
+#include <prometheus/counter.h>
 #include <prometheus/gauge.h>
 #include <prometheus/registry.h>
 
 #include <cstddef>
 #include <cstdint>
+#include <map>
 
 #include "common/base/time.h"
+#include "common/control/discovery_page.h"
 #include "common/raft/fsm.h"
 
 namespace juniperway::control {
@@ -23,6 +26,9 @@
               std::uint64_t table_version, std::size_t sessions,
               Duration list_age);
 
+  // Entries of one reading of the discovery list that cannot be used.
+  void OnDiscoveryFaults(const EntryFaults& faults);
+
  private:
   prometheus::Gauge& leading_;
   prometheus::Gauge& leader_known_;
@@ -33,6 +39,7 @@
   prometheus::Gauge& table_version_;
   prometheus::Gauge& sessions_;
   prometheus::Gauge& list_age_;
+  std::map<EntryFault, prometheus::Counter*> discovery_faults_;
 };
 
 }  // namespace juniperway::control
--- a/source/common/control/control_node_setup.cc
+++ b/source/common/control/control_node_setup.cc
@@ -213,6 +213,10 @@
               [this](const DiscoveryList& list) {
                 list_read_ = ReadMonotonicClock();
                 role_->OnDiscoveryList(list);
+              },
+          .on_faults =
+              [this](const EntryFaults& faults) {
+                metrics_.OnDiscoveryFaults(faults);
               }});
 }
 
--- a/source/common/control/crash_attribution.cc
+++ b/source/common/control/crash_attribution.cc
@@ -20,6 +20,19 @@
 
 }  // namespace
 
+bool IsListed(
+    const std::map<std::string, session::DiscoveredBackend>& discovered,
+    const std::string& incarnation) {
+  // The id ends at the last "@", if any: it may hold one itself.
+  const std::string id = incarnation.substr(0, incarnation.rfind('@'));
+  const auto is_it = [&](const std::string& name) {
+    const auto entry = discovered.find(name);
+    return entry != discovered.end() &&
+           session::IncarnationName(entry->second) == incarnation;
+  };
+  return is_it(incarnation) || is_it(id);
+}
+
 std::vector<RequestFingerprint> FindBlamed(const CrashRecords& records) {
   Unexplained unexplained;
   for (const auto& [request, record] : records) {
--- a/source/common/control/crash_attribution.h
+++ b/source/common/control/crash_attribution.h
@@ -16,6 +16,7 @@
 #include "common/base/request_fingerprint.h"
 #include "common/base/time.h"
 #include "common/control/crash_record.h"
+#include "common/session/fleet_view.h"
 
 namespace juniperway::control {
 
@@ -24,6 +25,12 @@
 // the third one the users allow hardly any further attempt.
 inline constexpr std::size_t kBlamedAfter = 3;
 
+// Whether this run of a back end's process (session::IncarnationName) is still
+// on the discovery list. Another run under the same id shows that it has ended.
+bool IsListed(
+    const std::map<std::string, session::DiscoveredBackend>& discovered,
+    const std::string& incarnation);
+
 // Requests that are to blame and not quarantined yet.
 std::vector<RequestFingerprint> FindBlamed(const CrashRecords& records);
 
@@ -48,7 +55,7 @@
     bool empty() const { return quarantine.empty() && release.empty(); }
   };
 
-  // @param is_listed whether the discovery list holds a back end of this id.
+  // @param is_listed whether the discovery list holds this run of a back end.
   Judgement Judge(const CrashRecords& records,
                   const std::function<bool(const std::string&)>& is_listed,
                   MonotonicTime now);
--- a/source/common/control/discovery_poller.cc
+++ b/source/common/control/discovery_poller.cc
@@ -1,7 +1,6 @@
 #include "common/control/discovery_poller.h"
 
 #include <algorithm>
-#include <nlohmann/json.hpp>
 #include <utility>
 
 #include "common/control/events.h"
@@ -9,8 +8,6 @@
 namespace juniperway::control {
 namespace {
 
-using nlohmann::json;
-
 constexpr Duration kCallTimeout = seconds(1);
 // How often a machine that does not lead looks whether it does now.
 constexpr Duration kIdleInterval = milliseconds(100);
@@ -19,47 +16,8 @@
 // Share of the platform's rate that one reader uses.
 constexpr double kRateShare = 0.5;
 
-std::string TextOf(const json& object, const char* name) {
-  const auto field = object.find(name);
-  return field != object.end() && field->is_string() ? field->get<std::string>()
-                                                     : std::string();
-}
-
 }  // namespace
 
-Result<DiscoveryPage> ParseDiscoveryPage(std::string_view text) {
-  const auto document = json::parse(text, nullptr, /*allow_exceptions=*/false);
-  if (!document.is_object() || !document.contains("backends") ||
-      !document["backends"].is_array()) {
-    return MakeError(ErrorCode::kInvalidArgument, "backends", "must be a list");
-  }
-  DiscoveryPage page;
-  page.next_page = TextOf(document, "next_page");
-  for (const json& element : document["backends"]) {
-    session::DiscoveredBackend backend;
-    backend.id = TextOf(element, "id");
-    backend.service = TextOf(element, "service");
-    backend.address = TextOf(element, "address");
-    backend.zone = TextOf(element, "zone");
-    const std::string state = TextOf(element, "state");
-    if (backend.id.empty() || backend.service.empty() ||
-        backend.address.empty() || state.empty()) {
-      return MakeError(ErrorCode::kInvalidArgument, "backends[]",
-                       "needs an id, a service, an address and a state");
-    }
-    backend.draining = state != "live";
-    const auto slots = element.find("slots");
-    if (slots != element.end() && slots->is_number_unsigned()) {
-      backend.slots = std::max(1U, slots->get<std::uint32_t>());
-    }
-    const auto warmup = element.find("warmup_left_ms");
-    backend.cold = warmup != element.end() && warmup->is_number() &&
-                   warmup->get<double>() > 0;
-    page.backends[backend.id] = std::move(backend);
-  }
-  return page;
-}
-
 DiscoveryPoller::DiscoveryPoller(asio::io_context& context, Options options,
                                  Ports ports)
     : options_(std::move(options)),
@@ -77,6 +35,7 @@
     return;
   }
   collected_.clear();
+  faults_.clear();
   pages_ = 0;
   began_ = ReadMonotonicClock();
   Read("");
@@ -105,17 +64,19 @@
          response.transport_error);
     return;
   }
-  auto page = ParseDiscoveryPage(response.body);
+  auto page = ParseDiscoveryPage(response.body, ReadWallClock());
   if (!page) {
     Fail(FormatError(page.error()));
     return;
   }
-  collected_.merge(page->backends);
-  if (!page->next_page.empty()) {
-    Read(page->next_page);
+  const std::string next_page = page->next_page;
+  AddPage(std::move(*page), collected_, faults_);
+  if (!next_page.empty()) {
+    Read(next_page);
     return;
   }
   failing_ = false;
+  NoteFaults();
   ports_.on_list(collected_);
   const auto slowest = std::chrono::duration_cast<Duration>(
       std::chrono::duration<double>(static_cast<double>(pages_) /
@@ -124,6 +85,18 @@
   ScheduleNext(std::max(Duration(next - ReadMonotonicClock()), Duration(0)));
 }
 
+void DiscoveryPoller::NoteFaults() {
+  for (const auto& [fault, entries] : faults_) {
+    const auto noted = noted_faults_.find(fault);
+    if (noted == noted_faults_.end() || noted->second != entries) {
+      logging::LogEvent(kDiscoveryEntriesFaulty,
+                        {{"reason", NameOf(fault)}, {"entries", entries}});
+    }
+  }
+  noted_faults_ = faults_;
+  ports_.on_faults(faults_);
+}
+
 void DiscoveryPoller::Fail(const std::string& reason) {
   if (!failing_) {
     logging::LogEvent(kDiscoveryFailed,
--- a/source/common/control/discovery_poller.h
+++ b/source/common/control/discovery_poller.h
@@ -6,33 +6,15 @@
 #include <asio/io_context.hpp>
 #include <asio/steady_timer.hpp>
 #include <functional>
-#include <map>
 #include <memory>
 #include <string>
-#include <string_view>
 
-#include "common/base/error.h"
 #include "common/base/time.h"
+#include "common/control/discovery_page.h"
 #include "common/net/http_client.h"
-#include "common/session/fleet_view.h"
 
 namespace juniperway::control {
 
-// Back ends by id.
-using DiscoveryList = std::map<std::string, session::DiscoveredBackend>;
-
-struct DiscoveryPage {
-  DiscoveryList backends;
-  // Names the page that follows; empty: this is the last.
-  std::string next_page;
-};
-
-// Parses {"backends": [{"id", "service", "address", "zone", "slots", "state":
-// "live" | "leaving", "warmup_left_ms"}], "next_page": "…" | null}. A back end
-// with time left to warm up is cold.
-// @return kInvalidArgument with the field that is wrong.
-Result<DiscoveryPage> ParseDiscoveryPage(std::string_view text);
-
 class DiscoveryPoller {
  public:
   struct Options {
@@ -47,6 +29,8 @@
     // Only then the list is read.
     std::function<bool()> is_leading;
     std::function<void(const DiscoveryList&)> on_list;
+    // After each reading: how many entries had which fault.
+    std::function<void(const EntryFaults&)> on_faults;
   };
 
   DiscoveryPoller(asio::io_context& context, Options options, Ports ports);
@@ -61,6 +45,8 @@
   void Read(const std::string& page);
   void OnAnswer(const net::HttpClientResponse& response);
   void Fail(const std::string& reason);
+  // Says which faults the reading found, where that has changed.
+  void NoteFaults();
   void ScheduleNext(Duration delay);
 
   Options options_;
@@ -69,6 +55,9 @@
   asio::steady_timer timer_;
   // The pages of the reading under way.
   DiscoveryList collected_;
+  EntryFaults faults_;
+  // Those that the log has told of.
+  EntryFaults noted_faults_;
   std::size_t pages_ = 0;
   MonotonicTime began_;
   // The last reading failed: the failure was logged.
--- a/source/common/control/events.h
+++ b/source/common/control/events.h
@@ -49,6 +49,10 @@
                                              Severity::kInfo};
 inline constexpr EventType kDiscoveryFailed{2134, "discovery_failed",
                                             Severity::kWarning};
+inline constexpr EventType kDiscoveryEntriesFaulty{
+    2135, "discovery_entries_faulty", Severity::kWarning};
+inline constexpr EventType kBackendStartIgnored{2136, "backend_start_ignored",
+                                                Severity::kWarning};
 inline constexpr EventType kChangeAccepted{2140, "change_accepted",
                                            Severity::kInfo};
 inline constexpr EventType kChangeRefused{2141, "change_refused",
--- a/source/common/control/leader_role.cc
+++ b/source/common/control/leader_role.cc
@@ -224,8 +224,8 @@
   }
   const CrashJudge::Judgement judgement = crash_judge_.Judge(
       fleet.crashes,
-      [&fleet](const std::string& backend) {
-        return fleet.discovered.contains(backend);
+      [&fleet](const std::string& incarnation) {
+        return IsListed(fleet.discovered, incarnation);
       },
       now);
   if (judgement.empty()) {
@@ -312,14 +312,22 @@
   }
   const auto& held = ports_.state().fleet().discovered;
   protocol::UpdateDiscoveredT operation;
-  for (const auto& [id, backend] : list) {
+  std::size_t starts_ignored = 0;
+  for (const auto& [id, listed] : list) {
     const auto known = held.find(id);
+    session::DiscoveredBackend backend = listed;
+    if (known != held.end()) {
+      backend.start = ReconcileStart(known->second.start, listed.start);
+      const bool is_given = listed.start != WallTime{};
+      starts_ignored += is_given && backend.start != listed.start ? 1 : 0;
+    }
     if (known == held.end() || known->second != backend) {
       operation.backends.push_back(
           std::make_unique<protocol::DiscoveredBackendRecordT>(
               session::EncodeDiscovered(backend)));
     }
   }
+  NoteStartsIgnored(starts_ignored);
   for (const auto& [id, backend] : held) {
     if (!list.contains(id)) {
       operation.removed.push_back(id);
@@ -347,6 +355,12 @@
          });
 }
 
+void LeaderRole::NoteStartsIgnored(std::size_t backends) {
+  if (std::exchange(starts_ignored_, backends) != backends && backends > 0) {
+    logging::LogEvent(kBackendStartIgnored, {{"backends", backends}});
+  }
+}
+
 void LeaderRole::OnPlatformList(const PlatformList& list) {
   if (!leases_.active() || platform_update_under_way_) {
     return;
--- a/source/common/control/leader_role.h
+++ b/source/common/control/leader_role.h
@@ -96,6 +96,8 @@
   void RepairMembers(MonotonicTime now);
   // Quarantines requests that are to blame for crashes, and releases others.
   void JudgeCrashes(MonotonicTime now);
+  // Back ends whose listed start lies before the known one, of one reading.
+  void NoteStartsIgnored(std::size_t backends);
 
   Duration lease_;
   Ports ports_;
@@ -107,6 +109,7 @@
   std::vector<DaemonKey> removals_;
   bool platform_update_under_way_ = false;
   bool discovery_update_under_way_ = false;
+  std::size_t starts_ignored_ = 0;
   CrashJudge crash_judge_;
   bool judgement_under_way_ = false;
   std::optional<MemberRepair> repair_;
--- a/source/common/forwarding/backend_pool.cc
+++ b/source/common/forwarding/backend_pool.cc
@@ -107,6 +107,8 @@
   for (const auto& [id, info] : view.discovered) {
     Backend& backend = backends_[id];
     const bool was_evacuated = backend.evacuated;
+    const bool is_new_process =
+        backend.info.start != WallTime{} && backend.info.start < info.start;
     backend.info = info;
     backend.service = &services_[info.service];
     backend.distance = DistanceOf(info.zone);
@@ -114,7 +116,10 @@
     backend.evacuated =
         view.evacuations.find(info.zone) != view.evacuations.end();
     backend.retired = info.draining || backend.evacuated;
-    if (was_evacuated && !backend.evacuated) {
+    if (is_new_process) {
+      ForgetProcess(backend);
+    }
+    if (is_new_process || (was_evacuated && !backend.evacuated)) {
       backend.taken_for_cold_until = now + backend.service->warmup;
     }
   }
@@ -124,6 +129,16 @@
   });
 }
 
+void BackendPool::ForgetProcess(Backend& backend) {
+  backend.latency = RecentLatency();
+  backend.failure_rate = FailureRate();
+  backend.connections = ConnectionAllowance();
+  backend.under_way.clear();
+  backend.failures = 0;
+  backend.ejected_until = MonotonicTime::min();
+  backend.paused_until = MonotonicTime::min();
+}
+
 void BackendPool::UpdateServices(const session::FleetView& view) {
   for (auto& [name, service] : services_) {
     service.backends.clear();
--- a/source/common/forwarding/backend_pool.h
+++ b/source/common/forwarding/backend_pool.h
@@ -158,6 +158,10 @@
   // Of the budgets, by the routers that share them now.
   const ExtraBudgetLimits& ExtraLimits(MonotonicTime now);
   void UpdateBackends(const session::FleetView& view, MonotonicTime now);
+  // Of a back end that has started again under its id: what was seen of the
+  // process before says nothing about it. Attempts that are under way there
+  // bring no answer, and do not count against the new process.
+  static void ForgetProcess(Backend& backend);
   void UpdateServices(const session::FleetView& view);
   // Shares of what cold back ends take.
   void UpdateColdShares(const session::FleetView& view);
--- a/source/common/forwarding/crash_reporter.cc
+++ b/source/common/forwarding/crash_reporter.cc
@@ -51,7 +51,7 @@
   for (const LostBackend& backend : evidence.lost) {
     net::CheckListener(context_, backend.address, kCheckTimeout,
                        [this, alive = alive_, inquiry,
-                        id = backend.id](net::ListenerState state) {
+                        id = backend.incarnation](net::ListenerState state) {
                          if (!*alive) {
                            return;
                          }
--- a/source/common/forwarding/request_run.cc
+++ b/source/common/forwarding/request_run.cc
@@ -152,7 +152,12 @@
   const AttemptId attempt = NextAttemptId();
   const std::string& id = backend->info.id;
   const bool hedge = !shard.under_way.empty();
-  shard.under_way.push_back({attempt, id, backend->info.address, now, hedge});
+  shard.under_way.push_back({.id = attempt,
+                             .backend = id,
+                             .incarnation = IncarnationName(backend->info),
+                             .address = backend->info.address,
+                             .sent = now,
+                             .hedge = hedge});
   shard.tried.push_back(id);
   ++shard.runs;
   ++attempts_sent_;
@@ -209,7 +214,7 @@
   // them.
   crash_evidence_.survived |= end.result == AttemptResult::kAnswered;
   if (end.connection_lost) {
-    crash_evidence_.lost.push_back({attempt.backend, attempt.address});
+    crash_evidence_.lost.push_back({attempt.incarnation, attempt.address});
   }
   switch (end.result) {
     case AttemptResult::kShed:
--- a/source/common/forwarding/request_run.h
+++ b/source/common/forwarding/request_run.h
@@ -44,7 +44,9 @@
 
 // A back end whose connection was lost while it had the request.
 struct LostBackend {
-  std::string id;
+  // See session::IncarnationName: one that starts again under its id may be
+  // lost again.
+  std::string incarnation;
   std::string address;
 };
 
@@ -195,6 +197,7 @@
   struct Attempt {
     AttemptId id = 0;
     std::string backend;
+    std::string incarnation;
     std::string address;
     MonotonicTime sent;
     // It was sent beside another one.
--- a/source/common/protocol/fleet_generated.h
+++ b/source/common/protocol/fleet_generated.h
@@ -401,6 +401,7 @@
   uint32_t slots = 0;
   bool draining = false;
   bool cold = false;
+  int64_t start_us = 0;
 };
 
 struct DiscoveredBackendRecord FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -414,7 +415,8 @@
     VT_ZONE = 10,
     VT_SLOTS = 12,
     VT_DRAINING = 14,
-    VT_COLD = 16
+    VT_COLD = 16,
+    VT_START_US = 18
   };
   const flatbuffers::String *id() const {
     return GetPointer<const flatbuffers::String *>(VT_ID);
@@ -437,6 +439,9 @@
   bool cold() const {
     return GetField<uint8_t>(VT_COLD, 0) != 0;
   }
+  int64_t start_us() const {
+    return GetField<int64_t>(VT_START_US, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_ID) &&
@@ -450,6 +455,7 @@
            VerifyField<uint32_t>(verifier, VT_SLOTS, 4) &&
            VerifyField<uint8_t>(verifier, VT_DRAINING, 1) &&
            VerifyField<uint8_t>(verifier, VT_COLD, 1) &&
+           VerifyField<int64_t>(verifier, VT_START_US, 8) &&
            verifier.EndTable();
   }
   DiscoveredBackendRecordT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -482,6 +488,9 @@
   void add_cold(bool cold) {
     fbb_.AddElement<uint8_t>(DiscoveredBackendRecord::VT_COLD, static_cast<uint8_t>(cold), 0);
   }
+  void add_start_us(int64_t start_us) {
+    fbb_.AddElement<int64_t>(DiscoveredBackendRecord::VT_START_US, start_us, 0);
+  }
   explicit DiscoveredBackendRecordBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -501,8 +510,10 @@
     flatbuffers::Offset<flatbuffers::String> zone = 0,
     uint32_t slots = 0,
     bool draining = false,
-    bool cold = false) {
+    bool cold = false,
+    int64_t start_us = 0) {
   DiscoveredBackendRecordBuilder builder_(_fbb);
+  builder_.add_start_us(start_us);
   builder_.add_slots(slots);
   builder_.add_zone(zone);
   builder_.add_address(address);
@@ -526,7 +537,8 @@
     const char *zone = nullptr,
     uint32_t slots = 0,
     bool draining = false,
-    bool cold = false) {
+    bool cold = false,
+    int64_t start_us = 0) {
   auto id__ = id ? _fbb.CreateString(id) : 0;
   auto service__ = service ? _fbb.CreateString(service) : 0;
   auto address__ = address ? _fbb.CreateString(address) : 0;
@@ -539,7 +551,8 @@
       zone__,
       slots,
       draining,
-      cold);
+      cold,
+      start_us);
 }
 
 flatbuffers::Offset<DiscoveredBackendRecord> CreateDiscoveredBackendRecord(flatbuffers::FlatBufferBuilder &_fbb, const DiscoveredBackendRecordT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -1272,6 +1285,7 @@
   { auto _e = slots(); _o->slots = _e; }
   { auto _e = draining(); _o->draining = _e; }
   { auto _e = cold(); _o->cold = _e; }
+  { auto _e = start_us(); _o->start_us = _e; }
 }
 
 inline flatbuffers::Offset<DiscoveredBackendRecord> DiscoveredBackendRecord::Pack(flatbuffers::FlatBufferBuilder &_fbb, const DiscoveredBackendRecordT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -1289,6 +1303,7 @@
   auto _slots = _o->slots;
   auto _draining = _o->draining;
   auto _cold = _o->cold;
+  auto _start_us = _o->start_us;
   return juniperway::protocol::CreateDiscoveredBackendRecord(
       _fbb,
       _id,
@@ -1297,7 +1312,8 @@
       _zone,
       _slots,
       _draining,
-      _cold);
+      _cold,
+      _start_us);
 }
 
 inline ZoneEvacuationRecordT *ZoneEvacuationRecord::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
--- a/source/common/session/fleet_codec.cc
+++ b/source/common/session/fleet_codec.cc
@@ -291,6 +291,7 @@
   record.slots = backend.slots;
   record.draining = backend.draining;
   record.cold = backend.cold;
+  record.start_us = backend.start.time_since_epoch().count();
   return record;
 }
 
@@ -304,6 +305,7 @@
   backend.slots = record.slots;
   backend.draining = record.draining;
   backend.cold = record.cold;
+  backend.start = WallTime(Duration(record.start_us));
   return backend;
 }
 
--- a/source/common/session/fleet_view.h
+++ b/source/common/session/fleet_view.h
@@ -46,7 +46,8 @@
 
 // A back end that HTTP forwarding may use, from the discovery list.
 struct DiscoveredBackend {
-  // Changes with each start of the back end.
+  // Mostly changes with each start of the back end; one that keeps it is told
+  // from the process before it by `start`.
   std::string id;
   std::string service;
   std::string address;  // "ip:port"
@@ -57,10 +58,16 @@
   bool draining = false;
   // It has started a short while ago, and takes less work for now.
   bool cold = false;
+  // When it started, by its own clock; the zero time: not known.
+  WallTime start{};
 
   bool operator==(const DiscoveredBackend&) const = default;
 };
 
+// Names one run of the back end's process: its id, with its start where that is
+// known.
+std::string IncarnationName(const DiscoveredBackend& backend);
+
 // An operator's order that no back end of a zone gets new work.
 struct ZoneEvacuation {
   // When it was accepted, by the leader's clock.
--- a/source/lab/soak/stand_ins.cc
+++ b/source/lab/soak/stand_ins.cc
@@ -50,6 +50,8 @@
               {"address", net::FormatEndpoint(link_.endpoint())},
               {"zone", zone_},
               {"slots", kSlots},
+              {"version", "v1"},
+              {"warmup_left_ms", 0},
               {"state", draining ? "leaving" : "live"}}
       .dump();
 }
--- a/source/sim/forwarding/crash_sim.cc
+++ b/source/sim/forwarding/crash_sim.cc
@@ -316,8 +316,8 @@
       }
     } else {
       for (const auto& lost : evidence.lost) {
-        if (!backends_.contains(lost.id)) {
-          report.ended_backends.push_back(lost.id);
+        if (!backends_.contains(lost.incarnation)) {
+          report.ended_backends.push_back(lost.incarnation);
         }
       }
       if (report.ended_backends.empty()) {
--- a/test/integration/forwarding/route_fleet.cc
+++ b/test/integration/forwarding/route_fleet.cc
@@ -275,7 +275,9 @@
          {"service", backend->service()},
          {"address", backend->address()},
          {"zone", "z"},
+         {"version", "v1"},
          {"slots", 5},
+         {"warmup_left_ms", 0},
          {"state", backend->draining ? "leaving" : "live"}});
   }
   const std::lock_guard lock(mutex_);
--- a/test/unit/control/crash_attribution_test.cc
+++ b/test/unit/control/crash_attribution_test.cc
@@ -123,5 +123,21 @@
   CHECK(FindBlamed(records) == Blamed{{2}});
 }
 
+TEST_CASE("a back end that started again under its id is not the one listed") {
+  // A request that ends one back end three times would otherwise be released
+  // while the restarted one is on the list.
+  std::map<std::string, session::DiscoveredBackend> discovered;
+  session::DiscoveredBackend& backend = discovered["i-1"];
+  backend.id = "i-1";
+  CHECK(IsListed(discovered, "i-1"));
+  backend.start = WallTime(seconds(20));
+  CHECK(IsListed(discovered, session::IncarnationName(backend)));
+  CHECK_FALSE(IsListed(discovered, "i-1"));
+  CHECK_FALSE(IsListed(discovered, "i-1@10000"));
+  CHECK_FALSE(IsListed(discovered, "i-2"));
+  discovered["i@3"].id = "i@3";
+  CHECK(IsListed(discovered, "i@3"));
+}
+
 }  // namespace
 }  // namespace juniperway::control
--- a/test/unit/forwarding/backend_pool_test.cc
+++ b/test/unit/forwarding/backend_pool_test.cc
@@ -315,5 +315,43 @@
   CHECK(extra_after(seconds(11)) == 9);
 }
 
+// The back end of this id, started at this second.
+session::DiscoveredBackend Started(const std::string& id, int second) {
+  session::DiscoveredBackend backend = Backend(id, "here");
+  backend.start = WallTime(seconds(second));
+  return backend;
+}
+
+TEST_CASE("what was seen of a back end ends with its process") {
+  // The failures of the process before, and an attempt that it never ended,
+  // would keep the new one without work for up to three seconds.
+  Pool pool;
+  pool.Add(Started("1", 10));
+  for (int i = 0; i < 5; ++i) {
+    pool.Run("1", milliseconds(900), AttemptResult::kBroken);
+  }
+  pool.pool.OnSent("1", /*attempt=*/999, pool.now);
+  CHECK(pool.Choose() == "2");
+  pool.Add(Started("1", 60));
+  CHECK(pool.Choose() == "1");
+
+  // The end of the old attempt comes late, and says nothing about the new
+  // process.
+  pool.pool.OnEnded("1", /*attempt=*/999, AttemptResult::kBroken, pool.now);
+  CHECK(pool.Choose() == "1");
+}
+
+TEST_CASE("a start that is not known or goes back is no new process") {
+  Pool pool;
+  pool.Add(Started("1", 60));
+  for (int i = 0; i < 5; ++i) {
+    pool.Run("1", milliseconds(900), AttemptResult::kBroken);
+  }
+  pool.Add(Backend("1", "here"));
+  CHECK(pool.Choose() == "2");
+  pool.Add(Started("1", 10));
+  CHECK(pool.Choose() == "2");
+}
+
 }  // namespace
 }  // namespace juniperway::forwarding
--- a/test/unit/forwarding/crashing_run_test.cc
+++ b/test/unit/forwarding/crashing_run_test.cc
@@ -112,5 +112,20 @@
   }
 }
 
+TEST_CASE("evidence names the process that was lost, not only its id") {
+  World world;
+  world.MakeSingle(/*repeatable=*/true);
+  for (int replica = 0; replica < test::kReplicas; ++replica) {
+    const std::string id = ShardName(0) + "-" + std::to_string(replica);
+    world.view.discovered[id].start = WallTime(seconds(20));
+  }
+  world.pool.Update(world.view, 1, world.now);
+  RequestRun& run = world.Start();
+  world.Lose(world.under_way.begin()->first);
+  REQUIRE_FALSE(run.crash_evidence().lost.empty());
+  const std::string name = run.crash_evidence().lost.front().incarnation;
+  CHECK(name.ends_with("@20000"));
+}
+
 }  // namespace
 }  // namespace juniperway::forwarding
