--- a/source/common/control/control_node_setup.cc
+++ b/source/common/control/control_node_setup.cc
@@ -165,7 +165,7 @@
   lease_options.lease = options_.lease_duration;
   lease_options.maximum_clock_drift = options_.maximum_clock_drift;
   role_ = std::make_unique<LeaderRole>(
-      lease_options,
+      lease_options, options_.tenant_tolerance,
       LeaderRole::Ports{
           .state = [this]() -> const ControlState& { return state_; },
           .raft_status = [this] { return driver_->GetStatus(); },
--- a/source/common/control/control_server.h
+++ b/source/common/control/control_server.h
@@ -17,6 +17,7 @@
 #include "common/base/error.h"
 #include "common/base/locality.h"
 #include "common/base/time.h"
+#include "common/quota/rate_limit.h"
 #include "common/raft/types.h"
 #include "common/storage/log_store.h"
 
@@ -49,6 +50,8 @@
   std::string discovery_url;
   Duration discovery_interval = seconds(1);
   double discovery_calls_per_second = 50;
+  // How far the fleet may go beyond tenants' limits.
+  quota::RateTolerance tenant_tolerance;
   // Serves the resource API on http_listen although there is no token.
   bool open_api = false;
   // The group replaces lost control machines by itself: resource API addresses
--- a/source/common/control/events.h
+++ b/source/common/control/events.h
@@ -53,6 +53,8 @@
     2135, "discovery_entries_faulty", Severity::kWarning};
 inline constexpr EventType kBackendStartIgnored{2136, "backend_start_ignored",
                                                 Severity::kWarning};
+inline constexpr EventType kTenantLimitsUnreadable{
+    2137, "tenant_limits_unreadable", Severity::kError};
 inline constexpr EventType kChangeAccepted{2140, "change_accepted",
                                            Severity::kInfo};
 inline constexpr EventType kChangeRefused{2141, "change_refused",
--- a/source/common/control/leader_role.cc
+++ b/source/common/control/leader_role.cc
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "common/control/events.h"
+#include "common/raft/configuration.h"
 #include "common/session/control_frames.h"
 #include "common/session/fleet_codec.h"
 
@@ -36,15 +37,34 @@
 
 }  // namespace
 
-LeaderRole::LeaderRole(const LeaseTable::Options& options, Ports ports)
+LeaderRole::LeaderRole(const LeaseTable::Options& options,
+                       const quota::RateTolerance& tolerance, Ports ports)
     : lease_(options.lease),
       ports_(std::move(ports)),
       leases_(options),
+      tenant_quotas_(tolerance, options.maximum_clock_drift),
       alive_(std::make_shared<bool>(true)) {}
 
 LeaderRole::~LeaderRole() { *alive_ = false; }
 
+void LeaderRole::NotePools(const raft::Status& status, MonotonicTime now) {
+  for (const raft::Member& member : raft::AllMembers(status.configuration)) {
+    pools_[PoolName(member.id)] = now;
+  }
+}
+
+std::set<std::string> LeaderRole::Pools(MonotonicTime now) const {
+  std::set<std::string> pools;
+  for (const auto& [name, seen] : pools_) {
+    if (now - seen < 2 * quota::kRateLease) {
+      pools.insert(name);
+    }
+  }
+  return pools;
+}
+
 void LeaderRole::Update(const raft::Status& status, MonotonicTime now) {
+  NotePools(status, now);
   const bool leads = status.role == raft::Role::kLeader;
   if (pipeline_term_ != 0 && (!leads || status.term != pipeline_term_)) {
     pipeline_term_ = 0;
@@ -52,6 +72,7 @@
   }
   if (leases_.active() && (!leads || status.term != leases_.term())) {
     leases_.Stop();
+    tenant_quotas_.Stop();
     removals_.clear();
   }
   if (!leads) {
@@ -63,6 +84,7 @@
     const ControlState& state = ports_.state();
     leases_.Start(status.term, state.revision(), state.fleet().members, now);
     leases_.Learn(announced_in_force_, announced_zones_);
+    tenant_quotas_.Start(status.term, state.fleet().members, Pools(now), now);
     logging::LogEvent(kLeasesStarted,
                       {{"node", status.id},
                        {"term", status.term},
@@ -103,7 +125,9 @@
     reply->daemon_id = item->daemon_id;
     reply->incarnation = item->incarnation;
     reply->reply = std::make_unique<protocol::HeartbeatReplyT>();
-    if (leading) {
+    if (leading && pools_.contains(item->daemon_id)) {
+      *reply->reply = AnswerPool(*item, now);
+    } else if (leading) {
       *reply->reply = AnswerHeartbeat(*item, now);
     } else {
       reply->reply->sequence = item->heartbeat->sequence;
@@ -140,10 +164,27 @@
     auto zone = leases_.zones().find(member->second.zone);
     reply.zone_released_revision =
         zone == leases_.zones().end() ? 0 : zone->second;
+    if (member->second.router &&
+        member->second.incarnation == item.incarnation) {
+      tenant_quotas_.OnHeartbeat(item, /*is_pool=*/false,
+                                 ports_.state().fleet().route_table, now,
+                                 reply);
+    }
   }
   return reply;
 }
 
+protocol::HeartbeatReplyT LeaderRole::AnswerPool(
+    const protocol::MemberHeartbeatT& item, MonotonicTime now) {
+  protocol::HeartbeatReplyT reply;
+  reply.sequence = item.heartbeat->sequence;
+  reply.outcome = protocol::HeartbeatOutcome::kGranted;
+  reply.term = leases_.term();
+  tenant_quotas_.OnHeartbeat(item, /*is_pool=*/true,
+                             ports_.state().fleet().route_table, now, reply);
+  return reply;
+}
+
 void LeaderRole::OnGoodbye(const DaemonKey& daemon) {
   if (leases_.active()) {
     leases_.OnGoodbye(daemon);
--- a/source/common/control/leader_role.h
+++ b/source/common/control/leader_role.h
@@ -19,6 +19,7 @@
 #include "common/control/member_repair.h"
 #include "common/control/platform_poller.h"
 #include "common/control/session_server.h"
+#include "common/control/tenant_quotas.h"
 #include "common/raft/fsm.h"
 
 namespace juniperway::control {
@@ -44,7 +45,9 @@
     std::function<void()> on_confirmed;
   };
 
-  LeaderRole(const LeaseTable::Options& options, Ports ports);
+  // @param tolerance how far the fleet may go beyond tenants' limits.
+  LeaderRole(const LeaseTable::Options& options,
+             const quota::RateTolerance& tolerance, Ports ports);
   ~LeaderRole();
   LeaderRole(const LeaderRole&) = delete;
   LeaderRole& operator=(const LeaderRole&) = delete;
@@ -91,6 +94,13 @@
  private:
   protocol::HeartbeatReplyT AnswerHeartbeat(
       const protocol::MemberHeartbeatT& item, MonotonicTime now);
+  // Remembers the control machines of the group.
+  void NotePools(const raft::Status& status, MonotonicTime now);
+  // Pools that may hold tokens: of the group's machines, and of those that left
+  // it less than a lease of theirs ago.
+  std::set<std::string> Pools(MonotonicTime now) const;
+  protocol::HeartbeatReplyT AnswerPool(const protocol::MemberHeartbeatT& item,
+                                       MonotonicTime now);
   void ProposeRemovals();
   void PromoteLearners();
   void RepairMembers(MonotonicTime now);
@@ -102,6 +112,9 @@
   Duration lease_;
   Ports ports_;
   LeaseTable leases_;
+  TenantQuotas tenant_quotas_;
+  // When each control machine's pool was last seen in the group, by its name.
+  std::map<std::string, MonotonicTime> pools_;
   CommandPipeline pipeline_;
   // Term whose proposals the pipeline holds; 0: none.
   raft::Term pipeline_term_ = 0;
--- a/source/common/control/session_server.cc
+++ b/source/common/control/session_server.cc
@@ -2,10 +2,12 @@
 
 #include <algorithm>
 #include <asio/post.hpp>
+#include <random>
 #include <utility>
 
 #include "common/control/events.h"
 #include "common/session/control_frames.h"
+#include "common/session/rate_codec.h"
 
 namespace juniperway::control {
 namespace {
@@ -33,7 +35,8 @@
       cluster_(std::move(cluster)),
       pace_(pace),
       ports_(std::move(ports)),
-      update_timer_(context) {}
+      update_timer_(context),
+      pool_(node_id, std::random_device()()) {}
 
 SessionServer::~SessionServer() { *alive_ = false; }
 
@@ -127,16 +130,34 @@
   item->daemon_id = session.member.daemon_id;
   item->incarnation = session.member.incarnation;
   item->heartbeat = std::make_unique<protocol::HeartbeatT>(heartbeat);
+  ServeFromPool(session, *item->heartbeat);
   queued_heartbeats_.push_back(std::move(item));
-  if (!flush_scheduled_) {
-    flush_scheduled_ = true;
-    asio::post(context_, [this, alive = alive_] {
-      if (*alive) {
-        flush_scheduled_ = false;
-        FlushHeartbeats();
-      }
-    });
+  ScheduleFlush();
+}
+
+void SessionServer::ServeFromPool(const Session& session,
+                                  protocol::HeartbeatT& heartbeat) {
+  const auto grants = pool_.Serve(heartbeat, session.heard);
+  if (grants.empty()) {
+    return;
   }
+  protocol::RateTokensT tokens;
+  tokens.sequence = heartbeat.sequence;
+  tokens.grants = session::EncodeRateGrants(grants);
+  session::SendMessage(*session.connection, std::move(tokens));
+}
+
+void SessionServer::ScheduleFlush() {
+  if (flush_scheduled_) {
+    return;
+  }
+  flush_scheduled_ = true;
+  asio::post(context_, [this, alive = alive_] {
+    if (*alive) {
+      flush_scheduled_ = false;
+      FlushHeartbeats();
+    }
+  });
 }
 
 void SessionServer::FlushHeartbeats() {
@@ -147,7 +168,12 @@
     sequences.push_back(
         {{item->daemon_id, item->incarnation}, item->heartbeat->sequence});
   }
-  if (stopped_ || ports_.forward_heartbeats(std::move(heartbeats))) {
+  const MonotonicTime now = ReadMonotonicClock();
+  if (pool_.IsReportDue(now)) {
+    heartbeats.push_back(pool_.MakeReport(now));
+  }
+  if (stopped_ || heartbeats.empty() ||
+      ports_.forward_heartbeats(std::move(heartbeats))) {
     return;
   }
   for (const auto& [key, sequence] : sequences) {
@@ -159,7 +185,11 @@
 }
 
 void SessionServer::OnReplies(const HeartbeatReplies& replies) {
+  const MonotonicTime now = ReadMonotonicClock();
   for (const auto& item : replies) {
+    if (item->reply && pool_.OnReply(*item, now)) {
+      continue;
+    }
     std::uint64_t number = 0;
     Session* session =
         FindByDaemon(item->daemon_id, item->incarnation, &number);
@@ -375,6 +405,9 @@
 }
 
 void SessionServer::Tick(MonotonicTime now) {
+  if (pool_.IsReportDue(now)) {
+    ScheduleFlush();
+  }
   std::vector<std::uint64_t> dead;
   for (auto& [number, session] : sessions_) {
     if (session.unanswered_sequence != 0 &&
--- a/source/common/control/session_server.h
+++ b/source/common/control/session_server.h
@@ -16,6 +16,7 @@
 #include "common/control/command_pipeline.h"
 #include "common/control/control_state.h"
 #include "common/control/lease_table.h"
+#include "common/control/rate_pool.h"
 #include "common/net/frame_connection.h"
 #include "common/protocol/control_generated.h"
 
@@ -105,7 +106,11 @@
               const protocol::SessionCallT& call);
   void OnGoodbye(Session& session);
   void Join(std::uint64_t number, Session& session);
+  // Sends what is queued to the leader in a later turn of the loop.
+  void ScheduleFlush();
   void FlushHeartbeats();
+  // Tokens that the pool has for what waits at the router.
+  void ServeFromPool(const Session& session, protocol::HeartbeatT& heartbeat);
   // Tells every daemon how to reach the control machines.
   void AnnounceControlMembers();
   void SendControlMembers(const Session& session) const;
@@ -133,6 +138,7 @@
   std::map<std::uint64_t, Session> sessions_;
   std::map<std::string, std::uint64_t> sessions_by_daemon_;
   Heartbeats queued_heartbeats_;
+  RatePool pool_;
   std::vector<raft::Member> control_members_;
   std::map<raft::NodeId, Place> control_places_;
   // Callbacks that outlive this object find it gone.
--- a/source/common/forwarding/admission_queue.cc
+++ b/source/common/forwarding/admission_queue.cc
@@ -5,9 +5,7 @@
 namespace juniperway::forwarding {
 
 void AdmissionQueue::Insert(const Entry& entry) {
-  RouteQueue& route = routes_[entry.route];
-  route.priority = entry.priority;
-  route.waiting.emplace(entry.target_by, entry.number);
+  queues_[{entry.route, entry.priority}].emplace(entry.target_by, entry.number);
   places_[entry.number] = entry;
 }
 
@@ -17,10 +15,10 @@
     return false;
   }
   const Entry& entry = place->second;
-  const auto route = routes_.find(entry.route);
-  route->second.waiting.erase({entry.target_by, number});
-  if (route->second.waiting.empty()) {
-    routes_.erase(route);
+  const auto queue = queues_.find({entry.route, entry.priority});
+  queue->second.erase({entry.target_by, number});
+  if (queue->second.empty()) {
+    queues_.erase(queue);
   }
   places_.erase(place);
   return true;
@@ -32,14 +30,15 @@
   using Rank = std::tuple<bool, std::uint32_t, MonotonicTime>;
   std::optional<Rank> best_rank;
   RequestNumber best = 0;
-  for (const auto& [name, route] : routes_) {
-    if (blocked.contains(name)) {
+  for (const auto& [key, waiting] : queues_) {
+    const auto& [route, priority] = key;
+    if (blocked.contains(route)) {
       continue;
     }
-    const auto in_time = route.waiting.lower_bound({now, 0});
-    const bool late = in_time == route.waiting.end();
-    const auto& [target_by, number] = late ? *route.waiting.begin() : *in_time;
-    const Rank rank{late, route.priority, target_by};
+    const auto in_time = waiting.lower_bound({now, 0});
+    const bool late = in_time == waiting.end();
+    const auto& [target_by, number] = late ? *waiting.begin() : *in_time;
+    const Rank rank{late, priority, target_by};
     if (!best_rank || rank < *best_rank) {
       best_rank = rank;
       best = number;
--- a/source/common/forwarding/admission_queue.h
+++ b/source/common/forwarding/admission_queue.h
@@ -29,7 +29,7 @@
     // Requests of one route need the same services: when one cannot be
     // admitted, the others of its route cannot either.
     std::string route;
-    // Of the route; 0 is the most urgent.
+    // Of the tenant or the route; 0 is the most urgent.
     std::uint32_t priority = 0;
     // An answer after this is late.
     MonotonicTime target_by;
@@ -50,14 +50,11 @@
 
  private:
   using Waiting = std::set<std::pair<MonotonicTime, RequestNumber>>;
-  struct RouteQueue {
-    std::uint32_t priority = 0;
-    // By target, then by number.
-    Waiting waiting;
-  };
+  // A route and a priority: tenants of one route may differ in it.
+  using QueueKey = std::pair<std::string, std::uint32_t>;
 
-  // By route name; only routes with waiting requests.
-  std::map<std::string, RouteQueue> routes_;
+  // Only those with waiting requests.
+  std::map<QueueKey, Waiting> queues_;
   std::map<RequestNumber, Entry> places_;
 };
 
--- a/source/common/forwarding/events.h
+++ b/source/common/forwarding/events.h
@@ -37,6 +37,8 @@
                                           Severity::kInfo, Volume::kRequest};
 inline constexpr EventType kClientGone{3413, "client_gone", Severity::kInfo,
                                        Volume::kRequest};
+inline constexpr EventType kTenantRefused{3417, "tenant_refused",
+                                          Severity::kInfo, Volume::kRequest};
 inline constexpr EventType kRequestServed{3414, "request_served",
                                           Severity::kInfo, Volume::kSuccess};
 
--- a/source/common/forwarding/exchange.cc
+++ b/source/common/forwarding/exchange.cc
@@ -79,7 +79,9 @@
       run_(*request_.route, request_.service, request_.deadline,
            environment.run_options, environment.pool, *latency_,
            request_.suspected),
-      timer_(environment.context) {}
+      timer_(environment.context) {
+  run_.RestrictTo(request_.home_regions);
+}
 
 void Exchange::Start() {
   responder_->OnCallerGone([weak = weak_from_this()] {
@@ -95,7 +97,7 @@
 
 bool Exchange::Admit() {
   const MonotonicTime now = ReadMonotonicClock();
-  if (!run_.Admit(now)) {
+  if (!HasToken(now) || !run_.Admit(now)) {
     return false;
   }
   admitted_at_ = now;
@@ -103,6 +105,15 @@
   return true;
 }
 
+// A token that is used late would add to those that were granted later.
+bool Exchange::HasToken(MonotonicTime now) {
+  if (now > request_.token_until) {
+    const auto renewed = environment_.renew_token(request_.limited_tenant);
+    request_.token_until = renewed.value_or(request_.token_until);
+  }
+  return now <= request_.token_until;
+}
+
 void Exchange::StopWaiting() {
   run_.StopWaiting(ReadMonotonicClock());
   Pump();
--- a/source/common/forwarding/exchange.h
+++ b/source/common/forwarding/exchange.h
@@ -7,6 +7,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 
 #include "common/base/request_fingerprint.h"
@@ -29,6 +30,11 @@
     RouterMetrics& metrics;
     HeaderNames names;
     RunOptions run_options;
+    // Takes another token of a tenant's limit for a request whose own was not
+    // used in time.
+    // @return until when it is to be used; nothing: there is none now.
+    std::function<std::optional<MonotonicTime>(const std::string& tenant)>
+        renew_token;
     // What an exchange waits for may have changed, or an attempt has ended.
     std::function<void(const Exchange& exchange)> on_progress;
     // An exchange is over: the client was answered or is gone.
@@ -43,6 +49,14 @@
     const routes::Route* route = nullptr;
     // Of a split: the chosen part.
     std::string service;
+    // Of the tenant, or of the route where there is none.
+    std::uint32_t priority = 0;
+    // Of the tenant, besides the route's.
+    routes::HomeRegions home_regions;
+    // The tenant whose limit it counts against; empty: none.
+    std::string limited_tenant;
+    // The tenant's token that it holds must be used by then.
+    MonotonicTime token_until = MonotonicTime::max();
     ForwardedRequest forwarded;
     RequestFingerprint fingerprint;
     // The client's address, without its port.
@@ -84,6 +98,7 @@
   void OnResponse(const SendAction& action, MonotonicTime sent,
                   net::HttpClientResponse response);
   void OnClientGone();
+  bool HasToken(MonotonicTime now);
   void ArmTimer();
   void Finish();
   // Tells the client, the log and the metrics.
--- a/source/common/forwarding/exchange_dispatcher.cc
+++ b/source/common/forwarding/exchange_dispatcher.cc
@@ -28,7 +28,7 @@
   }
   admission_.Insert({.number = exchange->request().number,
                      .route = exchange->request().route->name,
-                     .priority = exchange->request().route->priority,
+                     .priority = exchange->request().priority,
                      .target_by = exchange->run().target_by()});
   ScheduleDispatch(kDispatchInterval);
 }
--- a/source/common/forwarding/fingerprint_request.cc
+++ b/source/common/forwarding/fingerprint_request.cc
@@ -8,7 +8,8 @@
 
 namespace juniperway::forwarding {
 
-RequestFingerprint FingerprintOf(const net::HttpRequest& request) {
+RequestFingerprint FingerprintOf(const net::HttpRequest& request,
+                                 const std::string& tenant) {
   std::uint64_t hash = 0;
   // Each part's hash is the seed of the next one's, so that bytes which move
   // from one part to its neighbour change the result.
@@ -22,7 +23,7 @@
   // Who asks, as far as the request says so. Not the client's address: a caller
   // repeats a request from any of its machines, and each would then end back
   // ends anew.
-  add(request.Header("authorization").value_or(""));
+  add(tenant.empty() ? request.Header("authorization").value_or("") : tenant);
   return {hash};
 }
 
--- a/source/common/forwarding/header_names.h
+++ b/source/common/forwarding/header_names.h
@@ -16,6 +16,8 @@
   // --- To back ends
   // Id of the back end that is meant; another one answers 421.
   std::string expected_backend = "X-Expected-Backend";
+  // Name of the request's tenant, where the route table has tenants.
+  std::string tenant = "X-Tenant";
 
   // --- From back ends
   // Signature of an answer. A success without one is none.
--- a/source/common/forwarding/message_codec.cc
+++ b/source/common/forwarding/message_codec.cc
@@ -11,12 +11,14 @@
 #include <vector>
 
 #include "common/base/text.h"
+#include "common/routes/tenant_index.h"
 
 namespace juniperway::forwarding {
 namespace {
 
 constexpr int kStatusOk = 200;
 constexpr int kStatusMisdirected = 421;
+constexpr int kStatusTooManyRequests = 429;
 constexpr int kStatusBadGateway = 502;
 constexpr int kStatusUnavailable = 503;
 constexpr int kStatusTimedOut = 504;
@@ -156,7 +158,8 @@
 }
 
 ForwardedRequest MakeForwardedRequest(const net::HttpRequest& request,
-                                      const HeaderNames& names) {
+                                      const HeaderNames& names,
+                                      const CallerIdentity& caller) {
   ForwardedRequest forwarded;
   forwarded.method = request.method;
   forwarded.target = request.target;
@@ -166,6 +169,15 @@
     return EqualsIgnoringCase(field.first, names.deadline) ||
            EqualsIgnoringCase(field.first, names.expected_backend);
   });
+  if (caller.is_checked) {
+    std::erase_if(forwarded.headers, [&names](const auto& field) {
+      return EqualsIgnoringCase(field.first, routes::kCredentialsHeader) ||
+             EqualsIgnoringCase(field.first, names.tenant);
+    });
+  }
+  if (!caller.tenant.empty()) {
+    forwarded.headers.emplace_back(names.tenant, caller.tenant);
+  }
   forwarded.request_id = request.Header(ToLower(names.request_id)).value_or("");
   return forwarded;
 }
@@ -259,6 +271,11 @@
   return MakeFailure(kStatusBadGateway, "backend_failed", outcome.reason);
 }
 
+net::HttpResponse MakeLimitRefusal(Duration retry_after) {
+  return MakeFailure(kStatusTooManyRequests, "limit_exceeded",
+                     "the tenant's limit is used up", retry_after);
+}
+
 net::HttpResponse MakeRefusal(Duration retry_after,
                               const std::string& message) {
   return MakeFailure(kStatusUnavailable, "unavailable", message, retry_after);
--- a/source/common/forwarding/message_codec.h
+++ b/source/common/forwarding/message_codec.h
@@ -37,8 +37,18 @@
   // As the client sent it; empty: it sent none.
   std::string request_id;
 };
+
+// Who sent a request, as far as its back end may know.
+struct CallerIdentity {
+  // The route table has tenants: the client's credentials and what it says of
+  // its tenant are withheld.
+  bool is_checked = false;
+  // Empty: none.
+  std::string tenant;
+};
 ForwardedRequest MakeForwardedRequest(const net::HttpRequest& request,
-                                      const HeaderNames& names);
+                                      const HeaderNames& names,
+                                      const CallerIdentity& caller = {});
 
 // The request for one back end, with its deadline and the expected back end.
 net::HttpClientRequest MakeBackendRequest(const ForwardedRequest& request,
@@ -63,4 +73,8 @@
 // A refusal: nothing ran. The client should come back after `retry_after`.
 net::HttpResponse MakeRefusal(Duration retry_after, const std::string& message);
 
+// Beyond a tenant's limit: nothing ran. The client should come back after
+// `retry_after`.
+net::HttpResponse MakeLimitRefusal(Duration retry_after);
+
 }  // namespace juniperway::forwarding
--- a/source/common/forwarding/request_run.cc
+++ b/source/common/forwarding/request_run.cc
@@ -42,6 +42,7 @@
                        BackendPool& pool, RouteLatency& latency, bool suspected)
     : route_(route),
       scatter_(std::get_if<routes::ScatterTarget>(&route.destination)),
+      home_regions_(route.home_regions),
       options_(options),
       pool_(pool),
       latency_(latency),
@@ -57,6 +58,10 @@
   }
 }
 
+void RequestRun::RestrictTo(const routes::HomeRegions& regions) {
+  home_regions_ = routes::HomeRegions::Both(home_regions_, regions);
+}
+
 std::size_t RequestRun::RequiredShards() const {
   constexpr double kRounding = 1e-9;
   const double share =
@@ -133,7 +138,7 @@
 
 BackendNeed RequestRun::NeedOf(const Shard& shard) const {
   return {.service = shard.service,
-          .home_regions = route_.home_regions,
+          .home_regions = home_regions_,
           .tried = shard.tried};
 }
 
--- a/source/common/forwarding/request_run.h
+++ b/source/common/forwarding/request_run.h
@@ -157,6 +157,10 @@
              MonotonicTime deadline, const RunOptions& options,
              BackendPool& pool, RouteLatency& latency, bool suspected = false);
 
+  // Before Start: only back ends of these regions, besides the route's own
+  // limit, may get the request.
+  void RestrictTo(const routes::HomeRegions& regions);
+
   // @param elapsed_before how long ago the client asked for the first time.
   void Start(MonotonicTime now, Duration elapsed_before = Duration(0));
   // Of a run that waits: sends the request if enough back ends are free now.
@@ -267,6 +271,7 @@
 
   const routes::Route& route_;
   const routes::ScatterTarget* scatter_;
+  routes::HomeRegions home_regions_;
   RunOptions options_;
   BackendPool& pool_;
   RouteLatency& latency_;
--- a/source/common/forwarding/router_metrics.cc
+++ b/source/common/forwarding/router_metrics.cc
@@ -93,6 +93,11 @@
                     .Name("juniperway_router_refusals_total")
                     .Help("Requests answered before they were routed")
                     .Register(registry)),
+      tenant_requests_(
+          BuildCounter()
+              .Name("juniperway_router_tenant_requests_total")
+              .Help("Requests of tenants with a limit, by what was decided")
+              .Register(registry)),
       seconds_(&BuildHistogram()
                     .Name("juniperway_router_request_seconds")
                     .Help("Time from the whole request to the answer")
@@ -165,6 +170,16 @@
 
 void RouterMetrics::OnQuarantineRefused() { quarantine_refusals_->Increment(); }
 
+void RouterMetrics::OnTenantRequest(const std::string& tenant,
+                                    LimitDecision decision) {
+  if (named_tenants_.size() < kNamedTenants) {
+    named_tenants_.insert(tenant);
+  }
+  const std::string name = named_tenants_.contains(tenant) ? tenant : "others";
+  tenant_requests_.Add({{"tenant", name}, {"decision", NameOf(decision)}})
+      .Increment();
+}
+
 void RouterMetrics::OnThrottled() { throttled_->Increment(); }
 
 void RouterMetrics::OnRefused(int status) {
--- a/source/common/forwarding/router_metrics.h
+++ b/source/common/forwarding/router_metrics.h
@@ -10,10 +10,13 @@
 #include <array>
 #include <cstddef>
 #include <cstdint>
+#include <set>
+#include <string>
 
 #include "common/base/time.h"
 #include "common/forwarding/backend_pool.h"
 #include "common/forwarding/request_run.h"
+#include "common/forwarding/tenant_admission.h"
 
 namespace juniperway::forwarding {
 
@@ -51,6 +54,9 @@
               const BackendPool& pool);
   // @param zones that are evacuated now.
   void OnEvacuations(std::size_t zones);
+  // Tenants that are counted by name; others are counted together.
+  static constexpr std::size_t kNamedTenants = 100;
+  void OnTenantRequest(const std::string& tenant, LimitDecision decision);
   // Refused because back ends end under it.
   void OnQuarantineRefused();
   // @param requests that are refused for this now.
@@ -60,6 +66,8 @@
   std::array<prometheus::Counter*, kRequestEnds> requests_{};
   std::array<prometheus::Counter*, kAttemptResults> attempts_{};
   prometheus::Family<prometheus::Counter>& refusals_;
+  prometheus::Family<prometheus::Counter>& tenant_requests_;
+  std::set<std::string> named_tenants_;
   prometheus::Histogram* seconds_ = nullptr;
   prometheus::Counter* hedges_ = nullptr;
   prometheus::Counter* missing_ = nullptr;
--- a/source/common/forwarding/router_server.cc
+++ b/source/common/forwarding/router_server.cc
@@ -17,6 +17,7 @@
 #include "common/forwarding/split_chooser.h"
 #include "common/forwarding/startup_queue.h"
 #include "common/forwarding/stop_plan.h"
+#include "common/forwarding/tenant_admission.h"
 #include "common/forwarding/usual_deadline.h"
 #include "common/net/address.h"
 #include "common/net/http_client.h"
@@ -30,6 +31,7 @@
 
 constexpr const char* kReadyPath = "/v1/ready";
 constexpr int kStatusOk = 200;
+constexpr int kStatusUnauthorized = 401;
 constexpr int kStatusNotFound = 404;
 constexpr int kStatusTooLarge = 413;
 constexpr int kStatusHeadersTooLarge = 431;
@@ -81,6 +83,12 @@
                         }),
         client_(context, /*maximum_connections_per_host=*/0,
                 kIdleConnectionTime),
+        admission_(context,
+                   [this] {
+                     if (rate_ask_) {
+                       rate_ask_();
+                     }
+                   }),
         dispatcher_(context),
         environment_{.context = context,
                      .client = client_,
@@ -88,6 +96,10 @@
                      .metrics = metrics_,
                      .names = options.headers,
                      .run_options = options.run,
+                     .renew_token =
+                         [this](const std::string& tenant) {
+                           return admission_.RenewToken(tenant);
+                         },
                      .on_progress =
                          [this](const Exchange& exchange) {
                            dispatcher_.OnProgress(exchange);
@@ -155,6 +167,15 @@
     crash_report_ = std::move(report);
   }
 
+  void SetRateAsk(std::function<void()> ask) { rate_ask_ = std::move(ask); }
+  quota::RateReport MakeRateReport(MonotonicTime now) {
+    return admission_.MakeReport(now);
+  }
+  void OnRateGrants(const std::vector<quota::RateGrant>& grants,
+                    std::uint64_t term, MonotonicTime asked_at) {
+    admission_.OnGrants(grants, term, asked_at);
+  }
+
   void Stop(Duration timeout, std::function<void()> done) {
     stopping_ = true;
     stop_done_ = std::move(done);
@@ -218,10 +239,22 @@
       Refuse(message, *responder, Status(kStatusNotFound), "no route");
       return;
     }
-    Begin(message, *route, std::move(responder), arrived);
+    const routes::Tenant* tenant = nullptr;
+    if (index_->tenants().RequiresKeys() && !route->anonymous) {
+      const auto key = routes::ApiKeyOf(message.fields);
+      tenant = key ? index_->tenants().Find(*key) : nullptr;
+      if (tenant == nullptr) {
+        Refuse(message, *responder, Status(kStatusUnauthorized),
+               key ? "no tenant has this key" : "no usable key");
+        return;
+      }
+    }
+    Begin(message, *route, tenant, std::move(responder), arrived);
   }
 
+  // @param tenant null: the route is open to all.
   void Begin(const net::HttpRequest& message, const routes::Route& route,
+             const routes::Tenant* tenant,
              std::shared_ptr<net::HttpResponder> responder,
              MonotonicTime arrived) {
     const MonotonicTime now = ReadMonotonicClock();
@@ -229,11 +262,19 @@
     request.number = ++last_request_number_;
     request.table = index_->table();
     request.route = &route;
+    request.priority = tenant != nullptr ? tenant->priority : route.priority;
     if (std::holds_alternative<routes::SplitTarget>(route.destination)) {
       request.service = splits_.Choose(route);
     }
-    request.forwarded = MakeForwardedRequest(message, options_.headers);
-    request.fingerprint = FingerprintOf(message);
+    const CallerIdentity identity{
+        .is_checked = index_->tenants().RequiresKeys(),
+        .tenant = tenant != nullptr ? tenant->name : ""};
+    if (tenant != nullptr) {
+      request.home_regions = tenant->home_regions;
+    }
+    request.forwarded =
+        MakeForwardedRequest(message, options_.headers, identity);
+    request.fingerprint = FingerprintOf(message, identity.tenant);
     request.caller = message.remote.address().to_string();
     const Caution caution = crash_guard_.CautionFor(request.fingerprint, now);
     if (caution == Caution::kRefuse) {
@@ -259,13 +300,98 @@
                    "the back ends are overloaded");
       return;
     }
+    if (tenant != nullptr && tenant->requests_per_second > 0) {
+      request.limited_tenant = tenant->name;
+      AdmitLimited({.request = std::move(request),
+                    .responder = std::move(responder),
+                    .latency = history.latency});
+      return;
+    }
     dispatcher_.Start(
         std::make_shared<Exchange>(environment_, std::move(request),
                                    std::move(responder), history.latency));
   }
 
+  // --- Limits of tenants -----------------------------------------------------
+
+  // A request that needs a token of its tenant's limit.
+  struct LimitedRequest {
+    Exchange::Request request;
+    std::shared_ptr<net::HttpResponder> responder;
+    std::shared_ptr<RouteLatency> latency;
+    bool caller_gone = false;
+  };
+
+  void AdmitLimited(LimitedRequest request) {
+    const auto limited = std::make_shared<LimitedRequest>(std::move(request));
+    limited->responder->OnCallerGone(
+        [weak = std::weak_ptr<LimitedRequest>(limited)] {
+          if (const auto gone = weak.lock()) {
+            gone->caller_gone = true;
+          }
+        });
+    admission_.Admit(limited->request.limited_tenant,
+                     [this, limited](LimitDecision decision, Duration wait) {
+                       OnLimitDecision(limited, decision, wait);
+                     });
+  }
+
+  void OnLimitDecision(const std::shared_ptr<LimitedRequest>& limited,
+                       LimitDecision decision, Duration wait) {
+    Exchange::Request& request = limited->request;
+    metrics_.OnTenantRequest(request.limited_tenant, decision);
+    if (decision != LimitDecision::kAdmitted) {
+      RefuseLimited(*limited, decision, wait);
+      return;
+    }
+    if (limited->caller_gone) {
+      admission_.GiveBack(request.limited_tenant);
+      return;
+    }
+    request.token_until = ReadMonotonicClock() + TenantAdmission::kTokenLife;
+    dispatcher_.Start(std::make_shared<Exchange>(
+        environment_, std::move(request), std::move(limited->responder),
+        limited->latency));
+  }
+
+  void RefuseLimited(const LimitedRequest& limited, LimitDecision decision,
+                     Duration wait) {
+    const Exchange::Request& request = limited.request;
+    const auto lease = admission_.Describe(request.limited_tenant);
+    // Spread, so that clients that were refused together come back one by one.
+    std::uniform_real_distribution<double> spread(1, 2);
+    const Duration retry_after(static_cast<Duration::rep>(
+        static_cast<double>(wait.count()) * spread(random_)));
+    LogEvent(kTenantRefused, {{"request", request.forwarded.request_id},
+                              {"tenant", request.limited_tenant},
+                              {"route", request.route->name},
+                              {"decision", NameOf(decision)},
+                              {"retry_after_ms", ToMilliseconds(retry_after)},
+                              {"grant", lease.grant},
+                              {"lease_per_second", lease.rate},
+                              {"lease_tokens", lease.tokens},
+                              {"lease_age_ms", ToMilliseconds(lease.age)},
+                              {"table", request.table->version}});
+    net::HttpResponse response =
+        decision == LimitDecision::kOverLimit
+            ? MakeLimitRefusal(retry_after)
+            : MakeRefusal(retry_after, "the tenant's limit cannot be checked");
+    metrics_.OnRefused(response.status);
+    limited.responder->Send(std::move(response));
+  }
+
+  // A request that was never sent leaves its token for another one.
+  void ReturnUnusedToken(const Exchange& exchange) {
+    const Exchange::Request& request = exchange.request();
+    if (!request.limited_tenant.empty() && exchange.run().attempts() == 0 &&
+        ReadMonotonicClock() <= request.token_until) {
+      admission_.GiveBack(request.limited_tenant);
+    }
+  }
+
   // An exchange has ended.
   void OnOver(const Exchange& exchange) {
+    ReturnUnusedToken(exchange);
     crash_reporter_.OnRunEnded(exchange.request().fingerprint,
                                exchange.run().crash_evidence());
     const auto history = histories_.find(exchange.request().route->name);
@@ -371,8 +497,9 @@
   void ContinueStop() {
     const MonotonicTime now = ReadMonotonicClock();
     const bool noticed = now > stop_plan_.notice_until;
-    const bool idle =
-        dispatcher_.in_flight() == 0 && front_.unwritten_answers() == 0;
+    const bool idle = dispatcher_.in_flight() == 0 &&
+                      admission_.waiting() == 0 &&
+                      front_.unwritten_answers() == 0;
     if ((noticed && idle) || now >= stop_plan_.abandon_at) {
       EndStop();
       return;
@@ -402,6 +529,8 @@
   CrashReporter::Report crash_report_;
   CrashReporter crash_reporter_;
   net::HttpClient client_;
+  std::function<void()> rate_ask_;
+  TenantAdmission admission_;
   ExchangeDispatcher dispatcher_;
   Exchange::Environment environment_;
   StartupQueue startup_queue_;
@@ -450,6 +579,19 @@
   implementation_->SetCrashReport(std::move(report));
 }
 
+void RouterServer::SetRateAsk(std::function<void()> ask) {
+  implementation_->SetRateAsk(std::move(ask));
+}
+
+quota::RateReport RouterServer::MakeRateReport(MonotonicTime now) {
+  return implementation_->MakeRateReport(now);
+}
+
+void RouterServer::OnRateGrants(const std::vector<quota::RateGrant>& grants,
+                                std::uint64_t term, MonotonicTime asked_at) {
+  implementation_->OnRateGrants(grants, term, asked_at);
+}
+
 void RouterServer::Stop(Duration timeout, std::function<void()> done) {
   implementation_->Stop(timeout, std::move(done));
 }
--- a/source/common/forwarding/router_server.h
+++ b/source/common/forwarding/router_server.h
@@ -12,12 +12,14 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <vector>
 
 #include "common/base/time.h"
 #include "common/forwarding/backend_pool.h"
 #include "common/forwarding/crash_reporter.h"
 #include "common/forwarding/header_names.h"
 #include "common/forwarding/request_run.h"
+#include "common/quota/rate_messages.h"
 #include "common/session/control_session.h"
 
 namespace juniperway::forwarding {
@@ -51,6 +53,14 @@
   //   which back ends end. To be set before requests come.
   void SetCrashReport(CrashReporter::Report report);
 
+  // Leased rates of tenants' limits, which travel in the session's heartbeats.
+  // @param ask a report should be sent soon. To be set before requests come.
+  void SetRateAsk(std::function<void()> ask);
+  quota::RateReport MakeRateReport(MonotonicTime now);
+  // See session::ControlSessionClient::RatePorts.
+  void OnRateGrants(const std::vector<quota::RateGrant>& grants,
+                    std::uint64_t term, MonotonicTime asked_at);
+
   // Planned stop: not ready at once; requests go on being taken for the notice
   // time, and each answer closes its connection. `done` runs once nothing is
   // under way, or after `timeout`, when the rest is answered as given up.
--- a/source/common/protocol/control_generated.h
+++ b/source/common/protocol/control_generated.h
@@ -106,6 +106,14 @@
 struct SessionRefusedBuilder;
 struct SessionRefusedT;
 
+struct RateRequestRecord;
+struct RateRequestRecordBuilder;
+struct RateRequestRecordT;
+
+struct RateGrantRecord;
+struct RateGrantRecordBuilder;
+struct RateGrantRecordT;
+
 struct Heartbeat;
 struct HeartbeatBuilder;
 struct HeartbeatT;
@@ -114,6 +122,10 @@
 struct HeartbeatReplyBuilder;
 struct HeartbeatReplyT;
 
+struct RateTokens;
+struct RateTokensBuilder;
+struct RateTokensT;
+
 struct SessionProgress;
 struct SessionProgressBuilder;
 struct SessionProgressT;
@@ -206,11 +218,12 @@
   SessionGoodbye = 18,
   SnapshotPart = 19,
   ControlMembers = 20,
+  RateTokens = 21,
   MIN = NONE,
-  MAX = ControlMembers
+  MAX = RateTokens
 };
 
-inline const ControlMessage (&EnumValuesControlMessage())[21] {
+inline const ControlMessage (&EnumValuesControlMessage())[22] {
   static const ControlMessage values[] = {
     ControlMessage::NONE,
     ControlMessage::PeerHello,
@@ -232,13 +245,14 @@
     ControlMessage::SessionCallReply,
     ControlMessage::SessionGoodbye,
     ControlMessage::SnapshotPart,
-    ControlMessage::ControlMembers
+    ControlMessage::ControlMembers,
+    ControlMessage::RateTokens
   };
   return values;
 }
 
 inline const char * const *EnumNamesControlMessage() {
-  static const char * const names[22] = {
+  static const char * const names[23] = {
     "NONE",
     "PeerHello",
     "ConsensusMessages",
@@ -260,13 +274,14 @@
     "SessionGoodbye",
     "SnapshotPart",
     "ControlMembers",
+    "RateTokens",
     nullptr
   };
   return names;
 }
 
 inline const char *EnumNameControlMessage(ControlMessage e) {
-  if (flatbuffers::IsOutRange(e, ControlMessage::NONE, ControlMessage::ControlMembers)) return "";
+  if (flatbuffers::IsOutRange(e, ControlMessage::NONE, ControlMessage::RateTokens)) return "";
   const size_t index = static_cast<size_t>(e);
   return EnumNamesControlMessage()[index];
 }
@@ -355,6 +370,10 @@
   static const ControlMessage enum_value = ControlMessage::ControlMembers;
 };
 
+template<> struct ControlMessageTraits<juniperway::protocol::RateTokens> {
+  static const ControlMessage enum_value = ControlMessage::RateTokens;
+};
+
 template<typename T> struct ControlMessageUnionTraits {
   static const ControlMessage enum_value = ControlMessage::NONE;
 };
@@ -439,6 +458,10 @@
   static const ControlMessage enum_value = ControlMessage::ControlMembers;
 };
 
+template<> struct ControlMessageUnionTraits<juniperway::protocol::RateTokensT> {
+  static const ControlMessage enum_value = ControlMessage::RateTokens;
+};
+
 struct ControlMessageUnion {
   ControlMessage type;
   void *value;
@@ -629,6 +652,14 @@
     return type == ControlMessage::ControlMembers ?
       reinterpret_cast<const juniperway::protocol::ControlMembersT *>(value) : nullptr;
   }
+  juniperway::protocol::RateTokensT *AsRateTokens() {
+    return type == ControlMessage::RateTokens ?
+      reinterpret_cast<juniperway::protocol::RateTokensT *>(value) : nullptr;
+  }
+  const juniperway::protocol::RateTokensT *AsRateTokens() const {
+    return type == ControlMessage::RateTokens ?
+      reinterpret_cast<const juniperway::protocol::RateTokensT *>(value) : nullptr;
+  }
 };
 
 bool VerifyControlMessage(flatbuffers::Verifier &verifier, const void *obj, ControlMessage type);
@@ -2867,6 +2898,337 @@
 
 flatbuffers::Offset<SessionRefused> CreateSessionRefused(flatbuffers::FlatBufferBuilder &_fbb, const SessionRefusedT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
 
+struct RateRequestRecordT : public flatbuffers::NativeTable {
+  typedef RateRequestRecord TableType;
+  std::string key{};
+  bool is_pool = false;
+  uint64_t held_grant = 0;
+  double held_rate = 0.0;
+  double held_stock = 0.0;
+  int64_t held_left_us = 0;
+  double demand = 0.0;
+  uint32_t waiting = 0;
+  uint32_t room = 0;
+  double returned = 0.0;
+};
+
+struct RateRequestRecord FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef RateRequestRecordT NativeTableType;
+  typedef RateRequestRecordBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_KEY = 4,
+    VT_IS_POOL = 6,
+    VT_HELD_GRANT = 8,
+    VT_HELD_RATE = 10,
+    VT_HELD_STOCK = 12,
+    VT_HELD_LEFT_US = 14,
+    VT_DEMAND = 16,
+    VT_WAITING = 18,
+    VT_ROOM = 20,
+    VT_RETURNED = 22
+  };
+  const flatbuffers::String *key() const {
+    return GetPointer<const flatbuffers::String *>(VT_KEY);
+  }
+  bool is_pool() const {
+    return GetField<uint8_t>(VT_IS_POOL, 0) != 0;
+  }
+  uint64_t held_grant() const {
+    return GetField<uint64_t>(VT_HELD_GRANT, 0);
+  }
+  double held_rate() const {
+    return GetField<double>(VT_HELD_RATE, 0.0);
+  }
+  double held_stock() const {
+    return GetField<double>(VT_HELD_STOCK, 0.0);
+  }
+  int64_t held_left_us() const {
+    return GetField<int64_t>(VT_HELD_LEFT_US, 0);
+  }
+  double demand() const {
+    return GetField<double>(VT_DEMAND, 0.0);
+  }
+  uint32_t waiting() const {
+    return GetField<uint32_t>(VT_WAITING, 0);
+  }
+  uint32_t room() const {
+    return GetField<uint32_t>(VT_ROOM, 0);
+  }
+  double returned() const {
+    return GetField<double>(VT_RETURNED, 0.0);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_KEY) &&
+           verifier.VerifyString(key()) &&
+           VerifyField<uint8_t>(verifier, VT_IS_POOL, 1) &&
+           VerifyField<uint64_t>(verifier, VT_HELD_GRANT, 8) &&
+           VerifyField<double>(verifier, VT_HELD_RATE, 8) &&
+           VerifyField<double>(verifier, VT_HELD_STOCK, 8) &&
+           VerifyField<int64_t>(verifier, VT_HELD_LEFT_US, 8) &&
+           VerifyField<double>(verifier, VT_DEMAND, 8) &&
+           VerifyField<uint32_t>(verifier, VT_WAITING, 4) &&
+           VerifyField<uint32_t>(verifier, VT_ROOM, 4) &&
+           VerifyField<double>(verifier, VT_RETURNED, 8) &&
+           verifier.EndTable();
+  }
+  RateRequestRecordT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(RateRequestRecordT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<RateRequestRecord> Pack(flatbuffers::FlatBufferBuilder &_fbb, const RateRequestRecordT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct RateRequestRecordBuilder {
+  typedef RateRequestRecord Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_key(flatbuffers::Offset<flatbuffers::String> key) {
+    fbb_.AddOffset(RateRequestRecord::VT_KEY, key);
+  }
+  void add_is_pool(bool is_pool) {
+    fbb_.AddElement<uint8_t>(RateRequestRecord::VT_IS_POOL, static_cast<uint8_t>(is_pool), 0);
+  }
+  void add_held_grant(uint64_t held_grant) {
+    fbb_.AddElement<uint64_t>(RateRequestRecord::VT_HELD_GRANT, held_grant, 0);
+  }
+  void add_held_rate(double held_rate) {
+    fbb_.AddElement<double>(RateRequestRecord::VT_HELD_RATE, held_rate, 0.0);
+  }
+  void add_held_stock(double held_stock) {
+    fbb_.AddElement<double>(RateRequestRecord::VT_HELD_STOCK, held_stock, 0.0);
+  }
+  void add_held_left_us(int64_t held_left_us) {
+    fbb_.AddElement<int64_t>(RateRequestRecord::VT_HELD_LEFT_US, held_left_us, 0);
+  }
+  void add_demand(double demand) {
+    fbb_.AddElement<double>(RateRequestRecord::VT_DEMAND, demand, 0.0);
+  }
+  void add_waiting(uint32_t waiting) {
+    fbb_.AddElement<uint32_t>(RateRequestRecord::VT_WAITING, waiting, 0);
+  }
+  void add_room(uint32_t room) {
+    fbb_.AddElement<uint32_t>(RateRequestRecord::VT_ROOM, room, 0);
+  }
+  void add_returned(double returned) {
+    fbb_.AddElement<double>(RateRequestRecord::VT_RETURNED, returned, 0.0);
+  }
+  explicit RateRequestRecordBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<RateRequestRecord> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<RateRequestRecord>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<RateRequestRecord> CreateRateRequestRecord(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::String> key = 0,
+    bool is_pool = false,
+    uint64_t held_grant = 0,
+    double held_rate = 0.0,
+    double held_stock = 0.0,
+    int64_t held_left_us = 0,
+    double demand = 0.0,
+    uint32_t waiting = 0,
+    uint32_t room = 0,
+    double returned = 0.0) {
+  RateRequestRecordBuilder builder_(_fbb);
+  builder_.add_returned(returned);
+  builder_.add_demand(demand);
+  builder_.add_held_left_us(held_left_us);
+  builder_.add_held_stock(held_stock);
+  builder_.add_held_rate(held_rate);
+  builder_.add_held_grant(held_grant);
+  builder_.add_room(room);
+  builder_.add_waiting(waiting);
+  builder_.add_key(key);
+  builder_.add_is_pool(is_pool);
+  return builder_.Finish();
+}
+
+struct RateRequestRecord::Traits {
+  using type = RateRequestRecord;
+  static auto constexpr Create = CreateRateRequestRecord;
+};
+
+inline flatbuffers::Offset<RateRequestRecord> CreateRateRequestRecordDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const char *key = nullptr,
+    bool is_pool = false,
+    uint64_t held_grant = 0,
+    double held_rate = 0.0,
+    double held_stock = 0.0,
+    int64_t held_left_us = 0,
+    double demand = 0.0,
+    uint32_t waiting = 0,
+    uint32_t room = 0,
+    double returned = 0.0) {
+  auto key__ = key ? _fbb.CreateString(key) : 0;
+  return juniperway::protocol::CreateRateRequestRecord(
+      _fbb,
+      key__,
+      is_pool,
+      held_grant,
+      held_rate,
+      held_stock,
+      held_left_us,
+      demand,
+      waiting,
+      room,
+      returned);
+}
+
+flatbuffers::Offset<RateRequestRecord> CreateRateRequestRecord(flatbuffers::FlatBufferBuilder &_fbb, const RateRequestRecordT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
+struct RateGrantRecordT : public flatbuffers::NativeTable {
+  typedef RateGrantRecord TableType;
+  std::string key{};
+  uint64_t number = 0;
+  double rate = 0.0;
+  double stock = 0.0;
+  int64_t lease_us = 0;
+  uint32_t tokens = 0;
+  int64_t wait_us = 0;
+};
+
+struct RateGrantRecord FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef RateGrantRecordT NativeTableType;
+  typedef RateGrantRecordBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_KEY = 4,
+    VT_NUMBER = 6,
+    VT_RATE = 8,
+    VT_STOCK = 10,
+    VT_LEASE_US = 12,
+    VT_TOKENS = 14,
+    VT_WAIT_US = 16
+  };
+  const flatbuffers::String *key() const {
+    return GetPointer<const flatbuffers::String *>(VT_KEY);
+  }
+  uint64_t number() const {
+    return GetField<uint64_t>(VT_NUMBER, 0);
+  }
+  double rate() const {
+    return GetField<double>(VT_RATE, 0.0);
+  }
+  double stock() const {
+    return GetField<double>(VT_STOCK, 0.0);
+  }
+  int64_t lease_us() const {
+    return GetField<int64_t>(VT_LEASE_US, 0);
+  }
+  uint32_t tokens() const {
+    return GetField<uint32_t>(VT_TOKENS, 0);
+  }
+  int64_t wait_us() const {
+    return GetField<int64_t>(VT_WAIT_US, 0);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_KEY) &&
+           verifier.VerifyString(key()) &&
+           VerifyField<uint64_t>(verifier, VT_NUMBER, 8) &&
+           VerifyField<double>(verifier, VT_RATE, 8) &&
+           VerifyField<double>(verifier, VT_STOCK, 8) &&
+           VerifyField<int64_t>(verifier, VT_LEASE_US, 8) &&
+           VerifyField<uint32_t>(verifier, VT_TOKENS, 4) &&
+           VerifyField<int64_t>(verifier, VT_WAIT_US, 8) &&
+           verifier.EndTable();
+  }
+  RateGrantRecordT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(RateGrantRecordT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<RateGrantRecord> Pack(flatbuffers::FlatBufferBuilder &_fbb, const RateGrantRecordT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct RateGrantRecordBuilder {
+  typedef RateGrantRecord Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_key(flatbuffers::Offset<flatbuffers::String> key) {
+    fbb_.AddOffset(RateGrantRecord::VT_KEY, key);
+  }
+  void add_number(uint64_t number) {
+    fbb_.AddElement<uint64_t>(RateGrantRecord::VT_NUMBER, number, 0);
+  }
+  void add_rate(double rate) {
+    fbb_.AddElement<double>(RateGrantRecord::VT_RATE, rate, 0.0);
+  }
+  void add_stock(double stock) {
+    fbb_.AddElement<double>(RateGrantRecord::VT_STOCK, stock, 0.0);
+  }
+  void add_lease_us(int64_t lease_us) {
+    fbb_.AddElement<int64_t>(RateGrantRecord::VT_LEASE_US, lease_us, 0);
+  }
+  void add_tokens(uint32_t tokens) {
+    fbb_.AddElement<uint32_t>(RateGrantRecord::VT_TOKENS, tokens, 0);
+  }
+  void add_wait_us(int64_t wait_us) {
+    fbb_.AddElement<int64_t>(RateGrantRecord::VT_WAIT_US, wait_us, 0);
+  }
+  explicit RateGrantRecordBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<RateGrantRecord> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<RateGrantRecord>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<RateGrantRecord> CreateRateGrantRecord(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::String> key = 0,
+    uint64_t number = 0,
+    double rate = 0.0,
+    double stock = 0.0,
+    int64_t lease_us = 0,
+    uint32_t tokens = 0,
+    int64_t wait_us = 0) {
+  RateGrantRecordBuilder builder_(_fbb);
+  builder_.add_wait_us(wait_us);
+  builder_.add_lease_us(lease_us);
+  builder_.add_stock(stock);
+  builder_.add_rate(rate);
+  builder_.add_number(number);
+  builder_.add_tokens(tokens);
+  builder_.add_key(key);
+  return builder_.Finish();
+}
+
+struct RateGrantRecord::Traits {
+  using type = RateGrantRecord;
+  static auto constexpr Create = CreateRateGrantRecord;
+};
+
+inline flatbuffers::Offset<RateGrantRecord> CreateRateGrantRecordDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const char *key = nullptr,
+    uint64_t number = 0,
+    double rate = 0.0,
+    double stock = 0.0,
+    int64_t lease_us = 0,
+    uint32_t tokens = 0,
+    int64_t wait_us = 0) {
+  auto key__ = key ? _fbb.CreateString(key) : 0;
+  return juniperway::protocol::CreateRateGrantRecord(
+      _fbb,
+      key__,
+      number,
+      rate,
+      stock,
+      lease_us,
+      tokens,
+      wait_us);
+}
+
+flatbuffers::Offset<RateGrantRecord> CreateRateGrantRecord(flatbuffers::FlatBufferBuilder &_fbb, const RateGrantRecordT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
 struct HeartbeatT : public flatbuffers::NativeTable {
   typedef Heartbeat TableType;
   uint64_t sequence = 0;
@@ -2876,6 +3238,12 @@
   bool holds_lease = false;
   uint64_t in_force_revision = 0;
   uint64_t zone_released_revision = 0;
+  std::vector<std::unique_ptr<juniperway::protocol::RateRequestRecordT>> rate_requests{};
+  bool rates_complete = true;
+  HeartbeatT() = default;
+  HeartbeatT(const HeartbeatT &o);
+  HeartbeatT(HeartbeatT&&) FLATBUFFERS_NOEXCEPT = default;
+  HeartbeatT &operator=(HeartbeatT o) FLATBUFFERS_NOEXCEPT;
 };
 
 struct Heartbeat FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -2889,7 +3257,9 @@
     VT_TERM = 10,
     VT_HOLDS_LEASE = 12,
     VT_IN_FORCE_REVISION = 14,
-    VT_ZONE_RELEASED_REVISION = 16
+    VT_ZONE_RELEASED_REVISION = 16,
+    VT_RATE_REQUESTS = 18,
+    VT_RATES_COMPLETE = 20
   };
   uint64_t sequence() const {
     return GetField<uint64_t>(VT_SEQUENCE, 0);
@@ -2912,6 +3282,12 @@
   uint64_t zone_released_revision() const {
     return GetField<uint64_t>(VT_ZONE_RELEASED_REVISION, 0);
   }
+  const flatbuffers::Vector<flatbuffers::Offset<juniperway::protocol::RateRequestRecord>> *rate_requests() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<juniperway::protocol::RateRequestRecord>> *>(VT_RATE_REQUESTS);
+  }
+  bool rates_complete() const {
+    return GetField<uint8_t>(VT_RATES_COMPLETE, 1) != 0;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_SEQUENCE, 8) &&
@@ -2921,6 +3297,10 @@
            VerifyField<uint8_t>(verifier, VT_HOLDS_LEASE, 1) &&
            VerifyField<uint64_t>(verifier, VT_IN_FORCE_REVISION, 8) &&
            VerifyField<uint64_t>(verifier, VT_ZONE_RELEASED_REVISION, 8) &&
+           VerifyOffset(verifier, VT_RATE_REQUESTS) &&
+           verifier.VerifyVector(rate_requests()) &&
+           verifier.VerifyVectorOfTables(rate_requests()) &&
+           VerifyField<uint8_t>(verifier, VT_RATES_COMPLETE, 1) &&
            verifier.EndTable();
   }
   HeartbeatT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -2953,6 +3333,12 @@
   void add_zone_released_revision(uint64_t zone_released_revision) {
     fbb_.AddElement<uint64_t>(Heartbeat::VT_ZONE_RELEASED_REVISION, zone_released_revision, 0);
   }
+  void add_rate_requests(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<juniperway::protocol::RateRequestRecord>>> rate_requests) {
+    fbb_.AddOffset(Heartbeat::VT_RATE_REQUESTS, rate_requests);
+  }
+  void add_rates_complete(bool rates_complete) {
+    fbb_.AddElement<uint8_t>(Heartbeat::VT_RATES_COMPLETE, static_cast<uint8_t>(rates_complete), 1);
+  }
   explicit HeartbeatBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -2972,7 +3358,9 @@
     uint64_t term = 0,
     bool holds_lease = false,
     uint64_t in_force_revision = 0,
-    uint64_t zone_released_revision = 0) {
+    uint64_t zone_released_revision = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<juniperway::protocol::RateRequestRecord>>> rate_requests = 0,
+    bool rates_complete = true) {
   HeartbeatBuilder builder_(_fbb);
   builder_.add_zone_released_revision(zone_released_revision);
   builder_.add_in_force_revision(in_force_revision);
@@ -2980,6 +3368,8 @@
   builder_.add_released_revision(released_revision);
   builder_.add_confirmed_revision(confirmed_revision);
   builder_.add_sequence(sequence);
+  builder_.add_rate_requests(rate_requests);
+  builder_.add_rates_complete(rates_complete);
   builder_.add_holds_lease(holds_lease);
   return builder_.Finish();
 }
@@ -2989,6 +3379,31 @@
   static auto constexpr Create = CreateHeartbeat;
 };
 
+inline flatbuffers::Offset<Heartbeat> CreateHeartbeatDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t sequence = 0,
+    uint64_t confirmed_revision = 0,
+    uint64_t released_revision = 0,
+    uint64_t term = 0,
+    bool holds_lease = false,
+    uint64_t in_force_revision = 0,
+    uint64_t zone_released_revision = 0,
+    const std::vector<flatbuffers::Offset<juniperway::protocol::RateRequestRecord>> *rate_requests = nullptr,
+    bool rates_complete = true) {
+  auto rate_requests__ = rate_requests ? _fbb.CreateVector<flatbuffers::Offset<juniperway::protocol::RateRequestRecord>>(*rate_requests) : 0;
+  return juniperway::protocol::CreateHeartbeat(
+      _fbb,
+      sequence,
+      confirmed_revision,
+      released_revision,
+      term,
+      holds_lease,
+      in_force_revision,
+      zone_released_revision,
+      rate_requests__,
+      rates_complete);
+}
+
 flatbuffers::Offset<Heartbeat> CreateHeartbeat(flatbuffers::FlatBufferBuilder &_fbb, const HeartbeatT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
 
 struct HeartbeatReplyT : public flatbuffers::NativeTable {
@@ -2999,6 +3414,11 @@
   uint64_t term = 0;
   uint64_t in_force_revision = 0;
   uint64_t zone_released_revision = 0;
+  std::vector<std::unique_ptr<juniperway::protocol::RateGrantRecordT>> rate_grants{};
+  HeartbeatReplyT() = default;
+  HeartbeatReplyT(const HeartbeatReplyT &o);
+  HeartbeatReplyT(HeartbeatReplyT&&) FLATBUFFERS_NOEXCEPT = default;
+  HeartbeatReplyT &operator=(HeartbeatReplyT o) FLATBUFFERS_NOEXCEPT;
 };
 
 struct HeartbeatReply FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -3011,7 +3431,8 @@
     VT_GRANTED_US = 8,
     VT_TERM = 10,
     VT_IN_FORCE_REVISION = 12,
-    VT_ZONE_RELEASED_REVISION = 14
+    VT_ZONE_RELEASED_REVISION = 14,
+    VT_RATE_GRANTS = 16
   };
   uint64_t sequence() const {
     return GetField<uint64_t>(VT_SEQUENCE, 0);
@@ -3031,6 +3452,9 @@
   uint64_t zone_released_revision() const {
     return GetField<uint64_t>(VT_ZONE_RELEASED_REVISION, 0);
   }
+  const flatbuffers::Vector<flatbuffers::Offset<juniperway::protocol::RateGrantRecord>> *rate_grants() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<juniperway::protocol::RateGrantRecord>> *>(VT_RATE_GRANTS);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_SEQUENCE, 8) &&
@@ -3039,6 +3463,9 @@
            VerifyField<uint64_t>(verifier, VT_TERM, 8) &&
            VerifyField<uint64_t>(verifier, VT_IN_FORCE_REVISION, 8) &&
            VerifyField<uint64_t>(verifier, VT_ZONE_RELEASED_REVISION, 8) &&
+           VerifyOffset(verifier, VT_RATE_GRANTS) &&
+           verifier.VerifyVector(rate_grants()) &&
+           verifier.VerifyVectorOfTables(rate_grants()) &&
            verifier.EndTable();
   }
   HeartbeatReplyT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -3068,6 +3495,9 @@
   void add_zone_released_revision(uint64_t zone_released_revision) {
     fbb_.AddElement<uint64_t>(HeartbeatReply::VT_ZONE_RELEASED_REVISION, zone_released_revision, 0);
   }
+  void add_rate_grants(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<juniperway::protocol::RateGrantRecord>>> rate_grants) {
+    fbb_.AddOffset(HeartbeatReply::VT_RATE_GRANTS, rate_grants);
+  }
   explicit HeartbeatReplyBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -3086,13 +3516,15 @@
     int64_t granted_us = 0,
     uint64_t term = 0,
     uint64_t in_force_revision = 0,
-    uint64_t zone_released_revision = 0) {
+    uint64_t zone_released_revision = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<juniperway::protocol::RateGrantRecord>>> rate_grants = 0) {
   HeartbeatReplyBuilder builder_(_fbb);
   builder_.add_zone_released_revision(zone_released_revision);
   builder_.add_in_force_revision(in_force_revision);
   builder_.add_term(term);
   builder_.add_granted_us(granted_us);
   builder_.add_sequence(sequence);
+  builder_.add_rate_grants(rate_grants);
   builder_.add_outcome(outcome);
   return builder_.Finish();
 }
@@ -3102,8 +3534,115 @@
   static auto constexpr Create = CreateHeartbeatReply;
 };
 
+inline flatbuffers::Offset<HeartbeatReply> CreateHeartbeatReplyDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t sequence = 0,
+    juniperway::protocol::HeartbeatOutcome outcome = juniperway::protocol::HeartbeatOutcome::kGranted,
+    int64_t granted_us = 0,
+    uint64_t term = 0,
+    uint64_t in_force_revision = 0,
+    uint64_t zone_released_revision = 0,
+    const std::vector<flatbuffers::Offset<juniperway::protocol::RateGrantRecord>> *rate_grants = nullptr) {
+  auto rate_grants__ = rate_grants ? _fbb.CreateVector<flatbuffers::Offset<juniperway::protocol::RateGrantRecord>>(*rate_grants) : 0;
+  return juniperway::protocol::CreateHeartbeatReply(
+      _fbb,
+      sequence,
+      outcome,
+      granted_us,
+      term,
+      in_force_revision,
+      zone_released_revision,
+      rate_grants__);
+}
+
 flatbuffers::Offset<HeartbeatReply> CreateHeartbeatReply(flatbuffers::FlatBufferBuilder &_fbb, const HeartbeatReplyT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
 
+struct RateTokensT : public flatbuffers::NativeTable {
+  typedef RateTokens TableType;
+  uint64_t sequence = 0;
+  std::vector<std::unique_ptr<juniperway::protocol::RateGrantRecordT>> grants{};
+  RateTokensT() = default;
+  RateTokensT(const RateTokensT &o);
+  RateTokensT(RateTokensT&&) FLATBUFFERS_NOEXCEPT = default;
+  RateTokensT &operator=(RateTokensT o) FLATBUFFERS_NOEXCEPT;
+};
+
+struct RateTokens FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef RateTokensT NativeTableType;
+  typedef RateTokensBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_SEQUENCE = 4,
+    VT_GRANTS = 6
+  };
+  uint64_t sequence() const {
+    return GetField<uint64_t>(VT_SEQUENCE, 0);
+  }
+  const flatbuffers::Vector<flatbuffers::Offset<juniperway::protocol::RateGrantRecord>> *grants() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<juniperway::protocol::RateGrantRecord>> *>(VT_GRANTS);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<uint64_t>(verifier, VT_SEQUENCE, 8) &&
+           VerifyOffset(verifier, VT_GRANTS) &&
+           verifier.VerifyVector(grants()) &&
+           verifier.VerifyVectorOfTables(grants()) &&
+           verifier.EndTable();
+  }
+  RateTokensT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(RateTokensT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<RateTokens> Pack(flatbuffers::FlatBufferBuilder &_fbb, const RateTokensT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct RateTokensBuilder {
+  typedef RateTokens Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_sequence(uint64_t sequence) {
+    fbb_.AddElement<uint64_t>(RateTokens::VT_SEQUENCE, sequence, 0);
+  }
+  void add_grants(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<juniperway::protocol::RateGrantRecord>>> grants) {
+    fbb_.AddOffset(RateTokens::VT_GRANTS, grants);
+  }
+  explicit RateTokensBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<RateTokens> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<RateTokens>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<RateTokens> CreateRateTokens(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t sequence = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<juniperway::protocol::RateGrantRecord>>> grants = 0) {
+  RateTokensBuilder builder_(_fbb);
+  builder_.add_sequence(sequence);
+  builder_.add_grants(grants);
+  return builder_.Finish();
+}
+
+struct RateTokens::Traits {
+  using type = RateTokens;
+  static auto constexpr Create = CreateRateTokens;
+};
+
+inline flatbuffers::Offset<RateTokens> CreateRateTokensDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t sequence = 0,
+    const std::vector<flatbuffers::Offset<juniperway::protocol::RateGrantRecord>> *grants = nullptr) {
+  auto grants__ = grants ? _fbb.CreateVector<flatbuffers::Offset<juniperway::protocol::RateGrantRecord>>(*grants) : 0;
+  return juniperway::protocol::CreateRateTokens(
+      _fbb,
+      sequence,
+      grants__);
+}
+
+flatbuffers::Offset<RateTokens> CreateRateTokens(flatbuffers::FlatBufferBuilder &_fbb, const RateTokensT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
 struct SessionProgressT : public flatbuffers::NativeTable {
   typedef SessionProgress TableType;
   uint64_t in_force_revision = 0;
@@ -3671,6 +4210,9 @@
   const juniperway::protocol::ControlMembers *message_as_ControlMembers() const {
     return message_type() == juniperway::protocol::ControlMessage::ControlMembers ? static_cast<const juniperway::protocol::ControlMembers *>(message()) : nullptr;
   }
+  const juniperway::protocol::RateTokens *message_as_RateTokens() const {
+    return message_type() == juniperway::protocol::ControlMessage::RateTokens ? static_cast<const juniperway::protocol::RateTokens *>(message()) : nullptr;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint8_t>(verifier, VT_MESSAGE_TYPE, 1) &&
@@ -3763,6 +4305,10 @@
   return message_as_ControlMembers();
 }
 
+template<> inline const juniperway::protocol::RateTokens *ControlFrame::message_as<juniperway::protocol::RateTokens>() const {
+  return message_as_RateTokens();
+}
+
 struct ControlFrameBuilder {
   typedef ControlFrame Table;
   flatbuffers::FlatBufferBuilder &fbb_;
@@ -4749,6 +5295,129 @@
       _message);
 }
 
+inline RateRequestRecordT *RateRequestRecord::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<RateRequestRecordT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void RateRequestRecord::UnPackTo(RateRequestRecordT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = key(); if (_e) _o->key = _e->str(); }
+  { auto _e = is_pool(); _o->is_pool = _e; }
+  { auto _e = held_grant(); _o->held_grant = _e; }
+  { auto _e = held_rate(); _o->held_rate = _e; }
+  { auto _e = held_stock(); _o->held_stock = _e; }
+  { auto _e = held_left_us(); _o->held_left_us = _e; }
+  { auto _e = demand(); _o->demand = _e; }
+  { auto _e = waiting(); _o->waiting = _e; }
+  { auto _e = room(); _o->room = _e; }
+  { auto _e = returned(); _o->returned = _e; }
+}
+
+inline flatbuffers::Offset<RateRequestRecord> RateRequestRecord::Pack(flatbuffers::FlatBufferBuilder &_fbb, const RateRequestRecordT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateRateRequestRecord(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<RateRequestRecord> CreateRateRequestRecord(flatbuffers::FlatBufferBuilder &_fbb, const RateRequestRecordT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const RateRequestRecordT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _key = _o->key.empty() ? 0 : _fbb.CreateString(_o->key);
+  auto _is_pool = _o->is_pool;
+  auto _held_grant = _o->held_grant;
+  auto _held_rate = _o->held_rate;
+  auto _held_stock = _o->held_stock;
+  auto _held_left_us = _o->held_left_us;
+  auto _demand = _o->demand;
+  auto _waiting = _o->waiting;
+  auto _room = _o->room;
+  auto _returned = _o->returned;
+  return juniperway::protocol::CreateRateRequestRecord(
+      _fbb,
+      _key,
+      _is_pool,
+      _held_grant,
+      _held_rate,
+      _held_stock,
+      _held_left_us,
+      _demand,
+      _waiting,
+      _room,
+      _returned);
+}
+
+inline RateGrantRecordT *RateGrantRecord::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<RateGrantRecordT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void RateGrantRecord::UnPackTo(RateGrantRecordT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = key(); if (_e) _o->key = _e->str(); }
+  { auto _e = number(); _o->number = _e; }
+  { auto _e = rate(); _o->rate = _e; }
+  { auto _e = stock(); _o->stock = _e; }
+  { auto _e = lease_us(); _o->lease_us = _e; }
+  { auto _e = tokens(); _o->tokens = _e; }
+  { auto _e = wait_us(); _o->wait_us = _e; }
+}
+
+inline flatbuffers::Offset<RateGrantRecord> RateGrantRecord::Pack(flatbuffers::FlatBufferBuilder &_fbb, const RateGrantRecordT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateRateGrantRecord(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<RateGrantRecord> CreateRateGrantRecord(flatbuffers::FlatBufferBuilder &_fbb, const RateGrantRecordT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const RateGrantRecordT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _key = _o->key.empty() ? 0 : _fbb.CreateString(_o->key);
+  auto _number = _o->number;
+  auto _rate = _o->rate;
+  auto _stock = _o->stock;
+  auto _lease_us = _o->lease_us;
+  auto _tokens = _o->tokens;
+  auto _wait_us = _o->wait_us;
+  return juniperway::protocol::CreateRateGrantRecord(
+      _fbb,
+      _key,
+      _number,
+      _rate,
+      _stock,
+      _lease_us,
+      _tokens,
+      _wait_us);
+}
+
+inline HeartbeatT::HeartbeatT(const HeartbeatT &o)
+      : sequence(o.sequence),
+        confirmed_revision(o.confirmed_revision),
+        released_revision(o.released_revision),
+        term(o.term),
+        holds_lease(o.holds_lease),
+        in_force_revision(o.in_force_revision),
+        zone_released_revision(o.zone_released_revision),
+        rates_complete(o.rates_complete) {
+  rate_requests.reserve(o.rate_requests.size());
+  for (const auto &rate_requests_ : o.rate_requests) { rate_requests.emplace_back((rate_requests_) ? new juniperway::protocol::RateRequestRecordT(*rate_requests_) : nullptr); }
+}
+
+inline HeartbeatT &HeartbeatT::operator=(HeartbeatT o) FLATBUFFERS_NOEXCEPT {
+  std::swap(sequence, o.sequence);
+  std::swap(confirmed_revision, o.confirmed_revision);
+  std::swap(released_revision, o.released_revision);
+  std::swap(term, o.term);
+  std::swap(holds_lease, o.holds_lease);
+  std::swap(in_force_revision, o.in_force_revision);
+  std::swap(zone_released_revision, o.zone_released_revision);
+  std::swap(rate_requests, o.rate_requests);
+  std::swap(rates_complete, o.rates_complete);
+  return *this;
+}
+
 inline HeartbeatT *Heartbeat::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
   auto _o = std::make_unique<HeartbeatT>();
   UnPackTo(_o.get(), _resolver);
@@ -4765,6 +5434,8 @@
   { auto _e = holds_lease(); _o->holds_lease = _e; }
   { auto _e = in_force_revision(); _o->in_force_revision = _e; }
   { auto _e = zone_released_revision(); _o->zone_released_revision = _e; }
+  { auto _e = rate_requests(); if (_e) { _o->rate_requests.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->rate_requests[_i] = std::unique_ptr<juniperway::protocol::RateRequestRecordT>(_e->Get(_i)->UnPack(_resolver)); } } }
+  { auto _e = rates_complete(); _o->rates_complete = _e; }
 }
 
 inline flatbuffers::Offset<Heartbeat> Heartbeat::Pack(flatbuffers::FlatBufferBuilder &_fbb, const HeartbeatT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -4782,6 +5453,8 @@
   auto _holds_lease = _o->holds_lease;
   auto _in_force_revision = _o->in_force_revision;
   auto _zone_released_revision = _o->zone_released_revision;
+  auto _rate_requests = _o->rate_requests.size() ? _fbb.CreateVector<flatbuffers::Offset<juniperway::protocol::RateRequestRecord>> (_o->rate_requests.size(), [](size_t i, _VectorArgs *__va) { return CreateRateRequestRecord(*__va->__fbb, __va->__o->rate_requests[i].get(), __va->__rehasher); }, &_va ) : 0;
+  auto _rates_complete = _o->rates_complete;
   return juniperway::protocol::CreateHeartbeat(
       _fbb,
       _sequence,
@@ -4790,7 +5463,31 @@
       _term,
       _holds_lease,
       _in_force_revision,
-      _zone_released_revision);
+      _zone_released_revision,
+      _rate_requests,
+      _rates_complete);
+}
+
+inline HeartbeatReplyT::HeartbeatReplyT(const HeartbeatReplyT &o)
+      : sequence(o.sequence),
+        outcome(o.outcome),
+        granted_us(o.granted_us),
+        term(o.term),
+        in_force_revision(o.in_force_revision),
+        zone_released_revision(o.zone_released_revision) {
+  rate_grants.reserve(o.rate_grants.size());
+  for (const auto &rate_grants_ : o.rate_grants) { rate_grants.emplace_back((rate_grants_) ? new juniperway::protocol::RateGrantRecordT(*rate_grants_) : nullptr); }
+}
+
+inline HeartbeatReplyT &HeartbeatReplyT::operator=(HeartbeatReplyT o) FLATBUFFERS_NOEXCEPT {
+  std::swap(sequence, o.sequence);
+  std::swap(outcome, o.outcome);
+  std::swap(granted_us, o.granted_us);
+  std::swap(term, o.term);
+  std::swap(in_force_revision, o.in_force_revision);
+  std::swap(zone_released_revision, o.zone_released_revision);
+  std::swap(rate_grants, o.rate_grants);
+  return *this;
 }
 
 inline HeartbeatReplyT *HeartbeatReply::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
@@ -4808,6 +5505,7 @@
   { auto _e = term(); _o->term = _e; }
   { auto _e = in_force_revision(); _o->in_force_revision = _e; }
   { auto _e = zone_released_revision(); _o->zone_released_revision = _e; }
+  { auto _e = rate_grants(); if (_e) { _o->rate_grants.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->rate_grants[_i] = std::unique_ptr<juniperway::protocol::RateGrantRecordT>(_e->Get(_i)->UnPack(_resolver)); } } }
 }
 
 inline flatbuffers::Offset<HeartbeatReply> HeartbeatReply::Pack(flatbuffers::FlatBufferBuilder &_fbb, const HeartbeatReplyT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -4824,6 +5522,7 @@
   auto _term = _o->term;
   auto _in_force_revision = _o->in_force_revision;
   auto _zone_released_revision = _o->zone_released_revision;
+  auto _rate_grants = _o->rate_grants.size() ? _fbb.CreateVector<flatbuffers::Offset<juniperway::protocol::RateGrantRecord>> (_o->rate_grants.size(), [](size_t i, _VectorArgs *__va) { return CreateRateGrantRecord(*__va->__fbb, __va->__o->rate_grants[i].get(), __va->__rehasher); }, &_va ) : 0;
   return juniperway::protocol::CreateHeartbeatReply(
       _fbb,
       _sequence,
@@ -4831,7 +5530,49 @@
       _granted_us,
       _term,
       _in_force_revision,
-      _zone_released_revision);
+      _zone_released_revision,
+      _rate_grants);
+}
+
+inline RateTokensT::RateTokensT(const RateTokensT &o)
+      : sequence(o.sequence) {
+  grants.reserve(o.grants.size());
+  for (const auto &grants_ : o.grants) { grants.emplace_back((grants_) ? new juniperway::protocol::RateGrantRecordT(*grants_) : nullptr); }
+}
+
+inline RateTokensT &RateTokensT::operator=(RateTokensT o) FLATBUFFERS_NOEXCEPT {
+  std::swap(sequence, o.sequence);
+  std::swap(grants, o.grants);
+  return *this;
+}
+
+inline RateTokensT *RateTokens::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<RateTokensT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void RateTokens::UnPackTo(RateTokensT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = sequence(); _o->sequence = _e; }
+  { auto _e = grants(); if (_e) { _o->grants.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->grants[_i] = std::unique_ptr<juniperway::protocol::RateGrantRecordT>(_e->Get(_i)->UnPack(_resolver)); } } }
+}
+
+inline flatbuffers::Offset<RateTokens> RateTokens::Pack(flatbuffers::FlatBufferBuilder &_fbb, const RateTokensT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateRateTokens(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<RateTokens> CreateRateTokens(flatbuffers::FlatBufferBuilder &_fbb, const RateTokensT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const RateTokensT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _sequence = _o->sequence;
+  auto _grants = _o->grants.size() ? _fbb.CreateVector<flatbuffers::Offset<juniperway::protocol::RateGrantRecord>> (_o->grants.size(), [](size_t i, _VectorArgs *__va) { return CreateRateGrantRecord(*__va->__fbb, __va->__o->grants[i].get(), __va->__rehasher); }, &_va ) : 0;
+  return juniperway::protocol::CreateRateTokens(
+      _fbb,
+      _sequence,
+      _grants);
 }
 
 inline SessionProgressT *SessionProgress::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
@@ -5160,6 +5901,10 @@
       auto ptr = reinterpret_cast<const juniperway::protocol::ControlMembers *>(obj);
       return verifier.VerifyTable(ptr);
     }
+    case ControlMessage::RateTokens: {
+      auto ptr = reinterpret_cast<const juniperway::protocol::RateTokens *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
     default: return true;
   }
 }
@@ -5259,6 +6004,10 @@
       auto ptr = reinterpret_cast<const juniperway::protocol::ControlMembers *>(obj);
       return ptr->UnPack(resolver);
     }
+    case ControlMessage::RateTokens: {
+      auto ptr = reinterpret_cast<const juniperway::protocol::RateTokens *>(obj);
+      return ptr->UnPack(resolver);
+    }
     default: return nullptr;
   }
 }
@@ -5346,6 +6095,10 @@
       auto ptr = reinterpret_cast<const juniperway::protocol::ControlMembersT *>(value);
       return CreateControlMembers(_fbb, ptr, _rehasher).Union();
     }
+    case ControlMessage::RateTokens: {
+      auto ptr = reinterpret_cast<const juniperway::protocol::RateTokensT *>(value);
+      return CreateRateTokens(_fbb, ptr, _rehasher).Union();
+    }
     default: return 0;
   }
 }
@@ -5432,6 +6185,10 @@
       value = new juniperway::protocol::ControlMembersT(*reinterpret_cast<juniperway::protocol::ControlMembersT *>(u.value));
       break;
     }
+    case ControlMessage::RateTokens: {
+      value = new juniperway::protocol::RateTokensT(*reinterpret_cast<juniperway::protocol::RateTokensT *>(u.value));
+      break;
+    }
     default:
       break;
   }
@@ -5539,6 +6296,11 @@
       delete ptr;
       break;
     }
+    case ControlMessage::RateTokens: {
+      auto ptr = reinterpret_cast<juniperway::protocol::RateTokensT *>(value);
+      delete ptr;
+      break;
+    }
     default: break;
   }
   value = nullptr;
--- a/source/common/routes/route_index.cc
+++ b/source/common/routes/route_index.cc
@@ -20,7 +20,8 @@
 
 }  // namespace
 
-RouteIndex::RouteIndex(RouteTablePointer table) : table_(std::move(table)) {
+RouteIndex::RouteIndex(RouteTablePointer table)
+    : table_(std::move(table)), tenants_(*table_) {
   for (const Route& route : table_->routes) {
     hosts_[route.host][route.path_prefix] = &route;
   }
--- a/source/common/routes/route_index.h
+++ b/source/common/routes/route_index.h
@@ -8,6 +8,7 @@
 #include <string_view>
 
 #include "common/routes/route_table.h"
+#include "common/routes/tenant_index.h"
 
 namespace juniperway::routes {
 
@@ -22,11 +23,13 @@
   const Route* Find(std::string_view host, std::string_view path) const;
 
   const RouteTablePointer& table() const { return table_; }
+  const TenantIndex& tenants() const { return tenants_; }
 
  private:
   using RoutesByPrefix = std::map<std::string, const Route*, std::less<>>;
 
   RouteTablePointer table_;
+  TenantIndex tenants_;
   std::map<std::string, RoutesByPrefix, std::less<>> hosts_;
 };
 
--- a/source/common/routes/route_table.cc
+++ b/source/common/routes/route_table.cc
@@ -22,6 +22,8 @@
 constexpr std::uint64_t kMaximumConnections = 1U << 20;
 constexpr double kMaximumWarmupSeconds = 24.0 * 3600;
 constexpr double kMaximumColdRequests = 1e9;
+constexpr double kMaximumTenantRate = 1e9;
+constexpr std::size_t kMaximumKeyBytes = 4096;
 
 // Reads the fields of one JSON object and keeps the first fault. Unlike
 // JsonReader it passes over fields it does not know: a newer operator's tool
@@ -189,6 +191,18 @@
   return execution == "repeatable";
 }
 
+bool ReadFlag(ObjectReader& reader, const char* name) {
+  const json* field = reader.Field(name);
+  if (field == nullptr) {
+    return false;
+  }
+  if (!field->is_boolean()) {
+    reader.Fail(name, "must be true or false");
+    return false;
+  }
+  return field->get<bool>();
+}
+
 Result<Route> ReadRoute(const json& element, const std::string& path) {
   ObjectReader reader(element, path);
   Route route;
@@ -209,6 +223,7 @@
   route.maximum_attempts = static_cast<std::uint32_t>(
       reader.Unsigned("maximum_attempts", 1, kMaximumAttempts, 1));
   route.home_regions = ReadHomeRegions(reader);
+  route.anonymous = ReadFlag(reader, "anonymous");
   if (reader.Field("scatter") != nullptr) {
     route.destination = ReadScatter(reader);
   } else if (reader.Field("split") != nullptr) {
@@ -281,6 +296,80 @@
   return {};
 }
 
+// A key goes over the wire as one word of a header.
+bool IsUsableKey(const json& key) {
+  if (!key.is_string()) {
+    return false;
+  }
+  const auto& text = key.get_ref<const std::string&>();
+  return !text.empty() && text.size() <= kMaximumKeyBytes &&
+         std::ranges::all_of(text, [](char character) {
+           return character > ' ' && character < '\x7f';
+         });
+}
+
+std::vector<std::string> ReadKeys(ObjectReader& reader) {
+  std::vector<std::string> keys;
+  for (const json& key : reader.List("api_keys")) {
+    // The message must not show a key.
+    if (!IsUsableKey(key)) {
+      reader.Fail("api_keys",
+                  "must be a list of keys, each a word of visible characters");
+      return {};
+    }
+    keys.push_back(key.get<std::string>());
+  }
+  return keys;
+}
+
+Result<Tenant> ReadTenant(const json& element, const std::string& path) {
+  ObjectReader reader(element, path);
+  Tenant tenant;
+  tenant.name = reader.Text("name");
+  tenant.api_keys = ReadKeys(reader);
+  tenant.priority =
+      static_cast<std::uint32_t>(reader.Unsigned("priority", 0, 1U << 20, 0));
+  tenant.requests_per_second =
+      reader.Number("requests_per_second", kMaximumTenantRate, 0.0);
+  tenant.burst = reader.Number("burst", kMaximumTenantRate, 0.0);
+  tenant.home_regions = ReadHomeRegions(reader);
+  if (reader.fault()) {
+    return tl::unexpected(*reader.fault());
+  }
+  return tenant;
+}
+
+Result<void> ReadTenants(ObjectReader& root, RouteTable& table) {
+  if (root.Field("tenants") == nullptr) {
+    return {};
+  }
+  std::set<std::string> names;
+  std::map<std::string, std::size_t> holders;
+  std::vector<Tenant> tenants;
+  for (const json& element : root.List("tenants")) {
+    const std::string path = ElementPath("tenants", tenants.size());
+    auto tenant = ReadTenant(element, path);
+    if (!tenant) {
+      return tl::unexpected(tenant.error());
+    }
+    if (!names.insert(tenant->name).second) {
+      return MakeError(ErrorCode::kInvalidArgument, path + ".name",
+                       "is the name of another tenant");
+    }
+    for (const std::string& key : tenant->api_keys) {
+      const std::size_t holder =
+          holders.try_emplace(key, tenants.size()).first->second;
+      if (holder != tenants.size()) {
+        return MakeError(ErrorCode::kInvalidArgument, path + ".api_keys",
+                         "holds a key of " + ElementPath("tenants", holder));
+      }
+    }
+    tenants.push_back(std::move(*tenant));
+  }
+  table.tenants = std::move(tenants);
+  return {};
+}
+
 Result<void> ReadRoutes(ObjectReader& root, RouteTable& table) {
   std::set<std::pair<std::string, std::string>> places;
   std::size_t index = 0;
@@ -325,6 +414,9 @@
   if (auto read = ReadLimits(root, table); !read) {
     return tl::unexpected(read.error());
   }
+  if (auto read = ReadTenants(root, table); !read) {
+    return tl::unexpected(read.error());
+  }
   if (auto read = ReadRoutes(root, table); !read) {
     return tl::unexpected(read.error());
   }
--- a/source/common/routes/route_table.h
+++ b/source/common/routes/route_table.h
@@ -8,6 +8,7 @@
 #include <cstdint>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <variant>
@@ -65,6 +66,8 @@
   std::uint32_t maximum_attempts = 1;
   // Only back ends of these regions may get its requests.
   HomeRegions home_regions;
+  // Of a table with tenants: its requests need no key and belong to none.
+  bool anonymous = false;
   std::variant<SplitTarget, ScatterTarget> destination;
 
   bool operator==(const Route&) const = default;
@@ -83,6 +86,23 @@
   bool operator==(const RoutedService&) const = default;
 };
 
+// Who shares the back ends with others, and is told from them by its API keys.
+struct Tenant {
+  std::string name;
+  // No other tenant has one of them.
+  std::vector<std::string> api_keys;
+  // Takes the place of the route's; 0 is the highest.
+  std::uint32_t priority = 0;
+  // Requests that the whole fleet takes; 0: no limit.
+  double requests_per_second = 0;
+  // Requests that may come at once, besides.
+  double burst = 0;
+  // Besides the route's.
+  HomeRegions home_regions;
+
+  bool operator==(const Tenant&) const = default;
+};
+
 // What a client may send, and how long it may take.
 struct ClientLimits {
   std::size_t maximum_header_bytes = 16U << 10;
@@ -98,6 +118,8 @@
   std::vector<Route> routes;
   std::map<std::string, RoutedService> services;
   ClientLimits limits;
+  // Where there is a list, also an empty one, requests need a tenant's key.
+  std::optional<std::vector<Tenant>> tenants;
 };
 
 using RouteTablePointer = std::shared_ptr<const RouteTable>;
--- a/source/common/session/control_session_client.cc
+++ b/source/common/session/control_session_client.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <asio/post.hpp>
 #include <asio/steady_timer.hpp>
+#include <map>
 #include <random>
 #include <stdexcept>
 #include <utility>
@@ -10,12 +11,14 @@
 #include "common/logging/event_log.h"
 #include "common/net/address.h"
 #include "common/net/frame_connection.h"
+#include "common/quota/rate_limit.h"
 #include "common/session/control_endpoints.h"
 #include "common/session/control_frames.h"
 #include "common/session/events.h"
 #include "common/session/fleet_codec.h"
 #include "common/session/heartbeat_codec.h"
 #include "common/session/operation_queue.h"
+#include "common/session/rate_codec.h"
 #include "common/session/session_link.h"
 #include "common/session/session_operations.h"
 #include "common/session/view_keeper.h"
@@ -135,6 +138,12 @@
     SchedulePump();
   }
 
+  void SetRatePorts(RatePorts ports) { rate_ports_ = std::move(ports); }
+  void SendReportSoon() {
+    state_->WantHeartbeat();
+    SchedulePump();
+  }
+
   void ReportCrash(const CrashReport& report) {
     operations_->ReportCrash(report);
   }
@@ -308,8 +317,41 @@
   }
 
   void SendHeartbeat(const HeartbeatContent& content) {
-    if (link_->connection()) {
-      SendMessage(*link_->connection(), EncodeHeartbeat(content));
+    if (!link_->connection()) {
+      return;
+    }
+    protocol::HeartbeatT heartbeat = EncodeHeartbeat(content);
+    if (rate_ports_.make_report) {
+      const MonotonicTime now = Now();
+      EncodeRateReport(rate_ports_.make_report(now), heartbeat);
+      reports_sent_[content.sequence] = now;
+      std::erase_if(reports_sent_, [now](const auto& report) {
+        return now - report.second > quota::kRateLease;
+      });
+    }
+    SendMessage(*link_->connection(), std::move(heartbeat));
+  }
+
+  void OnRateGrants(const protocol::HeartbeatReplyT& reply) {
+    const auto sent = reports_sent_.find(reply.sequence);
+    if (sent == reports_sent_.end()) {
+      return;
+    }
+    // A machine that knows no leader answers without deciding anything.
+    const bool is_leaders =
+        reply.outcome != protocol::HeartbeatOutcome::kNoLeader;
+    if (rate_ports_.on_grants && is_leaders) {
+      rate_ports_.on_grants(DecodeRateGrants(reply.rate_grants), reply.term,
+                            sent->second);
+    }
+  }
+
+  void OnRateTokens(const protocol::RateTokensT& tokens) {
+    const auto sent = reports_sent_.find(tokens.sequence);
+    if (sent != reports_sent_.end() && rate_ports_.on_grants) {
+      // Tokens of a pool are good under any leader.
+      rate_ports_.on_grants(DecodeRateGrants(tokens.grants), quota::kAnyTerm,
+                            sent->second);
     }
   }
 
@@ -327,6 +369,9 @@
       OnUpdate(*update);
     } else if (const auto* reply = message.AsHeartbeatReply()) {
       state_->OnHeartbeatReply(DecodeHeartbeatAnswer(*reply), Now());
+      OnRateGrants(*reply);
+    } else if (const auto* tokens = message.AsRateTokens()) {
+      OnRateTokens(*tokens);
     } else if (const auto* progress = message.AsSessionProgress()) {
       state_->OnProgress(progress->in_force_revision,
                          progress->zone_released_revision);
@@ -440,6 +485,9 @@
   std::pair<resources::Revision, resources::Revision> noted_progress_;
   ViewListener view_listener_;
   std::function<void()> progress_listener_;
+  RatePorts rate_ports_;
+  // When the reports of leased rates were sent, by their heartbeats' numbers.
+  std::map<std::uint64_t, MonotonicTime> reports_sent_;
   Counters counters_;
 };
 
@@ -497,6 +545,14 @@
   implementation_->ReportReleased(revision);
 }
 
+void ControlSessionClient::SetRatePorts(RatePorts ports) {
+  implementation_->SetRatePorts(std::move(ports));
+}
+
+void ControlSessionClient::SendReportSoon() {
+  implementation_->SendReportSoon();
+}
+
 void ControlSessionClient::ReportCrash(const CrashReport& report) {
   implementation_->ReportCrash(report);
 }
--- a/source/common/session/control_session_client.h
+++ b/source/common/session/control_session_client.h
@@ -12,6 +12,7 @@
 #include <string>
 #include <vector>
 
+#include "common/quota/rate_messages.h"
 #include "common/session/control_session.h"
 #include "common/session/crash_report.h"
 #include "common/session/session_state.h"
@@ -68,6 +69,21 @@
   // Starts to connect. Set the listeners before.
   void Start();
 
+  // What the daemon says of leased rates, and what control answers.
+  struct RatePorts {
+    // For each heartbeat, at the time it is sent.
+    std::function<quota::RateReport(MonotonicTime now)> make_report;
+    // @param term of the leader.
+    // @param asked_at when the report that was answered was sent.
+    std::function<void(const std::vector<quota::RateGrant>& grants,
+                       std::uint64_t term, MonotonicTime asked_at)>
+        on_grants;
+  };
+  // Before Start.
+  void SetRatePorts(RatePorts ports);
+  // Sends a heartbeat in the next turn of the loop.
+  void SendReportSoon();
+
   // Tells control of a request under which back ends ended. Sent again until it
   // is replicated, for a minute at most.
   void ReportCrash(const CrashReport& report);
--- a/source/common/session/session_state.h
+++ b/source/common/session/session_state.h
@@ -114,6 +114,9 @@
   }
   // The view at `revision` is in use and kept: the next Tick confirms it.
   void OnTaken(resources::Revision revision);
+  // The daemon has something to say that goes with heartbeats: the next Tick
+  // sends one.
+  void WantHeartbeat() { heartbeat_wanted_ = true; }
   // Let go of back ends up to `revision`: the next Tick says so.
   void OnReleased(resources::Revision revision);
 
--- a/source/daemon/control_role.cc
+++ b/source/daemon/control_role.cc
@@ -110,6 +110,7 @@
   options.discovery_interval = settings.control->discovery_interval;
   options.discovery_calls_per_second =
       settings.control->discovery_calls_per_second;
+  options.tenant_tolerance = settings.control->tenant_tolerance;
   options.bearer_token = ReadToken(settings.control->token_file);
   options.platform_url = settings.control->platform_url;
   options.data_folder = settings.data_folder / control::kControlFolderName;
--- a/source/daemon/router_role.cc
+++ b/source/daemon/router_role.cc
@@ -62,6 +62,15 @@
                  {"router.ready", router.ready_endpoint()}};
     session.SetViewListener(
         [this](const session::FleetViewPointer& view) { router.OnView(view); });
+    session.SetRatePorts(
+        {.make_report =
+             [this](MonotonicTime now) { return router.MakeRateReport(now); },
+         .on_grants =
+             [this](const std::vector<quota::RateGrant>& grants,
+                    std::uint64_t term, MonotonicTime asked_at) {
+               router.OnRateGrants(grants, term, asked_at);
+             }});
+    router.SetRateAsk([this] { session.SendReportSoon(); });
     router.SetCrashReport([this](const session::CrashReport& report) {
       session.ReportCrash(report);
     });
--- a/source/daemon/settings.cc
+++ b/source/daemon/settings.cc
@@ -205,6 +205,7 @@
   read_name("request_id", names.request_id);
   read_name("deadline", names.deadline);
   read_name("expected_backend", names.expected_backend);
+  read_name("tenant", names.tenant);
   read_name("signature", names.signature);
   read_name("not_executed", names.not_executed);
   read_name("part_signatures", names.part_signatures);
@@ -315,6 +316,13 @@
   control.discovery_interval = milliseconds(interval_ms);
   reader.Number("discovery_calls_per_second", kMinimumCallsPerSecond,
                 kMaximumCallsPerSecond, control.discovery_calls_per_second);
+  ReadSeconds(reader, "quota_window_s", milliseconds(kMinimumIntervalMs),
+              milliseconds(kMaximumIntervalMs),
+              control.tenant_tolerance.window);
+  reader.Number("quota_overage", 0, kMaximumExtraRatio,
+                control.tenant_tolerance.overage);
+  reader.Number("quota_slack", 0, kMaximumExtraSlack,
+                control.tenant_tolerance.slack);
   reader.RefuseUnknownKeys();
   return control;
 }
--- a/source/daemon/settings.h
+++ b/source/daemon/settings.h
@@ -17,6 +17,7 @@
 #include "common/forwarding/header_names.h"
 #include "common/logging/event_log.h"
 #include "common/net/tls.h"
+#include "common/quota/rate_limit.h"
 #include "common/raft/types.h"
 #include "daemon/table_reader.h"
 
@@ -70,6 +71,8 @@
   Duration discovery_interval = seconds(1);
   // Calls a second that the platform takes from the whole fleet.
   double discovery_calls_per_second = 50;
+  // How far the fleet may go beyond tenants' limits.
+  quota::RateTolerance tenant_tolerance;
 };
 
 struct Settings {
--- a/source/sim/control/control_machine.cc
+++ b/source/sim/control/control_machine.cc
@@ -123,7 +123,8 @@
   control::LeaseTable::Options lease_options;
   lease_options.lease = options_.lease;
   lease_options.removal_delay = options_.lease / 2;
-  role_ = std::make_unique<control::LeaderRole>(lease_options, MakePorts());
+  role_ = std::make_unique<control::LeaderRole>(
+      lease_options, quota::RateTolerance(), MakePorts());
   AfterInput();
   TickRole();
 }
--- a/test/integration/forwarding/route_fleet.cc
+++ b/test/integration/forwarding/route_fleet.cc
@@ -77,6 +77,12 @@
   return targets_;
 }
 
+std::vector<std::pair<std::string, std::string>> StandInBackend::LatestFields()
+    const {
+  const std::lock_guard lock(mutex_);
+  return latest_fields_;
+}
+
 void StandInBackend::Handle(
     const net::HttpRequest& request,
     const std::shared_ptr<net::HttpResponder>& responder) {
@@ -87,6 +93,7 @@
   {
     const std::lock_guard lock(mutex_);
     targets_.push_back(request.target);
+    latest_fields_ = request.fields;
   }
   if (IsFatal(request.target)) {
     held_.emplace_back(request, responder);
@@ -210,7 +217,7 @@
       "source_address = \"{}\"\n[control]\nhttp_listen = \"{}:{}\"\n"
       "peer_listen = \"{}:{}\"\nbootstrap = {}\nopen_api = true\n"
       "election_timeout_ms = 500\ndiscovery_url = \"http://{}/list\"\n"
-      "discovery_interval_ms = 50\n",
+      "discovery_interval_ms = 50\nquota_overage = 0.1\nquota_slack = 10\n",
       number, FolderOf(number).string(), Seeds(), peer_port_, address, address,
       http_port_, address, peer_port_, bootstrap,
       net::FormatEndpoint(list_server_->local_endpoint()));
@@ -333,6 +340,14 @@
   return http_.Call(MakeRequest(target, id, router));
 }
 
+net::HttpClientResponse RouteFleet::RequestWith(
+    const std::vector<std::pair<std::string, std::string>>& fields,
+    const std::string& target, int router) {
+  net::HttpClientRequest request = MakeRequest(target, "request-1", router);
+  request.headers.insert(request.headers.end(), fields.begin(), fields.end());
+  return http_.Call(std::move(request));
+}
+
 net::HttpClientResponse RouteFleet::RequestFrom(
     const std::string& client_address, const std::string& target,
     const std::string& id, int router) {
@@ -380,6 +395,22 @@
   }
 }
 
+int RouteFleet::LeaderNumber() {
+  int leader = -1;
+  lab::WaitFor(kLimit, [&] {
+    for (int number = 0; number < machines() && leader < 0; ++number) {
+      const auto response = http_.Get(
+          fmt::format("http://{}:{}/v1/status", AddressOf(number), http_port_));
+      const json node = json::parse(response.body, nullptr, false);
+      if (node.is_object() && node.value("role", "") == "leader") {
+        leader = number;
+      }
+    }
+    return leader >= 0;
+  });
+  return leader;
+}
+
 json RouteFleet::Read(const std::string& path) {
   const auto response =
       http_.Get(fmt::format("http://{}:{}{}", AddressOf(0), http_port_, path));
--- a/test/integration/forwarding/route_fleet.h
+++ b/test/integration/forwarding/route_fleet.h
@@ -49,6 +49,8 @@
   bool draining = false;
   // Requests that it ran or was asked to run, by target.
   std::vector<std::string> Targets() const;
+  // The header fields of the latest of them, as they came.
+  std::vector<std::pair<std::string, std::string>> LatestFields() const;
 
  private:
   void Handle(const net::HttpRequest& request,
@@ -64,6 +66,7 @@
   mutable std::mutex mutex_;
   Answering answering_ = Answering::kWell;
   std::vector<std::string> targets_;
+  std::vector<std::pair<std::string, std::string>> latest_fields_;
   std::vector<std::pair<net::HttpRequest, std::shared_ptr<net::HttpResponder>>>
       held_;
   // Empty: nothing ends it.
@@ -101,6 +104,10 @@
   net::HttpClientResponse Request(const std::string& target,
                                   const std::string& id = "request-1",
                                   int router = 0);
+  // With these header fields besides.
+  net::HttpClientResponse RequestWith(
+      const std::vector<std::pair<std::string, std::string>>& fields,
+      const std::string& target, int router = 0);
   // The same, by a client of its own at another address of this machine.
   net::HttpClientResponse RequestFrom(const std::string& client_address,
                                       const std::string& target,
@@ -110,6 +117,8 @@
   void WipeControl(int number);
   // Kills every control machine and starts them again with their disks.
   void KillControls();
+  // The machine that leads; waits until one does.
+  int LeaderNumber();
   // Waits until the machine that was wiped votes under another number, its old
   // one is gone, and one more machine may be lost. In the first second after a
   // loss the group still takes itself for whole: that alone is no sign.
--- a/test/property/control/control_world.cc
+++ b/test/property/control/control_world.cc
@@ -279,7 +279,7 @@
   options.maximum_clock_drift = kDrift;
   Node* raw = node.get();
   node->role = std::make_unique<LeaderRole>(
-      options,
+      options, quota::RateTolerance(),
       LeaderRole::Ports{
           .state = [raw]() -> const ControlState& { return raw->state; },
           .raft_status = [this, number] { return StatusOf(number); },
--- /dev/null
+++ b/test/property/quota/quota_world.cc
@@ -0,0 +1,538 @@
+#include "property/quota/quota_world.h"
+
+#include <algorithm>
+#include <cmath>
+#include <utility>
+
+#include "common/session/rate_codec.h"
+
+namespace juniperway::test {
+namespace {
+
+constexpr quota::RateTolerance kTolerance{
+    .window = seconds(5), .overage = 0.1, .slack = 20};
+constexpr double kDrift = 0.01;
+constexpr Duration kBeat = seconds(1);
+// How long a request waits for a token.
+constexpr Duration kLongestAsk = milliseconds(200);
+// A router that no leader answered for this long is no member any more.
+constexpr Duration kMembership = seconds(6);
+constexpr std::size_t kPools = 6;
+// Control machines are cut off more rarely than routers.
+constexpr double kPoolCutShare = 0.9;
+constexpr Duration kPoolBeat = milliseconds(50);
+// The longest ways: within a zone, and between regions.
+constexpr Duration kNearWay = milliseconds(1);
+constexpr Duration kFarWay = milliseconds(14);
+
+double ToSeconds(Duration duration) {
+  return std::chrono::duration<double>(duration).count();
+}
+
+Duration Seconds(double value) {
+  return std::chrono::duration_cast<Duration>(
+      std::chrono::duration<double>(value));
+}
+
+}  // namespace
+
+QuotaWorld::QuotaWorld(const QuotaOptions& options)
+    : options_(options),
+      random_(options.seed),
+      end_(now_ + options.length),
+      later_([](const Event& left, const Event& right) {
+        return std::pair(left.time, left.order) >
+               std::pair(right.time, right.order);
+      }),
+      events_(later_),
+      routers_(options.routers),
+      pools_(kPools),
+      granter_(kTolerance, kDrift) {
+  for (std::size_t i = 0; i < routers_.size(); ++i) {
+    routers_[i].name = "r" + std::to_string(i);
+    At(now_ + Seconds(Draw(0, 1)), [this, i] { Beat(i); });
+  }
+  for (std::size_t i = 0; i < pools_.size(); ++i) {
+    RestartPool(pools_[i], i);
+    At(now_ + Seconds(Draw(0, 1)), [this, i] { BeatPool(i); });
+  }
+  MakeTenants();
+  StartLeader();
+  const MonotonicTime once = now_ + seconds(15);
+  switch (options_.trouble) {
+    case QuotaTrouble::kNone:
+      break;
+    case QuotaTrouble::kLeaderLost:
+      At(once, [this] { LoseLeader(seconds(1)); });
+      break;
+    case QuotaTrouble::kRoutersCut:
+      At(once, [this] { CutRouters(1.0 / 3, now_ + seconds(10)); });
+      break;
+    case QuotaTrouble::kHotAndCut:
+      for (Tenant& tenant : tenants_) {
+        HeatTenant(tenant, seconds(40), 4);
+      }
+      At(once, [this] { CutRouters(0.5, now_ + seconds(9)); });
+      At(once + seconds(12), [this] { CutRouters(0.5, now_ + seconds(9)); });
+      At(once + milliseconds(12300), [this] { LoseLeader(milliseconds(300)); });
+      break;
+    case QuotaTrouble::kAll:
+      ScheduleTrouble();
+      break;
+  }
+}
+
+void QuotaWorld::At(MonotonicTime time, std::function<void()> run) {
+  events_.push({std::max(time, now_), ++last_order_, std::move(run)});
+}
+
+double QuotaWorld::Draw(double from, double to) {
+  return std::uniform_real_distribution<double>(from, to)(random_);
+}
+
+std::size_t QuotaWorld::DrawRouter() {
+  return std::uniform_int_distribution<std::size_t>(
+      0, routers_.size() - 1)(random_);
+}
+
+bool QuotaWorld::IsRunning(const Router& router) const {
+  return now_ >= router.frozen_until && now_ >= router.down_until;
+}
+
+// --- Tenants and their requests ----------------------------------------------
+
+// A few large tenants and many small ones, within their limits as they usually
+// are; clients keep to a few routers each.
+void QuotaWorld::MakeTenants() {
+  tenants_.resize(options_.tenants);
+  for (std::size_t i = 0; i < tenants_.size(); ++i) {
+    Tenant& tenant = tenants_[i];
+    tenant.name = "t" + std::to_string(i);
+    tenant.usual = options_.largest / std::pow(static_cast<double>(i) + 1, 1.2);
+    tenant.limit.per_second = std::max(1.0, std::round(1.6 * tenant.usual));
+    // Small bursts leave less room for what should not be.
+    tenant.limit.burst =
+        std::max(1.0, tenant.limit.per_second / (i % 2 == 0 ? 8 : 1));
+    tenant.reference = tenant.limit.burst;
+    tenant.reference_at = now_;
+    const auto clients = static_cast<std::size_t>(1 + tenant.usual);
+    for (std::size_t client = 0; client < clients; ++client) {
+      tenant.homes.push_back(DrawRouter());
+    }
+  }
+  for (Tenant& tenant : tenants_) {
+    // After the time in which the fleet starts.
+    At(now_ + seconds(7), [this, &tenant] { ScheduleArrival(tenant); });
+  }
+}
+
+QuotaWorld::Tenant& QuotaWorld::TenantOf(const std::string& name) {
+  return *std::ranges::find(tenants_, name, &Tenant::name);
+}
+
+void QuotaWorld::ScheduleArrival(Tenant& tenant) {
+  const double factor = now_ < tenant.hot_until ? tenant.hot_factor : 1;
+  std::exponential_distribution<double> gap(tenant.usual * factor);
+  At(now_ + Seconds(gap(random_)), [this, &tenant] {
+    Arrive(tenant);
+    ScheduleArrival(tenant);
+  });
+}
+
+bool QuotaWorld::TakeReference(Tenant& tenant) const {
+  const double grown =
+      tenant.limit.per_second * ToSeconds(now_ - tenant.reference_at);
+  tenant.reference = std::min(tenant.limit.burst, tenant.reference + grown);
+  tenant.reference_at = now_;
+  if (tenant.reference < 1) {
+    return false;
+  }
+  tenant.reference -= 1;
+  return true;
+}
+
+void QuotaWorld::Arrive(Tenant& tenant) {
+  std::size_t index = tenant.homes[std::uniform_int_distribution<std::size_t>(
+      0, tenant.homes.size() - 1)(random_)];
+  // A retry, or a client whose router is not there.
+  if (Chance(0.05) || !IsRunning(routers_[index])) {
+    index = DrawRouter();
+  }
+  if (!IsRunning(routers_[index])) {
+    return;
+  }
+  ++report_.requests;
+  const bool within = TakeReference(tenant);
+  report_.within += within ? 1 : 0;
+  SpanOf(tenant).first += within ? 1 : 0;
+  quota::RateLeases& leases = routers_[index].leases;
+  leases.OnDemand(tenant.name, now_);
+  if (leases.TryTake(tenant.name, now_)) {
+    if (leases.NeedsTokens(tenant.name, now_)) {
+      SendHeartbeat(index);
+    }
+    Use(index, tenant);
+  } else if (now_ >= leases.ExhaustedUntil(tenant.name)) {
+    Ask(index, tenant);
+  }
+}
+
+std::pair<std::size_t, std::size_t>& QuotaWorld::SpanOf(Tenant& tenant) const {
+  return tenant.spans[now_.time_since_epoch() / kTolerance.window];
+}
+
+void QuotaWorld::Ask(std::size_t index, Tenant& tenant) {
+  Router& router = routers_[index];
+  auto& waiting = router.waiting[tenant.name];
+  const std::uint64_t number = ++last_request_;
+  waiting.push_back(number);
+  router.leases.SetWaiting(tenant.name,
+                           static_cast<std::uint32_t>(waiting.size()));
+  SendHeartbeat(index);
+  At(now_ + kLongestAsk, [this, index, number, &tenant] {
+    auto& queue = routers_[index].waiting[tenant.name];
+    if (std::erase(queue, number) > 0) {
+      routers_[index].leases.SetWaiting(
+          tenant.name, static_cast<std::uint32_t>(queue.size()));
+    }
+  });
+}
+
+void QuotaWorld::Use(std::size_t index, Tenant& tenant) {
+  ++report_.admitted;
+  ++SpanOf(tenant).second;
+  // A machine that freezes between the check and the sending sends on waking.
+  const MonotonicTime sent = std::max(now_, routers_[index].frozen_until);
+  tenant.uses.push_back(sent);
+}
+
+// --- Messages ----------------------------------------------------------------
+
+MonotonicTime QuotaWorld::Arrival(MonotonicTime cut_until, Duration longest,
+                                  MonotonicTime& last) {
+  // Now and then a packet is lost, and sent again.
+  const bool may_lose = options_.trouble == QuotaTrouble::kAll;
+  const double way = may_lose && Chance(0.002)
+                         ? Draw(0.2, 3)
+                         : Draw(0.0003, ToSeconds(longest));
+  last = std::max(last, std::max(now_, cut_until) + Seconds(way));
+  return last;
+}
+
+void QuotaWorld::Beat(std::size_t index) {
+  SendHeartbeat(index);
+  At(now_ + kBeat, [this, index] { Beat(index); });
+}
+
+std::size_t QuotaWorld::PoolIndexOf(std::size_t router) const {
+  return router % pools_.size();
+}
+
+void QuotaWorld::SendHeartbeat(std::size_t index) {
+  Router& router = routers_[index];
+  if (!IsRunning(router)) {
+    return;
+  }
+  ++report_.heartbeats;
+  const auto heartbeat = std::make_shared<protocol::HeartbeatT>();
+  heartbeat->term = router.term;
+  session::EncodeRateReport(router.leases.MakeReport(now_), *heartbeat);
+  At(Arrival(router.cut_until, kNearWay, router.last_to_leader),
+     [this, index, incarnation = router.incarnation, heartbeat,
+      asked_at = now_] {
+       OnHeartbeatAtPool(index, incarnation, heartbeat, asked_at);
+     });
+}
+
+void QuotaWorld::OnHeartbeatAtPool(
+    std::size_t index, std::uint64_t incarnation,
+    const std::shared_ptr<protocol::HeartbeatT>& heartbeat,
+    MonotonicTime asked_at) {
+  Pool& pool = pools_[PoolIndexOf(index)];
+  if (now_ < pool.down_until) {
+    return;
+  }
+  Router& router = routers_[index];
+  const auto grants = pool.tokens->Serve(*heartbeat, now_);
+  if (!grants.empty()) {
+    At(Arrival(router.cut_until, kNearWay, router.last_to_router),
+       [this, index, incarnation, grants, asked_at] {
+         OnReply(index, incarnation, grants, quota::kAnyTerm, asked_at);
+       });
+  }
+  At(Arrival(pool.cut_until, kFarWay, pool.last_to_leader),
+     [this, index, incarnation, heartbeat, asked_at] {
+       OnHeartbeat(index, incarnation, *heartbeat, asked_at);
+     });
+}
+
+void QuotaWorld::OnHeartbeat(std::size_t index, std::uint64_t incarnation,
+                             const protocol::HeartbeatT& heartbeat,
+                             MonotonicTime asked_at) {
+  Router& router = routers_[index];
+  // The membership has the newest process of a name.
+  if (!leads_ || incarnation != router.incarnation) {
+    return;
+  }
+  router.answered = now_;
+  const auto grants = granter_.OnReport(
+      {.name = router.name, .incarnation = incarnation, .term = heartbeat.term},
+      session::DecodeRateReport(heartbeat), now_);
+  Pool& pool = pools_[PoolIndexOf(index)];
+  const MonotonicTime at_pool =
+      Arrival(pool.cut_until, kFarWay, pool.last_to_pool);
+  At(at_pool, [this, index, incarnation, grants, term = term_, asked_at] {
+    Router& receiver = routers_[index];
+    At(Arrival(receiver.cut_until, kNearWay, receiver.last_to_router),
+       [this, index, incarnation, grants, term, asked_at] {
+         OnReply(index, incarnation, grants, term, asked_at);
+       });
+  });
+}
+
+void QuotaWorld::RestartPool(Pool& pool, std::size_t index) {
+  ++pool.incarnation;
+  pool.tokens =
+      std::make_unique<control::RatePool>(index + 1, pool.incarnation);
+}
+
+void QuotaWorld::BeatPool(std::size_t index) {
+  Pool& pool = pools_[index];
+  if (now_ >= pool.down_until && pool.tokens->IsReportDue(now_)) {
+    const std::shared_ptr<protocol::MemberHeartbeatT> report =
+        pool.tokens->MakeReport(now_);
+    At(Arrival(pool.cut_until, kFarWay, pool.last_to_leader),
+       [this, index, report] { OnPoolReport(index, report); });
+  }
+  At(now_ + kPoolBeat, [this, index] { BeatPool(index); });
+}
+
+void QuotaWorld::OnPoolReport(
+    std::size_t index,
+    const std::shared_ptr<protocol::MemberHeartbeatT>& report) {
+  Pool& pool = pools_[index];
+  if (!leads_ || report->incarnation != pool.incarnation) {
+    return;
+  }
+  const auto reply = std::make_shared<protocol::MemberHeartbeatReplyT>();
+  reply->daemon_id = report->daemon_id;
+  reply->incarnation = report->incarnation;
+  reply->reply = std::make_unique<protocol::HeartbeatReplyT>();
+  reply->reply->sequence = report->heartbeat->sequence;
+  reply->reply->outcome = protocol::HeartbeatOutcome::kGranted;
+  reply->reply->term = term_;
+  reply->reply->rate_grants = session::EncodeRateGrants(
+      granter_.OnReport({.name = report->daemon_id,
+                         .incarnation = report->incarnation,
+                         .term = report->heartbeat->term,
+                         .is_pool = true},
+                        session::DecodeRateReport(*report->heartbeat), now_));
+  if (options_.defect == QuotaDefect::kEndlessLeases) {
+    for (const auto& grant : reply->reply->rate_grants) {
+      grant->lease_us = Duration(seconds(60)).count();
+    }
+  }
+  At(Arrival(pool.cut_until, kFarWay, pool.last_to_pool),
+     [this, index, reply] { pools_[index].tokens->OnReply(*reply, now_); });
+}
+
+void QuotaWorld::OnReply(std::size_t index, std::uint64_t incarnation,
+                         const std::vector<quota::RateGrant>& grants,
+                         std::uint64_t term, MonotonicTime asked_at) {
+  Router& router = routers_[index];
+  if (now_ < router.frozen_until) {
+    At(router.frozen_until, [this, index, incarnation, grants, term, asked_at] {
+      OnReply(index, incarnation, grants, term, asked_at);
+    });
+    return;
+  }
+  if (incarnation != router.incarnation || now_ < router.down_until) {
+    return;
+  }
+  router.term = std::max(router.term, term);
+  for (quota::RateGrant grant : grants) {
+    if (options_.defect == QuotaDefect::kEndlessLeases) {
+      grant.lease = seconds(60);
+    }
+    auto& waiting = router.waiting[grant.key];
+    Tenant& tenant = TenantOf(grant.key);
+    const std::uint32_t admitted =
+        router.leases.OnGrant(grant, term, asked_at, now_);
+    for (std::uint32_t i = 0; i < admitted; ++i) {
+      Use(index, tenant);
+    }
+    waiting.erase(waiting.begin(), waiting.begin() + admitted);
+    if (grant.wait > Duration(0)) {
+      waiting.clear();
+    }
+    router.leases.SetWaiting(grant.key,
+                             static_cast<std::uint32_t>(waiting.size()));
+  }
+}
+
+// --- Leaders and trouble -----------------------------------------------------
+
+std::set<std::string> QuotaWorld::Members() const {
+  std::set<std::string> members;
+  for (const Router& router : routers_) {
+    if (now_ - router.answered < kMembership) {
+      members.insert(router.name);
+    }
+  }
+  return members;
+}
+
+void QuotaWorld::StartLeader() {
+  ++term_;
+  ++report_.leaders;
+  leads_ = true;
+  std::set<std::string> members = Members();
+  std::set<std::string> pools;
+  for (std::size_t i = 0; i < pools_.size(); ++i) {
+    pools.insert(control::PoolName(i + 1));
+  }
+  if (options_.defect == QuotaDefect::kForgetfulLeader) {
+    members.clear();
+    pools.clear();
+  }
+  granter_.Start(term_, std::move(members), std::move(pools), now_);
+  quota::RateLimits limits;
+  for (const Tenant& tenant : tenants_) {
+    limits[tenant.name] = tenant.limit;
+  }
+  granter_.SetLimits(std::move(limits), now_);
+}
+
+void QuotaWorld::ScheduleTrouble() {
+  At(now_ + Seconds(Draw(0.2, 2.5)), [this] {
+    MakeTrouble();
+    ScheduleTrouble();
+  });
+}
+
+void QuotaWorld::CutRouters(double share, MonotonicTime until) {
+  for (Router& router : routers_) {
+    router.cut_until = Chance(share) ? until : router.cut_until;
+  }
+  for (Pool& pool : pools_) {
+    const bool may_cut = options_.trouble != QuotaTrouble::kRoutersCut;
+    pool.cut_until =
+        may_cut && Chance(share * kPoolCutShare) ? until : pool.cut_until;
+  }
+  if (options_.defect != QuotaDefect::kEagerReuse) {
+    return;
+  }
+  At(now_ + seconds(1), [this] {
+    for (const Router& router : routers_) {
+      if (now_ < router.cut_until && leads_) {
+        granter_.OnReport(
+            {.name = router.name, .incarnation = router.incarnation + 1000}, {},
+            now_);
+      }
+    }
+    for (std::size_t i = 0; i < pools_.size(); ++i) {
+      if (now_ < pools_[i].cut_until && leads_) {
+        granter_.OnReport({.name = control::PoolName(i + 1),
+                           .incarnation = 1'000'000,
+                           .is_pool = true},
+                          {}, now_);
+      }
+    }
+  });
+}
+
+void QuotaWorld::RestartRouters(double share) {
+  for (Router& router : routers_) {
+    if (Chance(share)) {
+      router.down_until = now_ + Seconds(Draw(0.3, 2));
+      ++router.incarnation;
+      router.term = 0;
+      router.leases = quota::RateLeases();
+      router.waiting.clear();
+    }
+  }
+}
+
+void QuotaWorld::LoseLeader(Duration without) {
+  if (leads_) {
+    // Its machine restarts.
+    const auto lost = static_cast<std::size_t>(
+        Draw(0, static_cast<double>(pools_.size()) - 0.01));
+    pools_[lost].down_until = now_ + without;
+    RestartPool(pools_[lost], lost);
+    leads_ = false;
+    granter_.Stop();
+    At(now_ + without, [this] { StartLeader(); });
+  }
+}
+
+void QuotaWorld::HeatTenant(Tenant& tenant, Duration length, double factor) {
+  tenant.hot_until = now_ + length;
+  tenant.hot_factor = factor;
+}
+
+void QuotaWorld::MakeTrouble() {
+  const double kind = Draw(0, 1);
+  if (kind < 0.25) {
+    HeatTenant(tenants_[static_cast<std::size_t>(Draw(0, 6))],
+               Seconds(Draw(3, 10)), Draw(3, 9));
+  } else if (kind < 0.45) {
+    CutRouters(Draw(0.05, 0.9), now_ + Seconds(Draw(1, 10)));
+  } else if (kind < 0.6) {
+    for (Router& router : routers_) {
+      if (Chance(0.15)) {
+        router.frozen_until = now_ + Seconds(Draw(0.5, 5));
+      }
+    }
+  } else if (kind < 0.75) {
+    RestartRouters(Chance(0.2) ? 1 : 0.1);
+  } else {
+    LoseLeader(Seconds(Draw(0.3, 2)));
+  }
+}
+
+double QuotaWorld::WorstUse() const {
+  double worst = 0;
+  for (const Tenant& tenant : tenants_) {
+    const double allowed =
+        (tenant.limit.per_second * ToSeconds(kTolerance.window) +
+         tenant.limit.burst) *
+            (1 + kTolerance.overage) +
+        kTolerance.slack;
+    std::vector<MonotonicTime> uses = tenant.uses;
+    std::ranges::sort(uses);
+    std::size_t begin = 0;
+    for (std::size_t last = 0; last < uses.size(); ++last) {
+      while (uses[last] - uses[begin] > kTolerance.window) {
+        ++begin;
+      }
+      worst = std::max(worst, static_cast<double>(last - begin + 1) / allowed);
+    }
+  }
+  return worst;
+}
+
+std::size_t QuotaWorld::ShortOf() const {
+  std::size_t short_of = 0;
+  for (const Tenant& tenant : tenants_) {
+    for (const auto& [span, counts] : tenant.spans) {
+      const auto& [within, admitted] = counts;
+      short_of += within - std::min(within, admitted);
+    }
+  }
+  return short_of;
+}
+
+QuotaReport QuotaWorld::Run() {
+  while (!events_.empty() && events_.top().time < end_) {
+    const Event event = events_.top();
+    events_.pop();
+    now_ = event.time;
+    event.run();
+  }
+  report_.worst_use = WorstUse();
+  report_.short_of = ShortOf();
+  return report_;
+}
+
+}  // namespace juniperway::test
