--- a/source/common/forwarding/tenant_admission.h
+++ b/source/common/forwarding/tenant_admission.h
@@ -31,10 +31,11 @@
 class TenantAdmission {
  public:
   // How long a request waits for control's answer: eight round trips between
-  // regions (24 ms), which leaves an election behind; a request that is refused
-  // then can still be served elsewhere within 0.5 s.
+  // regions (24 ms). It does not last over an election (about a second); a
+  // client that is refused after it has time to try again.
   static constexpr Duration kLongestAsk = milliseconds(200);
-  // After a refusal for want of an answer: an election takes about a second.
+  // After a refusal for want of an answer: half of the time that an election
+  // takes.
   static constexpr Duration kUndecidedRetryAfter = milliseconds(500);
 
   // @param retry_after of a refusal: when there may be a token.
