--- a/source/common/base/time.h
+++ b/source/common/base/time.h
@@ -48,4 +48,14 @@
   return std::chrono::duration_cast<milliseconds>(duration).count();
 }
 
+// Seconds in `duration`, with fractions.
+inline double ToSeconds(Duration duration) {
+  return std::chrono::duration<double>(duration).count();
+}
+// The duration of so many seconds, rounded down to whole microseconds.
+inline Duration FromSeconds(double value) {
+  return std::chrono::duration_cast<Duration>(
+      std::chrono::duration<double>(value));
+}
+
 }  // namespace juniperway
--- a/source/common/quota/fleet_rate.cc
+++ b/source/common/quota/fleet_rate.cc
@@ -4,19 +4,6 @@
 #include <cmath>
 
 namespace juniperway::quota {
-namespace {
-
-double ToSeconds(Duration duration) {
-  return std::chrono::duration<double>(duration).count();
-}
-
-Duration ToDuration(double seconds) {
-  return std::chrono::duration_cast<Duration>(
-      std::chrono::duration<double>(seconds));
-}
-
-}  // namespace
-
 FleetRate::FleetRate(const RateLimit& limit, const RateTolerance& tolerance,
                      double drift, MonotonicTime now)
     : limit_(limit), tolerance_(tolerance), drift_(drift), advanced_to_(now) {}
@@ -145,7 +132,7 @@
     holder.promises.push_front({.number = request.held_grant,
                                 .rate = request.held_rate,
                                 .stock = request.held_stock,
-                                .end = now + ToDuration(left)});
+                                .end = now + FromSeconds(left)});
   }
 }
 
@@ -204,7 +191,7 @@
 Duration FleetRate::WaitForToken() const {
   const double missing = std::max(0.0, 1 - tokens_);
   const double wait = refill_ > 0 ? missing / refill_ : ToSeconds(kLongestWait);
-  return std::min(kLongestWait, ToDuration(wait));
+  return std::min(kLongestWait, FromSeconds(wait));
 }
 
 RateGrant FleetRate::Grant(const std::string& name, const RateRequest& request,
@@ -226,7 +213,7 @@
   grant.rate = share.rate;
   grant.stock = share.stock;
   grant.lease = kRateLease;
-  const Duration here = ToDuration(ToSeconds(kRateLease) * (1 + drift_));
+  const Duration here = FromSeconds(ToSeconds(kRateLease) * (1 + drift_));
   holder.promises.push_back({.number = number,
                              .rate = grant.rate,
                              .stock = grant.stock,
--- a/source/common/quota/fleet_rate.h
+++ b/source/common/quota/fleet_rate.h
@@ -4,24 +4,21 @@
 // routers near them. Pure: time is an argument.
 //
 // The tokens of the limit come in at its rate. A part of that rate is leased:
-// each router that has demand gets its share and goes on with it without asking
+// each holder that has demand gets its share and goes on with it without asking
 // while the lease lasts, also when it is cut off. The rest fills one bucket
-// here, from which routers get tokens for requests that wait and to fill their
-// stock.
-//
-// What comes to a router whose stock is full is returned with its next report.
+// here, from which holders get tokens for requests that wait and to fill their
+// stocks. What comes to a holder whose stock is full is returned with its next
+// report.
 //
 // Bound. In any window W the fleet uses at most
-//   the stocks held at its begin           <= sum of granted stocks
-//   + what the leased rates bring in W     |
-//   + tokens handed out in W               | <= rate x W + capacity of the
-//   bucket
-//   + tokens handed out shortly before     <= rate x kLongestGrantAge x
-//   kGrantHops
-// The capacity is what the tolerance leaves after the stocks, so that the sum
-// stays under (rate x W + burst) x (1 + overage) + slack. What a router may use
-// counts from before a grant is sent until it has confirmed a later one, or its
-// lease has ended by this machine's clock with drift.
+//   - the stocks that were held at its begin,
+//   - rate x W, which leases and the bucket bring in together,
+//   - what was in the bucket, its capacity at most,
+//   - tokens that were on their way, rate x kLongestGrantAge x kGrantHops.
+// The capacity is what the tolerance leaves after the other terms, so that the
+// sum stays under (rate x W + burst) x (1 + overage) + slack. What a holder may
+// use counts from before a grant is sent until it has confirmed a later one, or
+// its lease has ended by this machine's clock with drift.
 #pragma once
 
 #include <cstddef>
--- a/source/common/quota/rate_leases.cc
+++ b/source/common/quota/rate_leases.cc
@@ -8,14 +8,6 @@
 #include "common/quota/fleet_rate.h"
 
 namespace juniperway::quota {
-namespace {
-
-double ToSeconds(Duration duration) {
-  return std::chrono::duration<double>(duration).count();
-}
-
-}  // namespace
-
 void RateLeases::Advance(Entry& entry, MonotonicTime now) {
   const MonotonicTime until = std::min(now, entry.end);
   if (until > entry.advanced_to) {
--- a/source/common/routes/route_table.cc
+++ b/source/common/routes/route_table.cc
@@ -260,8 +260,7 @@
     service.maximum_connections = static_cast<std::uint32_t>(
         reader.Unsigned("maximum_connections", 1, kMaximumConnections, 1));
     service.warmup =
-        std::chrono::duration_cast<Duration>(std::chrono::duration<double>(
-            reader.Number("warmup_s", kMaximumWarmupSeconds, 0.0)));
+        FromSeconds(reader.Number("warmup_s", kMaximumWarmupSeconds, 0.0));
     service.cold_requests_per_second =
         reader.Number("cold_requests_per_second", kMaximumColdRequests, 0.0);
     if (reader.fault()) {
--- a/test/property/quota/quota_world.cc
+++ b/test/property/quota/quota_world.cc
@@ -25,15 +25,6 @@
 constexpr Duration kNearWay = milliseconds(1);
 constexpr Duration kFarWay = milliseconds(14);
 
-double ToSeconds(Duration duration) {
-  return std::chrono::duration<double>(duration).count();
-}
-
-Duration Seconds(double value) {
-  return std::chrono::duration_cast<Duration>(
-      std::chrono::duration<double>(value));
-}
-
 }  // namespace
 
 QuotaWorld::QuotaWorld(const QuotaOptions& options)
@@ -50,11 +41,11 @@
       granter_(kTolerance, kDrift) {
   for (std::size_t i = 0; i < routers_.size(); ++i) {
     routers_[i].name = "r" + std::to_string(i);
-    At(now_ + Seconds(Draw(0, 1)), [this, i] { Beat(i); });
+    At(now_ + FromSeconds(Draw(0, 1)), [this, i] { Beat(i); });
   }
   for (std::size_t i = 0; i < pools_.size(); ++i) {
     RestartPool(pools_[i], i);
-    At(now_ + Seconds(Draw(0, 1)), [this, i] { BeatPool(i); });
+    At(now_ + FromSeconds(Draw(0, 1)), [this, i] { BeatPool(i); });
   }
   MakeTenants();
   StartLeader();
@@ -133,7 +124,7 @@
 void QuotaWorld::ScheduleArrival(Tenant& tenant) {
   const double factor = now_ < tenant.hot_until ? tenant.hot_factor : 1;
   std::exponential_distribution<double> gap(tenant.usual * factor);
-  At(now_ + Seconds(gap(random_)), [this, &tenant] {
+  At(now_ + FromSeconds(gap(random_)), [this, &tenant] {
     Arrive(tenant);
     ScheduleArrival(tenant);
   });
@@ -215,7 +206,7 @@
   const double way = may_lose && Chance(0.002)
                          ? Draw(0.2, 3)
                          : Draw(0.0003, ToSeconds(longest));
-  last = std::max(last, std::max(now_, cut_until) + Seconds(way));
+  last = std::max(last, std::max(now_, cut_until) + FromSeconds(way));
   return last;
 }
 
@@ -404,7 +395,7 @@
 }
 
 void QuotaWorld::ScheduleTrouble() {
-  At(now_ + Seconds(Draw(0.2, 2.5)), [this] {
+  At(now_ + FromSeconds(Draw(0.2, 2.5)), [this] {
     MakeTrouble();
     ScheduleTrouble();
   });
@@ -444,7 +435,7 @@
 void QuotaWorld::RestartRouters(double share) {
   for (Router& router : routers_) {
     if (Chance(share)) {
-      router.down_until = now_ + Seconds(Draw(0.3, 2));
+      router.down_until = now_ + FromSeconds(Draw(0.3, 2));
       ++router.incarnation;
       router.term = 0;
       router.leases = quota::RateLeases();
@@ -475,19 +466,19 @@
   const double kind = Draw(0, 1);
   if (kind < 0.25) {
     HeatTenant(tenants_[static_cast<std::size_t>(Draw(0, 6))],
-               Seconds(Draw(3, 10)), Draw(3, 9));
+               FromSeconds(Draw(3, 10)), Draw(3, 9));
   } else if (kind < 0.45) {
-    CutRouters(Draw(0.05, 0.9), now_ + Seconds(Draw(1, 10)));
+    CutRouters(Draw(0.05, 0.9), now_ + FromSeconds(Draw(1, 10)));
   } else if (kind < 0.6) {
     for (Router& router : routers_) {
       if (Chance(0.15)) {
-        router.frozen_until = now_ + Seconds(Draw(0.5, 5));
+        router.frozen_until = now_ + FromSeconds(Draw(0.5, 5));
       }
     }
   } else if (kind < 0.75) {
     RestartRouters(Chance(0.2) ? 1 : 0.1);
   } else {
-    LoseLeader(Seconds(Draw(0.3, 2)));
+    LoseLeader(FromSeconds(Draw(0.3, 2)));
   }
 }
 
