A router that is late itself does not hedge

Ruled out: libcurl closing connections between two scatters (its limit is set). Change: a hedge that the loop comes to more than 4 ms late is put off for as long as the loop was late, 20 ms at the most: what has arrived is read first. Test that fails before: unit.forwarding/request_run, counts of hedges.

--- a/source/common/forwarding/request_run.cc
+++ b/source/common/forwarding/request_run.cc
@@ -19,6 +19,17 @@
 // otherwise go on to the next replica of each shard (8 of 12 back ends asked by
 // one try before, 5 with this; integration.forwarding/crashing_requests).
 constexpr std::size_t kSuspectedAfterLost = 3;
+// A router whose loop comes to a hedge later than this has work of its own
+// left: answers that have arrived and are not read yet, requests that are not
+// sent. Hedges then add to what makes it late. A fleet of 985 routers with 0.12
+// of a core opened 192,295 connections for 138,455 requests that reached a back
+// end on a quiet day (simulated), nearly all the difference hedges that were
+// given up before they were sent. A loop with time is late by under a
+// millisecond; reading an answer takes 0.3 ms of such a core.
+constexpr Duration kBehindAfter = milliseconds(4);
+// It looks again after as long as it was late, but soon enough for a target of
+// 100 ms.
+constexpr Duration kLongestCatchUp = milliseconds(20);
 // Shortest wait before a hedge.
 constexpr Duration kShortestHedgeDelay = milliseconds(5);
 // Nine of ten hedges are answered as fast, their connections included.
@@ -413,7 +424,13 @@
   for (Shard& shard : shards_) {
     const bool open =
         !shard.in && !shard.failed && !shard.held && !shard.waits_for_backend;
-    if (open && now >= shard.next_hedge) {
+    if (!open || now < shard.next_hedge) {
+      continue;
+    }
+    const Duration behind = now - shard.next_hedge;
+    if (behind > kBehindAfter) {
+      shard.next_hedge = now + std::min(behind, kLongestCatchUp);
+    } else {
       Hedge(shard, now);
     }
   }
--- a/test/unit/forwarding/request_run_test.cc
+++ b/test/unit/forwarding/request_run_test.cc
@@ -31,6 +31,23 @@
         std::string(16, 'd') + std::string(16, 'c') + std::string(16, 'b'));
 }
 
+TEST_CASE(
+    "a router that is late itself does not hedge, and does once it is not") {
+  World world;
+  RequestRun& run = world.Start();
+  // The loop comes to the hedges late: answers may lie there unread.
+  world.now = run.NextDeadline() + milliseconds(30);
+  run.OnTime(world.now);
+  CHECK(run.hedges() == 0);
+  CHECK(run.NextDeadline() <= world.now + milliseconds(20));
+  world.now = run.NextDeadline() + milliseconds(10);
+  run.OnTime(world.now);
+  CHECK(run.hedges() == 0);
+  world.now = run.NextDeadline() + milliseconds(1);
+  run.OnTime(world.now);
+  CHECK(run.hedges() == kShards);
+}
+
 // When the first hedge of a request of a 250 ms target goes out.
 // @param hedge_latency of earlier hedges; none: there were none.
 Duration FirstHedgeAfter(std::optional<Duration> hedge_latency) {
