An answer leaves earlier by what its parts cost to merge

Cause: half of the urgent scatters came 0.5 ms late (median 120.5 of 120 ms): the margin before the target was the same for one part and for 90, though merging a part and writing its signature takes some 7 us of a whole core. Grows with shards. Ruled out: a longer margin for all, which takes parts from small scatters. Change: 60 us for each part besides the 18 ms. No test of its own.

--- a/source/common/forwarding/request_run.cc
+++ b/source/common/forwarding/request_run.cc
@@ -108,8 +108,7 @@
   }
   admitted_ = true;
   // A request that is late already still gets half of a target to complete.
-  answer_by_ =
-      std::max(target_by_ - options_.answer_margin, now + route_.target / 2);
+  answer_by_ = std::max(target_by_ - AnswerMargin(), now + route_.target / 2);
   // A fresh request is given up early enough for its client to try again; one
   // that is late already has most likely used up its client's tries.
   shards_wait_until_ = target_by_ < now ? wait_until_ : now + route_.target;
@@ -298,6 +297,11 @@
 
 // --- Hedges and retries ------------------------------------------------------
 
+Duration RequestRun::AnswerMargin() const {
+  return options_.answer_margin +
+         options_.part_margin * static_cast<Duration::rep>(shards_.size());
+}
+
 Duration RequestRun::LatestHedgeDelay() const {
   const Duration earliest =
       Scaled(route_.target, options_.earliest_hedge_share);
@@ -306,7 +310,7 @@
   if (!hedge) {
     return earliest;
   }
-  const Duration in_time = route_.target - options_.answer_margin - *hedge;
+  const Duration in_time = route_.target - AnswerMargin() - *hedge;
   return std::clamp(in_time, earliest, latest);
 }
 
--- a/source/common/forwarding/request_run.h
+++ b/source/common/forwarding/request_run.h
@@ -129,6 +129,11 @@
   // Between this router and the client, both ways, with what an answer takes
   // to be written: an answer leaves this long before the target.
   Duration answer_margin = milliseconds(18);
+  // And this long for each part: merging it and writing its signature takes
+  // some 7 us of a whole core, and routers have 0.12 of one. With 90 parts and
+  // 18 ms alone half of the urgent answers came 0.5 ms late (median 120.5 ms
+  // of 120, a fleet of 985 routers, simulated).
+  Duration part_margin = microseconds(60);
   // Attempts that take longer than this share of the others are hedged. Mean
   // worth of five days with trouble and 70 machines 0.566 at 0.99 and half of
   // the target, 0.583 at 0.95 and a quarter, 0.613 and 0.615 with other changes
@@ -263,6 +268,8 @@
   void CancelUnderWay(Shard& shard, MonotonicTime now);
   void Hedge(Shard& shard, MonotonicTime now);
   void Retry(Shard& shard, MonotonicTime now);
+  // How long before its target an answer has to leave.
+  Duration AnswerMargin() const;
   // The longest wait that leaves a hedge time to be answered within the target.
   Duration LatestHedgeDelay() const;
   Duration HedgeDelay() const;
