--- a/source/ctl/command_table.cc
+++ b/source/ctl/command_table.cc
@@ -89,6 +89,11 @@
        {"change-id", "wait"},
        false,
        RunEvacuate},
+  };
+}
+
+std::vector<Command> OperationCommands() {
+  return {
       {"rollouts",
        "list | start SERVICE VERSION SECONDS | remove SERVICE",
        "Move a service to another version of its back ends, step by step.",
@@ -98,11 +103,6 @@
        {"change-id", "wait"},
        false,
        RunRollouts},
-  };
-}
-
-std::vector<Command> OperationCommands() {
-  return {
       {"crashing-requests",
        "list | release FINGERPRINT",
        "Show requests under which back ends ended, or let one be sent again.",
--- a/test/property/rollout/rollout_world.cc
+++ b/test/property/rollout/rollout_world.cc
@@ -61,11 +61,13 @@
 
 void RolloutWorld::RunDue() {
   std::vector<Event> due;
-  const auto later = std::ranges::partition(
-      events_, [this](const Event& event) { return event.time > now_; });
-  due.assign(std::make_move_iterator(later.begin()),
-             std::make_move_iterator(later.end()));
-  events_.erase(later.begin(), later.end());
+  // clang 14 cannot instantiate std::ranges::partition.
+  const auto first =
+      std::partition(events_.begin(), events_.end(),
+                     [this](const Event& event) { return event.time > now_; });
+  due.assign(std::make_move_iterator(first),
+             std::make_move_iterator(events_.end()));
+  events_.erase(first, events_.end());
   for (const Event& event : due) {
     event.run();
   }
