--- a/source/ctl/command_table.cc
+++ b/source/ctl/command_table.cc
@@ -80,6 +80,11 @@
        {"change-id", "wait"},
        false,
        RunUndrain},
+  };
+}
+
+std::vector<Command> ForwardingCommands() {
+  return {
       {"evacuate",
        "list | start ZONE | end ZONE",
        "Take all back ends of a zone out of use, or back into use.",
@@ -89,11 +94,6 @@
        {"change-id", "wait"},
        false,
        RunEvacuate},
-  };
-}
-
-std::vector<Command> OperationCommands() {
-  return {
       {"rollouts",
        "list | start SERVICE VERSION SECONDS | remove SERVICE",
        "Move a service to another version of its back ends, step by step.",
@@ -112,6 +112,11 @@
        {"change-id", "wait"},
        false,
        RunCrashingRequests},
+  };
+}
+
+std::vector<Command> OperationCommands() {
+  return {
       {"status",
        "",
        "Show the state of the control machines.",
@@ -184,8 +189,9 @@
 const std::vector<Command>& Commands() {
   static const std::vector<Command> commands = [] {
     std::vector<Command> all = ResourceCommands();
-    const std::vector<Command> more = OperationCommands();
-    all.insert(all.end(), more.begin(), more.end());
+    for (const auto& more : {ForwardingCommands(), OperationCommands()}) {
+      all.insert(all.end(), more.begin(), more.end());
+    }
     return all;
   }();
   return commands;
