A daemon's pauses do not depend on how many control machines it knows

And integration.forwarding/rollout asked one machine, which may be the one it had killed, and hung. Change: draws of later machines come from a generator of their own, the first ones keep their shuffle; the fixture asks every machine. No check changed.

--- a/source/common/session/endpoint_preference.cc
+++ b/source/common/session/endpoint_preference.cc
@@ -8,11 +8,20 @@
 
 EndpointPreference::EndpointPreference(const PreferenceTiming& timing,
                                        std::size_t count, std::uint64_t seed)
-    : timing_(timing), random_(seed), pause_(timing.first_pause) {
+    : timing_(timing),
+      random_(seed),
+      draw_random_(~seed),
+      pause_(timing.first_pause) {
   for (std::size_t endpoint = 0; endpoint < count; ++endpoint) {
     Append();
   }
-  Sort();
+  std::ranges::shuffle(order_, random_);
+  // Their draws stand in the order of the shuffle.
+  std::vector<std::uint64_t> draws = draws_;
+  std::ranges::sort(draws);
+  for (std::size_t place = 0; place < count; ++place) {
+    draws_[order_[place]] = draws[place];
+  }
 }
 
 void EndpointPreference::Add() {
@@ -25,7 +34,7 @@
 void EndpointPreference::Append() {
   order_.push_back(localities_.size());
   localities_.push_back(Locality::kOtherRegion);
-  draws_.push_back(random_());
+  draws_.push_back(draw_random_());
 }
 
 void EndpointPreference::Sort() {
--- a/source/common/session/endpoint_preference.h
+++ b/source/common/session/endpoint_preference.h
@@ -66,7 +66,11 @@
   Duration Draw(Duration shortest, Duration longest);
 
   PreferenceTiming timing_;
+  // Of pauses, and of the order of those known from the start.
   std::mt19937_64 random_;
+  // Of the places of those that become known later: a daemon's pauses do not
+  // depend on how many these are.
+  std::mt19937_64 draw_random_;
   std::vector<Locality> localities_;
   // Order among those that are equally near, which each daemon draws for
   // itself: by the order in which they become known, all daemons of a zone
--- a/test/integration/forwarding/route_fleet.cc
+++ b/test/integration/forwarding/route_fleet.cc
@@ -436,8 +436,17 @@
 }
 
 std::string RouteFleet::RolloutState(const std::string& service) {
-  const json rollout = Read("/v1/rollouts/" + service);
-  return rollout.is_object() ? rollout.value("state", "") : "";
+  // Any machine may be the one that was killed.
+  for (int machine = 0; machine < machines(); ++machine) {
+    const auto response =
+        http_.Get(fmt::format("http://{}:{}/v1/rollouts/{}", AddressOf(machine),
+                              http_port_, service));
+    const json rollout = json::parse(response.body, nullptr, false);
+    if (rollout.is_object() && rollout.contains("state")) {
+      return rollout["state"];
+    }
+  }
+  return "";
 }
 
 json RouteFleet::Status() { return Read("/v1/status"); }
