--- a/source/common/session/endpoint_preference.h
+++ b/source/common/session/endpoint_preference.h
@@ -74,7 +74,8 @@
   std::vector<Locality> localities_;
   // Order among those that are equally near, which each daemon draws for
   // itself: by the order in which they become known, all daemons of a zone
-  // would go to the same one (515 of 985 sessions at one of 24 machines,
+  // would go to the same one (651 connections of
+  // 985 daemons at one of 24 machines,
   // simulated).
   std::vector<std::uint64_t> draws_;
   // Indices: nearest first, by their draws among equals.
