Roll-out test: wait until a withdrawal is in force

The verdict was replicated, and the control machines were killed before they told the routers. Ruled out: requests once it was in force (none in any run), a version marked again by a machine that restarts.

The check was wrong: `rolled_back` promises nothing for routers that are not told yet. It now waits for `in_force` and asks for exactly none from then on, in a calm case as well, and holds the exposure limit over the time between.

--- a/test/integration/forwarding/rollout_test.cc
+++ b/test/integration/forwarding/rollout_test.cc
@@ -34,11 +34,14 @@
     }
   }
 
-  // One request at one router after the other.
+  // One request at one router after the other; one of three is of the rare
+  // route.
   void Request() {
     ++requests;
+    const std::size_t round =
+        rare_at_one_router ? requests : requests / kRouters;
     const std::string target =
-        (requests % 3 == 0 ? "/rare/" : "/often/") + std::to_string(requests);
+        (round % 3 == 0 ? "/rare/" : "/often/") + std::to_string(requests);
     const auto answer = fleet.Request(target, "request-" + target,
                                       static_cast<int>(requests % kRouters));
     failed += answer.status == 200 ? 0 : 1;
@@ -51,11 +54,13 @@
       for (int i = 0; i < 50; ++i) {
         Request();
       }
-      state = fleet.RolloutState("s1");
+      state = fleet.GetRollout("s1").state;
     }
     return state;
   }
 
+  // All requests of the rare route go to the first router.
+  bool rare_at_one_router = false;
   std::size_t requests = 0;
   std::size_t failed = 0;
   RouteFleet fleet;
@@ -83,6 +88,24 @@
   CHECK(old_requests() == before);
 }
 
+// The canary got no more than its share of the requests so far.
+void CheckExposure(const Fleet& fleet, const StandInBackend& canary) {
+  constexpr std::size_t kSlack = 10;
+  CHECK(canary.Targets().size() <= fleet.requests / 10 + kSlack);
+}
+
+// Nothing reaches the canary once its withdrawal is in force at every router.
+// `rolled_back` alone says that it is replicated: routers that have not heard
+// of it go on with the share that they know.
+void CheckWithdrawn(Fleet& fleet, const StandInBackend& canary) {
+  REQUIRE(fleet.fleet.AwaitRolloutInForce("s1"));
+  const std::size_t before = canary.Targets().size();
+  for (int i = 0; i < 100; ++i) {
+    fleet.Request();
+  }
+  CHECK(canary.Targets().size() == before);
+}
+
 TEST_CASE("a version that fails on one route is undone and gets nothing more") {
   Fleet fleet;
   REQUIRE(fleet.fleet.CallControl("POST", "/v1/rollouts", kOrder) == 200);
@@ -91,18 +114,32 @@
   StandInBackend& canary = fleet.fleet.AddBackend("new-1", "s1", "v2");
   canary.FailOn("/rare/");
   CHECK(fleet.RequestUntilDecided() == "rolled_back");
+  CHECK(fleet.fleet.GetRollout("s1").reason == "its answers are worse");
   // Retries at the old version keep the failures from the clients.
   CHECK(fleet.failed == 0);
-  constexpr std::size_t kSlack = 10;
-  CHECK(canary.Targets().size() <= fleet.requests / 10 + kSlack);
+  CheckExposure(fleet, canary);
+  CheckWithdrawn(fleet, canary);
+}
+
+TEST_CASE("a verdict outlives the loss of all control machines") {
+  Fleet fleet;
+  fleet.rare_at_one_router = true;
+  REQUIRE(fleet.fleet.CallControl("POST", "/v1/rollouts", kOrder) == 200);
+  StandInBackend& canary = fleet.fleet.AddBackend("new-1", "s1", "v2");
+  canary.FailOn("/rare/");
+  // One router alone sees failures: it does not decide, and what nobody could
+  // judge in time is undone as well.
+  CHECK(fleet.RequestUntilDecided() == "rolled_back");
+  // Before the routers have heard of it, most often.
   fleet.fleet.KillControls();
   CHECK(fleet.fleet.CallControl("GET", "/v1/rollouts/s1") == 200);
-  CHECK(fleet.fleet.RolloutState("s1") == "rolled_back");
-  const std::size_t before = canary.Targets().size();
+  CHECK(fleet.fleet.GetRollout("s1").state == "rolled_back");
   for (int i = 0; i < 100; ++i) {
     fleet.Request();
   }
-  CHECK(canary.Targets().size() == before);
+  CheckWithdrawn(fleet, canary);
+  CHECK(fleet.failed == 0);
+  CheckExposure(fleet, canary);
 }
 
 TEST_CASE("an order with a fault is refused") {
--- a/test/integration/forwarding/route_fleet.cc
+++ b/test/integration/forwarding/route_fleet.cc
@@ -435,7 +435,7 @@
   return json::parse(response.body, nullptr, /*allow_exceptions=*/false);
 }
 
-std::string RouteFleet::RolloutState(const std::string& service) {
+RolloutStatus RouteFleet::GetRollout(const std::string& service) {
   // Any machine may be the one that was killed.
   for (int machine = 0; machine < machines(); ++machine) {
     const auto response =
@@ -443,10 +443,16 @@
                               http_port_, service));
     const json rollout = json::parse(response.body, nullptr, false);
     if (rollout.is_object() && rollout.contains("state")) {
-      return rollout["state"];
+      return {.state = rollout["state"],
+              .reason = rollout["reason"],
+              .in_force = rollout["in_force"]};
     }
   }
-  return "";
+  return {};
+}
+
+bool RouteFleet::AwaitRolloutInForce(const std::string& service) {
+  return lab::WaitFor(kLimit, [&] { return GetRollout(service).in_force; });
 }
 
 json RouteFleet::Status() { return Read("/v1/status"); }
--- a/test/integration/forwarding/route_fleet.h
+++ b/test/integration/forwarding/route_fleet.h
@@ -33,6 +33,14 @@
   kHolds,      // not until it answers well again
 };
 
+// What the resource API tells of a roll-out.
+struct RolloutStatus {
+  // Empty while no leader answers.
+  std::string state;
+  std::string reason;
+  bool in_force = false;
+};
+
 class StandInBackend {
  public:
   StandInBackend(asio::io_context& context, std::string id, std::string service,
@@ -106,8 +114,10 @@
   // with 200 or 400. @return the status.
   int CallControl(const std::string& method, const std::string& path,
                   const std::string& body = "");
-  // The state of the service's roll-out; empty while no leader answers.
-  std::string RolloutState(const std::string& service);
+  // The service's roll-out, as the leader tells it.
+  RolloutStatus GetRollout(const std::string& service);
+  // Waits until its last change is in force at every router with a lease.
+  bool AwaitRolloutInForce(const std::string& service);
   // Waits until the router answers this target with this status.
   bool AwaitStatus(const std::string& target, int status);
 
