Routers tell each other where requests fail, through the control machines

Cause: knowledge of a back end is a router's own, and a router's rate of requests to one back end falls with routers x replicas.

Change: routers report failures (once a back end and 8 s), control machines merge and pass them on each 0.1 s, to each other and to their routers; a router that has hardly any attempts of its own at a back end goes by what is told. Soft state, nothing replicated, nothing sent while nothing fails.

Between followers little else is sent, and a machine that does not answer is taken for dead: digests are answered, with a message that awaits none.

Ruled out by arithmetic: two more attempts a shard in place of one leave 11 % of the shards unanswered, where 5 % may be missing.

--- a/source/common/control/control_node.cc
+++ b/source/common/control/control_node.cc
@@ -85,6 +85,7 @@
   leader_client_->Stop();
   api_server_->Close();
   sessions_->Stop();
+  observations_->Stop();
   listener_->Close();
   peers_->Stop();
   driver_->Stop();
--- a/source/common/control/control_node.h
+++ b/source/common/control/control_node.h
@@ -20,6 +20,7 @@
 #include "common/control/join_client.h"
 #include "common/control/leader_client.h"
 #include "common/control/leader_role.h"
+#include "common/control/observation_exchange.h"
 #include "common/control/peer_listener.h"
 #include "common/control/peer_network.h"
 #include "common/control/platform_poller.h"
@@ -90,6 +91,8 @@
   void OnForwardedHeartbeats(raft::NodeId from,
                              const protocol::ForwardHeartbeatsT& forwarded);
   void OnProgressUpdate(const protocol::ProgressUpdateT& progress);
+  // To every other control machine.
+  void SendObservations(const observation::BackendObservations& observations);
   bool ForwardHeartbeats(Heartbeats heartbeats);
   void ForwardGoodbye(const DaemonKey& daemon);
   void AnnounceProgress(
@@ -139,6 +142,7 @@
   std::unique_ptr<LeaderRole> role_;
   std::unique_ptr<LeaderClient> leader_client_;
   std::unique_ptr<SessionServer> sessions_;
+  std::unique_ptr<ObservationExchange> observations_;
   std::unique_ptr<ResourceApi> resource_api_;
   std::unique_ptr<PeerListener> listener_;
   std::unique_ptr<ApiServer> api_server_;
--- a/source/common/control/control_node_peers.cc
+++ b/source/common/control/control_node_peers.cc
@@ -6,6 +6,7 @@
 #include "common/control/control_node.h"
 #include "common/raft/configuration.h"
 #include "common/session/control_frames.h"
+#include "common/session/observation_codec.h"
 
 namespace juniperway::control {
 
@@ -62,6 +63,10 @@
     sessions_->OnReplies(replies->replies);
   } else if (const auto* progress = message.AsProgressUpdate()) {
     OnProgressUpdate(*progress);
+  } else if (const auto* observed = message.AsBackendObservations()) {
+    observations_->OnDigest(session::DecodeObservations(*observed));
+    // Shows that the path is alive: followers say little else to each other.
+    peers_->SendLast(from, protocol::ConsensusMessagesT{});
   } else if (const auto* operations = message.AsForwardOperations()) {
     OnForwardedOperations(from, *operations);
   } else if (const auto* results = message.AsForwardOperationsReply()) {
@@ -154,6 +159,16 @@
   sessions_->OnProgress(progress.in_force_revision, zones);
 }
 
+void ControlNode::SendObservations(
+    const observation::BackendObservations& observations) {
+  for (const raft::Member& member :
+       raft::AllMembers(known_status_.configuration)) {
+    if (member.id != options_.node_id) {
+      peers_->Send(member.id, session::EncodeObservations(observations));
+    }
+  }
+}
+
 bool ControlNode::ForwardHeartbeats(Heartbeats heartbeats) {
   const raft::NodeId leader = KnownLeader();
   if (leader == raft::kNoNode) {
--- a/source/common/control/control_node_setup.cc
+++ b/source/common/control/control_node_setup.cc
@@ -247,6 +247,17 @@
 }
 
 void ControlNode::MakeSessions() {
+  observations_ = std::make_unique<ObservationExchange>(
+      context_,
+      ObservationExchange::Ports{
+          .to_machines =
+              [this](const observation::BackendObservations& observations) {
+                SendObservations(observations);
+              },
+          .to_daemons =
+              [this](const observation::BackendObservations& observations) {
+                sessions_->SendObservations(observations);
+              }});
   sessions_ = std::make_unique<SessionServer>(
       context_, options_.node_id, options_.cluster,
       UpdatePace{options_.update_delay, options_.update_interval},
@@ -258,6 +269,10 @@
               },
           .forward_goodbye =
               [this](const DaemonKey& daemon) { ForwardGoodbye(daemon); },
+          .on_observed =
+              [this](const observation::BackendObservations& observations) {
+                observations_->OnReport(observations);
+              },
           .submit =
               [this](Operations operations,
                      CommandPipeline::Callback callback) {
--- /dev/null
+++ b/source/common/control/observation_exchange.cc
@@ -0,0 +1,52 @@
+#include "common/control/observation_exchange.h"
+
+#include <utility>
+
+namespace juniperway::control {
+
+ObservationExchange::ObservationExchange(asio::io_context& context, Ports ports)
+    : ports_(std::move(ports)), timer_(context) {}
+
+void ObservationExchange::OnReport(
+    const observation::BackendObservations& observations) {
+  relay_.OnReport(observations);
+  ScheduleRelay();
+}
+
+void ObservationExchange::OnDigest(
+    const observation::BackendObservations& observations) {
+  relay_.OnDigest(observations);
+  ScheduleRelay();
+}
+
+void ObservationExchange::Stop() {
+  stopped_ = true;
+  timer_.cancel();
+}
+
+void ObservationExchange::ScheduleRelay() {
+  if (stopped_ || !relay_.has_news() || std::exchange(scheduled_, true)) {
+    return;
+  }
+  timer_.expires_after(observation::kRelayInterval);
+  timer_.async_wait([this](const asio::error_code& error) {
+    if (!error && !stopped_) {
+      Relay();
+    }
+  });
+}
+
+void ObservationExchange::Relay() {
+  scheduled_ = false;
+  const auto for_machines = relay_.TakeForMachines();
+  if (!for_machines.empty()) {
+    ports_.to_machines(for_machines);
+  }
+  const auto for_daemons = relay_.TakeForDaemons();
+  if (!for_daemons.empty()) {
+    ports_.to_daemons(for_daemons);
+  }
+  ScheduleRelay();
+}
+
+}  // namespace juniperway::control
--- a/source/common/control/peer_network.cc
+++ b/source/common/control/peer_network.cc
@@ -98,7 +98,8 @@
   on_frame_ = nullptr;
 }
 
-net::FrameConnection* PeerNetwork::FindConnection(raft::NodeId to) {
+net::FrameConnection* PeerNetwork::FindConnection(raft::NodeId to,
+                                                  bool awaits_answer) {
   auto found = peers_.find(to);
   if (found == peers_.end()) {
     return nullptr;
@@ -113,7 +114,7 @@
   if (chosen == nullptr) {
     return nullptr;
   }
-  if (peer.unanswered_since == MonotonicTime::max()) {
+  if (awaits_answer && peer.unanswered_since == MonotonicTime::max()) {
     peer.unanswered_since = ReadMonotonicClock();
   }
   return chosen->connection.get();
--- a/source/common/control/peer_network.h
+++ b/source/common/control/peer_network.h
@@ -45,15 +45,19 @@
   void OnFrame(raft::NodeId from, net::FrameBytes bytes,
                const std::shared_ptr<net::FrameConnection>& connection);
 
+  // A machine that sends nothing after this for a while is taken for
+  // unreachable.
   // @return false when no connection to that machine is up.
   template <typename Message>
   bool Send(raft::NodeId to, Message message) {
-    net::FrameConnection* connection = FindConnection(to);
-    if (connection == nullptr) {
-      return false;
-    }
-    session::SendMessage(*connection, std::move(message));
-    return true;
+    return SendOn(FindConnection(to, /*awaits_answer=*/true),
+                  std::move(message));
+  }
+  // The same for the last message of an exchange, which nothing answers.
+  template <typename Message>
+  bool SendLast(raft::NodeId to, Message message) {
+    return SendOn(FindConnection(to, /*awaits_answer=*/false),
+                  std::move(message));
   }
 
   // Bytes that wait on the connection to that machine; 0 when none is up.
@@ -84,7 +88,16 @@
     MonotonicTime unanswered_since = MonotonicTime::max();
   };
 
-  net::FrameConnection* FindConnection(raft::NodeId to);
+  template <typename Message>
+  static bool SendOn(net::FrameConnection* connection, Message message) {
+    if (connection == nullptr) {
+      return false;
+    }
+    session::SendMessage(*connection, std::move(message));
+    return true;
+  }
+  // @param awaits_answer the silence of the machine is measured from now on.
+  net::FrameConnection* FindConnection(raft::NodeId to, bool awaits_answer);
   void Connect(raft::NodeId id, Peer& peer);
   void OnConnected(raft::NodeId id,
                    Result<std::shared_ptr<net::FrameConnection>> result);
--- a/source/common/control/session_server.cc
+++ b/source/common/control/session_server.cc
@@ -7,6 +7,7 @@
 
 #include "common/control/events.h"
 #include "common/session/control_frames.h"
+#include "common/session/observation_codec.h"
 #include "common/session/rate_codec.h"
 #include "common/session/update_frame.h"
 
@@ -122,6 +123,8 @@
   session.heard = ReadMonotonicClock();
   if (const auto* heartbeat = frame->message.AsHeartbeat()) {
     OnHeartbeat(session, *heartbeat);
+  } else if (const auto* observed = frame->message.AsBackendObservations()) {
+    ports_.on_observed(session::DecodeObservations(*observed));
   } else if (const auto* call = frame->message.AsSessionCall()) {
     OnCall(number, session, *call);
   } else if (frame->message.AsSessionGoodbye() != nullptr) {
@@ -263,6 +266,17 @@
   }
 }
 
+void SessionServer::SendObservations(
+    const observation::BackendObservations& observations) {
+  const auto frame =
+      session::EncodeFrame(session::EncodeObservations(observations));
+  for (const auto& [number, session] : sessions_) {
+    if (session.member.router) {
+      session.connection->Send(frame);
+    }
+  }
+}
+
 void SessionServer::SetControlMembers(
     const std::vector<raft::Member>& members) {
   control_members_ = members;
--- a/source/common/control/session_server.h
+++ b/source/common/control/session_server.h
@@ -18,6 +18,7 @@
 #include "common/control/lease_table.h"
 #include "common/control/rate_pool.h"
 #include "common/net/frame_connection.h"
+#include "common/observation/backend_observation.h"
 #include "common/protocol/control_generated.h"
 
 namespace juniperway::control {
@@ -45,6 +46,8 @@
     // @return false when no leader can be reached.
     std::function<bool(Heartbeats)> forward_heartbeats;
     std::function<void(const DaemonKey&)> forward_goodbye;
+    // What a daemon tells of back ends.
+    std::function<void(const observation::BackendObservations&)> on_observed;
     // Brings operations to the leader and back.
     std::function<void(Operations, CommandPipeline::Callback)> submit;
   };
@@ -67,6 +70,8 @@
   // The leader's watermarks grew.
   void OnProgress(resources::Revision in_force,
                   const std::map<std::string, resources::Revision>& zones);
+  // Passes on what other daemons tell of back ends.
+  void SendObservations(const observation::BackendObservations& observations);
   // The control machines: every daemon is told how to reach them.
   void SetControlMembers(const std::vector<raft::Member>& members);
   // Where one of them stands, also one that is not a member yet.
--- a/source/common/forwarding/backend_pool.cc
+++ b/source/common/forwarding/backend_pool.cc
@@ -54,10 +54,20 @@
 // of 985 routers, simulated).
 constexpr Duration kNewConnectionCost = milliseconds(7);
 
+// A router that knows a back end from so many attempts of late, or more, goes
+// by them alone: others may reach it over another network, and where all
+// routers see each back end often, all would move to the same ones at once.
+constexpr double kOwnAttempts = 1.5;
+// What others tell is never taken for more: it makes a back end four times as
+// costly as a lost attempt, and not unusable.
+constexpr double kHighestToldShare = 0.8;
+
 }  // namespace
 
 BackendPool::BackendPool(PoolOptions options)
-    : options_(std::move(options)), random_(options_.seed) {}
+    : options_(std::move(options)),
+      random_(options_.seed),
+      shared_failures_(options_.seed) {}
 
 Duration BackendPool::DistanceOf(const std::string& zone) const {
   const Place own = {options_.zone, RegionOf(options_.zone)};
@@ -147,9 +157,21 @@
          backend.distance + connecting;
 }
 
+double BackendPool::FailingShare(const Backend& backend,
+                                 MonotonicTime now) const {
+  const double own = backend.failure_rate.Get(now);
+  if (shared_failures_.size() == 0 ||
+      backend.failure_rate.Attempts(now) >= kOwnAttempts) {
+    return own;
+  }
+  const double told = shared_failures_.SuspicionOf(backend.hash, now);
+  return std::max(own, std::min(told, kHighestToldShare));
+}
+
 Duration BackendPool::FailureCost(const Backend& backend,
-                                  Duration failed_attempt, MonotonicTime now) {
-  const double failing = backend.failure_rate.Get(now);
+                                  Duration failed_attempt,
+                                  MonotonicTime now) const {
+  const double failing = FailingShare(backend, now);
   return Duration(static_cast<Duration::rep>(
       static_cast<double>(failed_attempt.count()) * failing / (1 - failing)));
 }
@@ -288,6 +310,7 @@
   if (result != AttemptResult::kCancelled) {
     backend.failure_rate.Record(result != AttemptResult::kAnswered, now);
   }
+  NoteObservation(backend, result, now);
   switch (result) {
     case AttemptResult::kAnswered:
       OnAnswered(backend, sent, now);
@@ -322,6 +345,42 @@
   }
 }
 
+void BackendPool::NoteObservation(const Backend& backend, AttemptResult result,
+                                  MonotonicTime now) {
+  if (!options_.shares_observations) {
+    return;
+  }
+  switch (result) {
+    case AttemptResult::kAnswered:
+      if (shared_failures_.IsKnown(backend.hash)) {
+        observation_log_.OnAnswered(backend.hash, now);
+      }
+      break;
+    case AttemptResult::kShed:
+    case AttemptResult::kFailed:
+    case AttemptResult::kUnsent:
+    case AttemptResult::kBroken:
+      observation_log_.OnFailed(backend.hash, now);
+      break;
+    case AttemptResult::kMisplaced:
+    case AttemptResult::kRefused:
+    case AttemptResult::kReset:
+    case AttemptResult::kCancelled:
+      // Says something of the list, of this router's connections, or nothing.
+      break;
+  }
+}
+
+void BackendPool::OnObservations(
+    const observation::BackendObservations& observations, MonotonicTime now) {
+  if (!options_.shares_observations) {
+    return;
+  }
+  for (const observation::BackendObservation& observation : observations) {
+    shared_failures_.Add(observation, now);
+  }
+}
+
 void BackendPool::CountForRollout(const std::string& route,
                                   const std::string& id,
                                   const AttemptOutcome& outcome) {
--- a/source/common/forwarding/backend_pool.h
+++ b/source/common/forwarding/backend_pool.h
@@ -3,6 +3,8 @@
 //
 // A back end is judged by what this router sees: how long its answers take, how
 // long its oldest request has been waiting, and how its last attempts ended.
+// Where it has seen next to nothing of late, failures that other routers tell
+// of count in their place.
 #pragma once
 
 #include <cstddef>
@@ -22,6 +24,8 @@
 #include "common/forwarding/recent_latency.h"
 #include "common/forwarding/usual_latency.h"
 #include "common/forwarding/warm_connections.h"
+#include "common/observation/observation_log.h"
+#include "common/observation/shared_failures.h"
 #include "common/rollout/answer_tally.h"
 #include "common/rollout/canary_allowance.h"
 #include "common/routes/home_regions.h"
@@ -71,6 +75,8 @@
   // Zone to region; a zone that is missing counts as another region's.
   std::map<std::string, std::string> regions;
   ExtraBudgetLimits extra;
+  // Tells other routers of failures, and goes by what they tell.
+  bool shares_observations = true;
   std::uint64_t seed = 1;
 };
 
@@ -119,6 +125,8 @@
 
   struct Backend {
     session::DiscoveredBackend info;
+    // Of its incarnation.
+    observation::BackendHash hash = 0;
     // Its service, owned by the pool.
     Service* service = nullptr;
     // Added to its expected latency: it lies in another zone or region.
@@ -178,6 +186,14 @@
                        const AttemptOutcome& outcome);
   rollout::AnswerTally& answer_tally() { return answer_tally_; }
 
+  // What this router has to tell the others.
+  observation::ObservationLog& observation_log() { return observation_log_; }
+  // What others tell.
+  void OnObservations(const observation::BackendObservations& observations,
+                      MonotonicTime now);
+  // Back ends that others had failures at of late.
+  std::size_t shared_failures() const { return shared_failures_.size(); }
+
   // A back end of the service has named the request that it answered.
   void OnNamedRequest(const std::string& service);
 
@@ -245,8 +261,13 @@
   static Duration ExpectedLatency(const Backend& backend, MonotonicTime now);
   // What its recent failures add to its expected latency.
   // @param failed_attempt what one costs now.
-  static Duration FailureCost(const Backend& backend, Duration failed_attempt,
-                              MonotonicTime now);
+  Duration FailureCost(const Backend& backend, Duration failed_attempt,
+                       MonotonicTime now) const;
+  // The share of attempts at it that fail, as far as this router knows.
+  double FailingShare(const Backend& backend, MonotonicTime now) const;
+  // Tells the other routers how an attempt ended, where that is of use to them.
+  void NoteObservation(const Backend& backend, AttemptResult result,
+                       MonotonicTime now);
   Duration DistanceOf(const std::string& zone) const;
   std::string RegionOf(const std::string& zone) const;
   void OnAnswered(Backend& backend, MonotonicTime sent,
@@ -271,6 +292,8 @@
   routes::RouteTablePointer known_table_;
   std::uint64_t backends_worked_out_ = 0;
   rollout::AnswerTally answer_tally_;
+  observation::ObservationLog observation_log_;
+  observation::SharedFailures shared_failures_;
 };
 
 }  // namespace juniperway::forwarding
--- a/source/common/forwarding/backend_pool_update.cc
+++ b/source/common/forwarding/backend_pool_update.cc
@@ -84,6 +84,7 @@
   const bool is_new_process =
       backend.info.start != WallTime{} && backend.info.start < info.start;
   backend.info = info;
+  backend.hash = observation::HashOf(IncarnationName(info));
   SetService(backend, info.service);
   backend.distance = DistanceOf(info.zone);
   backend.region = RegionOf(info.zone);
--- a/source/common/forwarding/failure_rate.h
+++ b/source/common/forwarding/failure_rate.h
@@ -22,6 +22,9 @@
   // failure of a back end that is seldom asked stands for one half.
   double Get(MonotonicTime now) const;
 
+  // How many attempts it is known from, faded.
+  double Attempts(MonotonicTime now) const { return ended_ * FadeTo(now); }
+
  private:
   double FadeTo(MonotonicTime now) const;
 
--- /dev/null
+++ b/source/common/forwarding/observation_reporter.cc
@@ -0,0 +1,36 @@
+#include "common/forwarding/observation_reporter.h"
+
+#include <utility>
+
+namespace juniperway::forwarding {
+namespace {
+
+// From the first observation to the report that holds it. With the relay's
+// interval (observation/observation_relay.h) all routers know within 0.4 s.
+constexpr Duration kReportDelay = milliseconds(100);
+
+}  // namespace
+
+ObservationReporter::ObservationReporter(asio::io_context& context,
+                                         observation::ObservationLog& log)
+    : log_(log), timer_(context) {}
+
+void ObservationReporter::OnProgress() {
+  if (!log_.has_news() || !report_ || std::exchange(scheduled_, true)) {
+    return;
+  }
+  timer_.expires_after(kReportDelay);
+  timer_.async_wait([this](const asio::error_code& error) {
+    if (!error) {
+      Send();
+    }
+  });
+}
+
+void ObservationReporter::Send() {
+  scheduled_ = false;
+  report_(log_.Take(observation::kMostEntries, ReadMonotonicClock()));
+  OnProgress();
+}
+
+}  // namespace juniperway::forwarding
--- a/source/common/forwarding/router_metrics.cc
+++ b/source/common/forwarding/router_metrics.cc
@@ -120,6 +120,9 @@
                            "Back ends that may get requests")),
       routers_(PlainGauge(registry, "juniperway_router_routers",
                           "Routers that share connections and budgets")),
+      shared_failures_(
+          PlainGauge(registry, "juniperway_router_shared_failures",
+                     "Back ends that other routers had failures at")),
       evacuated_zones_(PlainGauge(registry, "juniperway_router_evacuated_zones",
                                   "Zones whose back ends get no new work")),
       quarantine_refusals_(
@@ -165,6 +168,10 @@
   attempts_.at(static_cast<std::size_t>(result))->Increment();
 }
 
+void RouterMetrics::OnObservations(std::size_t backends) {
+  shared_failures_->Set(static_cast<double>(backends));
+}
+
 void RouterMetrics::OnEvacuations(std::size_t zones) {
   evacuated_zones_->Set(static_cast<double>(zones));
 }
--- a/source/common/forwarding/router_metrics.h
+++ b/source/common/forwarding/router_metrics.h
@@ -54,6 +54,8 @@
   void OnThrottled();
   void OnView(std::uint64_t revision, std::uint64_t table_version,
               const BackendPool& pool);
+  // @param backends that other routers had failures at of late.
+  void OnObservations(std::size_t backends);
   // @param zones that are evacuated now.
   void OnEvacuations(std::size_t zones);
   // Tenants that are counted by name; others are counted together.
@@ -78,6 +80,7 @@
   prometheus::Gauge* running_ = nullptr;
   prometheus::Gauge* backends_ = nullptr;
   prometheus::Gauge* routers_ = nullptr;
+  prometheus::Gauge* shared_failures_ = nullptr;
   prometheus::Gauge* evacuated_zones_ = nullptr;
   prometheus::Counter* quarantine_refusals_ = nullptr;
   prometheus::Gauge* quarantined_requests_ = nullptr;
--- a/source/common/forwarding/router_server.cc
+++ b/source/common/forwarding/router_server.cc
@@ -14,6 +14,7 @@
 #include "common/forwarding/exchange_dispatcher.h"
 #include "common/forwarding/fingerprint_request.h"
 #include "common/forwarding/message_codec.h"
+#include "common/forwarding/observation_reporter.h"
 #include "common/forwarding/router_count.h"
 #include "common/forwarding/split_chooser.h"
 #include "common/forwarding/startup_queue.h"
@@ -79,6 +80,7 @@
                             crash_report_(report);
                           }
                         }),
+        observation_reporter_(context, pool_.observation_log()),
         client_(context, /*maximum_connections_per_host=*/0,
                 BackendPool::kIdleConnectionTime),
         admission_(context,
@@ -102,6 +104,7 @@
                          [this](const Exchange& exchange) {
                            dispatcher_.OnProgress(exchange);
                            ReportCanariesSoon();
+                           observation_reporter_.OnProgress();
                          },
                      .on_over =
                          [this](const Exchange& exchange) {
@@ -191,6 +194,14 @@
   }
   void OnNewLeader() { pool_.answer_tally().ReportAllAgain(); }
 
+  void SetObservationReport(ObservationReporter::Report report) {
+    observation_reporter_.SetReport(std::move(report));
+  }
+  void OnObservations(const observation::BackendObservations& observations) {
+    pool_.OnObservations(observations, ReadMonotonicClock());
+    metrics_.OnObservations(pool_.shared_failures());
+  }
+
   asio::ip::tcp::endpoint http_endpoint() const {
     return front_.local_endpoint();
   }
@@ -559,6 +570,7 @@
   CrashGuard crash_guard_;
   CrashReporter::Report crash_report_;
   CrashReporter crash_reporter_;
+  ObservationReporter observation_reporter_;
   net::HttpClient client_;
   std::function<void()> report_ask_;
   TenantAdmission admission_;
@@ -632,6 +644,15 @@
 
 void RouterServer::OnNewLeader() { implementation_->OnNewLeader(); }
 
+void RouterServer::SetObservationReport(ObservationReporter::Report report) {
+  implementation_->SetObservationReport(std::move(report));
+}
+
+void RouterServer::OnObservations(
+    const observation::BackendObservations& observations) {
+  implementation_->OnObservations(observations);
+}
+
 void RouterServer::Stop(Duration timeout, std::function<void()> done) {
   implementation_->Stop(timeout, std::move(done));
 }
--- a/source/common/forwarding/router_server.h
+++ b/source/common/forwarding/router_server.h
@@ -18,7 +18,9 @@
 #include "common/forwarding/backend_pool.h"
 #include "common/forwarding/crash_reporter.h"
 #include "common/forwarding/header_names.h"
+#include "common/forwarding/observation_reporter.h"
 #include "common/forwarding/request_run.h"
+#include "common/observation/backend_observation.h"
 #include "common/quota/rate_messages.h"
 #include "common/rollout/answer_counts.h"
 #include "common/session/control_session.h"
@@ -68,6 +70,12 @@
   // A leader hears the reports that has heard none before.
   void OnNewLeader();
 
+  // @param report passes on to control what this router sees of back ends; what
+  //   it does not reach is lost. To be set before requests come.
+  void SetObservationReport(ObservationReporter::Report report);
+  // What other routers see of back ends.
+  void OnObservations(const observation::BackendObservations& observations);
+
   // Planned stop: not ready at once; requests go on being taken for the notice
   // time, and each answer closes its connection. `done` runs once nothing is
   // under way, or after `timeout`, when the rest is answered as given up.
--- a/source/common/protocol/control_generated.h
+++ b/source/common/protocol/control_generated.h
@@ -146,6 +146,10 @@
 struct ControlMembersBuilder;
 struct ControlMembersT;
 
+struct BackendObservations;
+struct BackendObservationsBuilder;
+struct BackendObservationsT;
+
 struct SessionCall;
 struct SessionCallBuilder;
 struct SessionCallT;
@@ -228,11 +232,12 @@
   ControlMembers = 20,
   RateTokens = 21,
   CompressedFleetUpdate = 22,
+  BackendObservations = 23,
   MIN = NONE,
-  MAX = CompressedFleetUpdate
+  MAX = BackendObservations
 };
 
-inline const ControlMessage (&EnumValuesControlMessage())[23] {
+inline const ControlMessage (&EnumValuesControlMessage())[24] {
   static const ControlMessage values[] = {
     ControlMessage::NONE,
     ControlMessage::PeerHello,
@@ -256,13 +261,14 @@
     ControlMessage::SnapshotPart,
     ControlMessage::ControlMembers,
     ControlMessage::RateTokens,
-    ControlMessage::CompressedFleetUpdate
+    ControlMessage::CompressedFleetUpdate,
+    ControlMessage::BackendObservations
   };
   return values;
 }
 
 inline const char * const *EnumNamesControlMessage() {
-  static const char * const names[24] = {
+  static const char * const names[25] = {
     "NONE",
     "PeerHello",
     "ConsensusMessages",
@@ -286,13 +292,14 @@
     "ControlMembers",
     "RateTokens",
     "CompressedFleetUpdate",
+    "BackendObservations",
     nullptr
   };
   return names;
 }
 
 inline const char *EnumNameControlMessage(ControlMessage e) {
-  if (flatbuffers::IsOutRange(e, ControlMessage::NONE, ControlMessage::CompressedFleetUpdate)) return "";
+  if (flatbuffers::IsOutRange(e, ControlMessage::NONE, ControlMessage::BackendObservations)) return "";
   const size_t index = static_cast<size_t>(e);
   return EnumNamesControlMessage()[index];
 }
@@ -389,6 +396,10 @@
   static const ControlMessage enum_value = ControlMessage::CompressedFleetUpdate;
 };
 
+template<> struct ControlMessageTraits<juniperway::protocol::BackendObservations> {
+  static const ControlMessage enum_value = ControlMessage::BackendObservations;
+};
+
 template<typename T> struct ControlMessageUnionTraits {
   static const ControlMessage enum_value = ControlMessage::NONE;
 };
@@ -481,6 +492,10 @@
   static const ControlMessage enum_value = ControlMessage::CompressedFleetUpdate;
 };
 
+template<> struct ControlMessageUnionTraits<juniperway::protocol::BackendObservationsT> {
+  static const ControlMessage enum_value = ControlMessage::BackendObservations;
+};
+
 struct ControlMessageUnion {
   ControlMessage type;
   void *value;
@@ -687,6 +702,14 @@
     return type == ControlMessage::CompressedFleetUpdate ?
       reinterpret_cast<const juniperway::protocol::CompressedFleetUpdateT *>(value) : nullptr;
   }
+  juniperway::protocol::BackendObservationsT *AsBackendObservations() {
+    return type == ControlMessage::BackendObservations ?
+      reinterpret_cast<juniperway::protocol::BackendObservationsT *>(value) : nullptr;
+  }
+  const juniperway::protocol::BackendObservationsT *AsBackendObservations() const {
+    return type == ControlMessage::BackendObservations ?
+      reinterpret_cast<const juniperway::protocol::BackendObservationsT *>(value) : nullptr;
+  }
 };
 
 bool VerifyControlMessage(flatbuffers::Verifier &verifier, const void *obj, ControlMessage type);
@@ -4160,6 +4183,104 @@
 
 flatbuffers::Offset<ControlMembers> CreateControlMembers(flatbuffers::FlatBufferBuilder &_fbb, const ControlMembersT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
 
+struct BackendObservationsT : public flatbuffers::NativeTable {
+  typedef BackendObservations TableType;
+  std::vector<uint32_t> backends{};
+  std::vector<uint8_t> failed{};
+  std::vector<uint8_t> answered{};
+};
+
+struct BackendObservations FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef BackendObservationsT NativeTableType;
+  typedef BackendObservationsBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_BACKENDS = 4,
+    VT_FAILED = 6,
+    VT_ANSWERED = 8
+  };
+  const flatbuffers::Vector<uint32_t> *backends() const {
+    return GetPointer<const flatbuffers::Vector<uint32_t> *>(VT_BACKENDS);
+  }
+  const flatbuffers::Vector<uint8_t> *failed() const {
+    return GetPointer<const flatbuffers::Vector<uint8_t> *>(VT_FAILED);
+  }
+  const flatbuffers::Vector<uint8_t> *answered() const {
+    return GetPointer<const flatbuffers::Vector<uint8_t> *>(VT_ANSWERED);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_BACKENDS) &&
+           verifier.VerifyVector(backends()) &&
+           VerifyOffset(verifier, VT_FAILED) &&
+           verifier.VerifyVector(failed()) &&
+           VerifyOffset(verifier, VT_ANSWERED) &&
+           verifier.VerifyVector(answered()) &&
+           verifier.EndTable();
+  }
+  BackendObservationsT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(BackendObservationsT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<BackendObservations> Pack(flatbuffers::FlatBufferBuilder &_fbb, const BackendObservationsT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct BackendObservationsBuilder {
+  typedef BackendObservations Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_backends(flatbuffers::Offset<flatbuffers::Vector<uint32_t>> backends) {
+    fbb_.AddOffset(BackendObservations::VT_BACKENDS, backends);
+  }
+  void add_failed(flatbuffers::Offset<flatbuffers::Vector<uint8_t>> failed) {
+    fbb_.AddOffset(BackendObservations::VT_FAILED, failed);
+  }
+  void add_answered(flatbuffers::Offset<flatbuffers::Vector<uint8_t>> answered) {
+    fbb_.AddOffset(BackendObservations::VT_ANSWERED, answered);
+  }
+  explicit BackendObservationsBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<BackendObservations> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<BackendObservations>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<BackendObservations> CreateBackendObservations(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::Vector<uint32_t>> backends = 0,
+    flatbuffers::Offset<flatbuffers::Vector<uint8_t>> failed = 0,
+    flatbuffers::Offset<flatbuffers::Vector<uint8_t>> answered = 0) {
+  BackendObservationsBuilder builder_(_fbb);
+  builder_.add_answered(answered);
+  builder_.add_failed(failed);
+  builder_.add_backends(backends);
+  return builder_.Finish();
+}
+
+struct BackendObservations::Traits {
+  using type = BackendObservations;
+  static auto constexpr Create = CreateBackendObservations;
+};
+
+inline flatbuffers::Offset<BackendObservations> CreateBackendObservationsDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const std::vector<uint32_t> *backends = nullptr,
+    const std::vector<uint8_t> *failed = nullptr,
+    const std::vector<uint8_t> *answered = nullptr) {
+  auto backends__ = backends ? _fbb.CreateVector<uint32_t>(*backends) : 0;
+  auto failed__ = failed ? _fbb.CreateVector<uint8_t>(*failed) : 0;
+  auto answered__ = answered ? _fbb.CreateVector<uint8_t>(*answered) : 0;
+  return juniperway::protocol::CreateBackendObservations(
+      _fbb,
+      backends__,
+      failed__,
+      answered__);
+}
+
+flatbuffers::Offset<BackendObservations> CreateBackendObservations(flatbuffers::FlatBufferBuilder &_fbb, const BackendObservationsT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
 struct SessionCallT : public flatbuffers::NativeTable {
   typedef SessionCall TableType;
   uint64_t call_id = 0;
@@ -4477,6 +4598,9 @@
   const juniperway::protocol::CompressedFleetUpdate *message_as_CompressedFleetUpdate() const {
     return message_type() == juniperway::protocol::ControlMessage::CompressedFleetUpdate ? static_cast<const juniperway::protocol::CompressedFleetUpdate *>(message()) : nullptr;
   }
+  const juniperway::protocol::BackendObservations *message_as_BackendObservations() const {
+    return message_type() == juniperway::protocol::ControlMessage::BackendObservations ? static_cast<const juniperway::protocol::BackendObservations *>(message()) : nullptr;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint8_t>(verifier, VT_MESSAGE_TYPE, 1) &&
@@ -4577,6 +4701,10 @@
   return message_as_CompressedFleetUpdate();
 }
 
+template<> inline const juniperway::protocol::BackendObservations *ControlFrame::message_as<juniperway::protocol::BackendObservations>() const {
+  return message_as_BackendObservations();
+}
+
 struct ControlFrameBuilder {
   typedef ControlFrame Table;
   flatbuffers::FlatBufferBuilder &fbb_;
@@ -6021,6 +6149,38 @@
       _places);
 }
 
+inline BackendObservationsT *BackendObservations::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<BackendObservationsT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void BackendObservations::UnPackTo(BackendObservationsT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = backends(); if (_e) { _o->backends.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->backends[_i] = _e->Get(_i); } } }
+  { auto _e = failed(); if (_e) { _o->failed.resize(_e->size()); std::copy(_e->begin(), _e->end(), _o->failed.begin()); } }
+  { auto _e = answered(); if (_e) { _o->answered.resize(_e->size()); std::copy(_e->begin(), _e->end(), _o->answered.begin()); } }
+}
+
+inline flatbuffers::Offset<BackendObservations> BackendObservations::Pack(flatbuffers::FlatBufferBuilder &_fbb, const BackendObservationsT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateBackendObservations(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<BackendObservations> CreateBackendObservations(flatbuffers::FlatBufferBuilder &_fbb, const BackendObservationsT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const BackendObservationsT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _backends = _o->backends.size() ? _fbb.CreateVector(_o->backends) : 0;
+  auto _failed = _o->failed.size() ? _fbb.CreateVector(_o->failed) : 0;
+  auto _answered = _o->answered.size() ? _fbb.CreateVector(_o->answered) : 0;
+  return juniperway::protocol::CreateBackendObservations(
+      _fbb,
+      _backends,
+      _failed,
+      _answered);
+}
+
 inline SessionCallT::SessionCallT(const SessionCallT &o)
       : call_id(o.call_id) {
   operations.reserve(o.operations.size());
@@ -6253,6 +6413,10 @@
       auto ptr = reinterpret_cast<const juniperway::protocol::CompressedFleetUpdate *>(obj);
       return verifier.VerifyTable(ptr);
     }
+    case ControlMessage::BackendObservations: {
+      auto ptr = reinterpret_cast<const juniperway::protocol::BackendObservations *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
     default: return true;
   }
 }
@@ -6360,6 +6524,10 @@
       auto ptr = reinterpret_cast<const juniperway::protocol::CompressedFleetUpdate *>(obj);
       return ptr->UnPack(resolver);
     }
+    case ControlMessage::BackendObservations: {
+      auto ptr = reinterpret_cast<const juniperway::protocol::BackendObservations *>(obj);
+      return ptr->UnPack(resolver);
+    }
     default: return nullptr;
   }
 }
@@ -6455,6 +6623,10 @@
       auto ptr = reinterpret_cast<const juniperway::protocol::CompressedFleetUpdateT *>(value);
       return CreateCompressedFleetUpdate(_fbb, ptr, _rehasher).Union();
     }
+    case ControlMessage::BackendObservations: {
+      auto ptr = reinterpret_cast<const juniperway::protocol::BackendObservationsT *>(value);
+      return CreateBackendObservations(_fbb, ptr, _rehasher).Union();
+    }
     default: return 0;
   }
 }
@@ -6549,6 +6721,10 @@
       value = new juniperway::protocol::CompressedFleetUpdateT(*reinterpret_cast<juniperway::protocol::CompressedFleetUpdateT *>(u.value));
       break;
     }
+    case ControlMessage::BackendObservations: {
+      value = new juniperway::protocol::BackendObservationsT(*reinterpret_cast<juniperway::protocol::BackendObservationsT *>(u.value));
+      break;
+    }
     default:
       break;
   }
@@ -6666,6 +6842,11 @@
       delete ptr;
       break;
     }
+    case ControlMessage::BackendObservations: {
+      auto ptr = reinterpret_cast<juniperway::protocol::BackendObservationsT *>(value);
+      delete ptr;
+      break;
+    }
     default: break;
   }
   value = nullptr;
--- a/source/common/session/control_session_client.cc
+++ b/source/common/session/control_session_client.cc
@@ -18,6 +18,7 @@
 #include "common/session/events.h"
 #include "common/session/fleet_codec.h"
 #include "common/session/heartbeat_codec.h"
+#include "common/session/observation_codec.h"
 #include "common/session/operation_queue.h"
 #include "common/session/rate_codec.h"
 #include "common/session/session_link.h"
@@ -150,6 +151,15 @@
     SchedulePump();
   }
 
+  void SetObservationListener(ObservationListener listener) {
+    observation_listener_ = std::move(listener);
+  }
+  void SendObservations(const observation::BackendObservations& observations) {
+    if (link_->connection() && state_->connected()) {
+      SendMessage(*link_->connection(), EncodeObservations(observations));
+    }
+  }
+
   void ReportCrash(const CrashReport& report) {
     operations_->ReportCrash(report);
   }
@@ -393,6 +403,10 @@
       NoteLeader(reply->term);
     } else if (const auto* tokens = message.AsRateTokens()) {
       OnRateTokens(*tokens);
+    } else if (const auto* told = message.AsBackendObservations()) {
+      if (observation_listener_) {
+        observation_listener_(DecodeObservations(*told));
+      }
     } else if (const auto* progress = message.AsSessionProgress()) {
       state_->OnProgress(progress->in_force_revision,
                          progress->zone_released_revision);
@@ -518,6 +532,7 @@
   std::function<void()> progress_listener_;
   RatePorts rate_ports_;
   AnswerReportPorts answer_ports_;
+  ObservationListener observation_listener_;
   // Term of the leader that answered last on this connection; 0: none has.
   std::uint64_t reported_term_ = 0;
   // When the reports of leased rates were sent, by their heartbeats' numbers.
@@ -591,6 +606,16 @@
   implementation_->SendReportSoon();
 }
 
+void ControlSessionClient::SetObservationListener(
+    ObservationListener listener) {
+  implementation_->SetObservationListener(std::move(listener));
+}
+
+void ControlSessionClient::SendObservations(
+    const observation::BackendObservations& observations) {
+  implementation_->SendObservations(observations);
+}
+
 void ControlSessionClient::ReportCrash(const CrashReport& report) {
   implementation_->ReportCrash(report);
 }
--- a/source/common/session/control_session_client.h
+++ b/source/common/session/control_session_client.h
@@ -12,6 +12,7 @@
 #include <string>
 #include <vector>
 
+#include "common/observation/backend_observation.h"
 #include "common/quota/rate_messages.h"
 #include "common/rollout/answer_counts.h"
 #include "common/session/control_session.h"
@@ -95,6 +96,13 @@
   // Sends a heartbeat in the next turn of the loop.
   void SendReportSoon();
 
+  // What other daemons see of back ends. Before Start.
+  using ObservationListener =
+      std::function<void(const observation::BackendObservations&)>;
+  void SetObservationListener(ObservationListener listener);
+  // What this one sees. Sent once, and lost without a session.
+  void SendObservations(const observation::BackendObservations& observations);
+
   // Tells control of a request under which back ends ended. Sent again until it
   // is replicated, for a minute at most.
   void ReportCrash(const CrashReport& report);
--- a/source/daemon/router_role.cc
+++ b/source/daemon/router_role.cc
@@ -47,6 +47,7 @@
   options.pool.extra = settings.router->extra;
   options.pool.extra.slack_from =
       ReadMonotonicClock() + settings.router->extra.window;
+  options.pool.shares_observations = settings.router->shares_observations;
   options.pool.seed = std::random_device()();
   return options;
 }
@@ -73,6 +74,14 @@
     session.SetAnswerReportPorts(
         {.make_report = [this] { return router.MakeAnswerReport(); },
          .on_new_leader = [this] { router.OnNewLeader(); }});
+    session.SetObservationListener(
+        [this](const observation::BackendObservations& observations) {
+          router.OnObservations(observations);
+        });
+    router.SetObservationReport(
+        [this](const observation::BackendObservations& observations) {
+          session.SendObservations(observations);
+        });
     router.SetReportAsk([this] { session.SendReportSoon(); });
     router.SetCrashReport([this](const session::CrashReport& report) {
       session.ReportCrash(report);
--- a/source/daemon/settings.cc
+++ b/source/daemon/settings.cc
@@ -244,6 +244,7 @@
   reader.Number("extra_slack", 0, kMaximumExtraSlack, router.extra.slack);
   ReadSeconds(reader, "extra_window_s", milliseconds(kMinimumIntervalMs),
               milliseconds(kMaximumIntervalMs), router.extra.window);
+  reader.Boolean("share_observations", router.shares_observations);
   router.zones = ReadZones(reader, "zones");
   if (const toml::table* headers = reader.Table("headers")) {
     TableReader table(*headers, "router.headers", file, faults);
--- a/source/daemon/settings.h
+++ b/source/daemon/settings.h
@@ -44,6 +44,8 @@
   std::map<std::string, std::string> zones;
   // Bounds the fleet's hedges and retries at each service.
   forwarding::ExtraBudgetLimits extra;
+  // See forwarding::PoolOptions.
+  bool shares_observations = true;
   forwarding::HeaderNames headers;
 };
 
--- a/test/integration/forwarding/route_fleet.cc
+++ b/test/integration/forwarding/route_fleet.cc
@@ -8,6 +8,7 @@
 #include <fstream>
 #include <future>
 #include <nlohmann/json.hpp>
+#include <sstream>
 #include <utility>
 
 #include "common/net/address.h"
@@ -247,7 +248,8 @@
   std::ofstream(file) << fmt::format(
       "name = \"router-{}\"\ncluster = \"test\"\nzone = \"z\"\n"
       "roles = [\"router\"]\ncontrol_seeds = [{}]\ncontrol_peer_port = {}\n"
-      "stop_timeout_s = 30\n[router]\nhttp_listen = \"127.0.0.1:0\"\n"
+      "stop_timeout_s = 30\nmetrics_listen = \"127.0.0.1:0\"\n"
+      "[router]\nhttp_listen = \"127.0.0.1:0\"\n"
       "ready_listen = \"127.0.0.1:0\"\nextra_slack = 1000\n"
       "extra_window_s = 1\n",
       number, Seeds(), peer_port_);
@@ -257,7 +259,9 @@
   REQUIRE(process);
   const auto listeners = process->WaitUntilReady(kLimit);
   REQUIRE(listeners);
-  routers_.push_back({std::move(*process), listeners->at("router.http")});
+  routers_.push_back({.process = std::move(*process),
+                      .address = listeners->at("router.http"),
+                      .metrics = listeners->at("metrics")});
 }
 
 std::unique_ptr<StandInBackend> RouteFleet::MakeBackend(
@@ -455,6 +459,17 @@
   return lab::WaitFor(kLimit, [&] { return GetRollout(service).in_force; });
 }
 
+double RouteFleet::RouterMetric(int router, const std::string& name) {
+  std::istringstream lines(
+      http_.Get("http://" + routers_.at(router).metrics + "/metrics").body);
+  for (std::string line; std::getline(lines, line);) {
+    if (line.starts_with(name + " ")) {
+      return std::stod(line.substr(name.size() + 1));
+    }
+  }
+  return 0;
+}
+
 json RouteFleet::Status() { return Read("/v1/status"); }
 
 bool RouteFleet::AwaitQuarantine() {
--- a/test/integration/forwarding/route_fleet.h
+++ b/test/integration/forwarding/route_fleet.h
@@ -145,6 +145,9 @@
   // loss the group still takes itself for whole: that alone is no sign.
   bool AwaitRepaired();
 
+  // A metric without labels.
+  double RouterMetric(int router, const std::string& name);
+
   // Waits until every router refuses some request under which back ends ended.
   bool AwaitQuarantine();
 
@@ -197,6 +200,7 @@
   struct Router {
     lab::ChildProcess process;
     std::string address;
+    std::string metrics;
   };
   std::vector<Router> routers_;
 };
--- /dev/null
+++ b/test/integration/forwarding/shared_observations_test.cc
@@ -0,0 +1,56 @@
+// Real processes: what some routers see of a back end, others go by that have
+// never asked it.
+#include <doctest/doctest.h>
+
+#include <string>
+
+#include "integration/forwarding/route_fleet.h"
+#include "lab/wait.h"
+
+namespace juniperway::test {
+namespace {
+
+const std::string kTable = R"({"version": 1, "routes": [
+  {"name": "r", "host": "test.example", "path_prefix": "/r/",
+   "execution": "repeatable", "timeout_ms": 3000, "service": "s1",
+   "maximum_attempts": 2}],
+  "services": [{"name": "s1", "maximum_connections": 200}]})";
+// Several, so that what they tell counts for ten seconds.
+constexpr int kWitnesses = 3;
+constexpr int kRouters = 7;
+constexpr Duration kLimit = seconds(30);
+
+TEST_CASE(
+    "a back end that sheds is left alone by routers that never asked it") {
+  RouteFleet fleet(3, kRouters);
+  StandInBackend& shedding = fleet.AddBackend("a", "s1");
+  shedding.SetAnswering(Answering::kSheds);
+  REQUIRE(fleet.PutTable(kTable) == 200);
+  for (int witness = 0; witness < kWitnesses; ++witness) {
+    const std::size_t before = shedding.Targets().size();
+    REQUIRE(lab::WaitFor(kLimit, [&] {
+      fleet.Request("/r/1", "witness", witness);
+      return shedding.Targets().size() > before;
+    }));
+  }
+  for (int router = kWitnesses; router < kRouters; ++router) {
+    REQUIRE(lab::WaitFor(kLimit, [&] {
+      return fleet.RouterMetric(router, "juniperway_router_shared_failures") ==
+             1;
+    }));
+  }
+  fleet.AddBackend("b", "s1");
+  const std::size_t before = shedding.Targets().size();
+  for (int router = kWitnesses; router < kRouters; ++router) {
+    // Until the router knows the other one, there is only this.
+    REQUIRE(lab::WaitFor(kLimit, [&] {
+      return fleet.RouterMetric(router, "juniperway_router_backends") == 2;
+    }));
+    CHECK(fleet.Request("/r/2", "other", router).status == 200);
+  }
+  // Of two alike each would be asked by half of them.
+  CHECK(shedding.Targets().size() == before);
+}
+
+}  // namespace
+}  // namespace juniperway::test
