Router: making a request apart from admitting it

Begin() had grown to 60 lines with three jobs: it makes the request, judges whether it may run, and starts it. MakeRequest and SetTimes hold the first; no behaviour changes (integration.forwarding/router, tenants, explain pass).

--- a/source/common/forwarding/router_server.cc
+++ b/source/common/forwarding/router_server.cc
@@ -210,6 +210,15 @@
   }
 
  private:
+  // What is known of a route's requests.
+  struct RouteHistory {
+    explicit RouteHistory(std::uint64_t seed) : throttle(seed) {}
+
+    std::shared_ptr<RouteLatency> latency = std::make_shared<RouteLatency>();
+    UsualDeadline usual_deadline;
+    AdaptiveThrottle throttle;
+  };
+
   // --- Requests --------------------------------------------------------------
 
   void Handle(const net::HttpRequest& message,
@@ -271,39 +280,15 @@
              std::shared_ptr<net::HttpResponder> responder,
              MonotonicTime arrived) {
     const MonotonicTime now = ReadMonotonicClock();
-    Exchange::Request request;
-    request.number = ++last_request_number_;
-    request.table = index_->table();
-    request.route = &route;
-    request.priority = tenant != nullptr ? tenant->priority : route.priority;
-    if (std::holds_alternative<routes::SplitTarget>(route.destination)) {
-      request.service = splits_.Choose(route);
-    }
-    const CallerIdentity identity{
-        .is_checked = index_->tenants().RequiresKeys(),
-        .tenant = tenant != nullptr ? tenant->name : ""};
-    if (tenant != nullptr) {
-      request.home_regions = tenant->home_regions;
-    }
-    request.forwarded =
-        MakeForwardedRequest(message, options_.headers, identity);
-    request.fingerprint = FingerprintOf(message, identity.tenant);
-    request.caller = message.remote.address().to_string();
+    Exchange::Request request = MakeRequest(message, route, tenant, arrived);
     const Caution caution = crash_guard_.CautionFor(request.fingerprint, now);
     if (caution == Caution::kRefuse) {
       RefuseQuarantined(message, *responder);
       return;
     }
     request.suspected = caution == Caution::kTrial;
-    request.revision = revision_;
-    request.began = arrived;
-    const auto deadline =
-        ParseDeadline(HeaderOf(message, options_.headers.deadline));
-    const Duration allowed = deadline.value_or(route.timeout);
-    request.deadline = arrived + std::min(allowed, route.timeout);
     RouteHistory& history = HistoryOf(route);
-    request.elapsed_before =
-        history.usual_deadline.ElapsedBefore(allowed, now) + (now - arrived);
+    SetTimes(message, arrived, now, history, request);
     // What comes late was refused or failed before, and its client has no
     // further try.
     const bool is_late = request.elapsed_before > route.target;
@@ -313,8 +298,7 @@
                    "the back ends are overloaded");
       return;
     }
-    if (tenant != nullptr && tenant->requests_per_second > 0) {
-      request.limited_tenant = tenant->name;
+    if (!request.limited_tenant.empty()) {
       AdmitLimited({.request = std::move(request),
                     .responder = std::move(responder),
                     .latency = history.latency});
@@ -325,6 +309,48 @@
                                    std::move(responder), history.latency));
   }
 
+  // All of it but its times.
+  Exchange::Request MakeRequest(const net::HttpRequest& message,
+                                const routes::Route& route,
+                                const routes::Tenant* tenant,
+                                MonotonicTime arrived) {
+    Exchange::Request request;
+    request.number = ++last_request_number_;
+    request.table = index_->table();
+    request.route = &route;
+    request.priority = route.priority;
+    if (std::holds_alternative<routes::SplitTarget>(route.destination)) {
+      request.service = splits_.Choose(route);
+    }
+    CallerIdentity identity;
+    identity.is_checked = index_->tenants().RequiresKeys();
+    if (tenant != nullptr) {
+      identity.tenant = tenant->name;
+      request.priority = tenant->priority;
+      request.home_regions = tenant->home_regions;
+      request.limited_tenant =
+          tenant->requests_per_second > 0 ? tenant->name : "";
+    }
+    request.forwarded =
+        MakeForwardedRequest(message, options_.headers, identity);
+    request.fingerprint = FingerprintOf(message, identity.tenant);
+    request.caller = message.remote.address().to_string();
+    request.revision = revision_;
+    request.began = arrived;
+    return request;
+  }
+
+  void SetTimes(const net::HttpRequest& message, MonotonicTime arrived,
+                MonotonicTime now, RouteHistory& history,
+                Exchange::Request& request) const {
+    const auto deadline =
+        ParseDeadline(HeaderOf(message, options_.headers.deadline));
+    const Duration allowed = deadline.value_or(request.route->timeout);
+    request.deadline = arrived + std::min(allowed, request.route->timeout);
+    request.elapsed_before =
+        history.usual_deadline.ElapsedBefore(allowed, now) + (now - arrived);
+  }
+
   // --- Limits of tenants -----------------------------------------------------
 
   // A request that needs a token of its tenant's limit.
@@ -579,14 +605,6 @@
   StartupQueue startup_queue_;
   SplitChooser splits_;
   std::shared_ptr<routes::RouteIndex> index_;
-  // What is known of a route's requests.
-  struct RouteHistory {
-    explicit RouteHistory(std::uint64_t seed) : throttle(seed) {}
-
-    std::shared_ptr<RouteLatency> latency = std::make_shared<RouteLatency>();
-    UsualDeadline usual_deadline;
-    AdaptiveThrottle throttle;
-  };
   RouteHistory& HistoryOf(const routes::Route& route) {
     return histories_.try_emplace(route.name, random_()).first->second;
   }
