--- a/test/unit/observation/shared_failures_test.cc
+++ b/test/unit/observation/shared_failures_test.cc
@@ -20,8 +20,7 @@
   CHECK(failures.SuspicionOf(kBackend, kStart + seconds(1)) > 0);
   CHECK(failures.SuspicionOf(kBackend, kStart + seconds(9)) == 0);
   failures.Add({.backend = kBackend + 1, .failed = 2}, kStart);
-  CHECK(failures.SuspicionOf(kBackend + 1, kStart) ==
-        doctest::Approx(2.0 / 3));
+  CHECK(failures.SuspicionOf(kBackend + 1, kStart) == doctest::Approx(2.0 / 3));
   CHECK(failures.SuspicionOf(kBackend + 1, kStart + seconds(7)) > 0);
   CHECK(failures.SuspicionOf(kBackend + 1, kStart + seconds(15)) == 0);
 }
