Roll-outs: a share above the base share is leased

Cause: a step to 30 or 100 % of the requests rests on a verdict within a second, but held until the next change of the state, which only a leader makes. During an election, and until the next leader had heard the routers, nobody judged.

Now the leader renews such a share in its replies to heartbeats, for 0.8 s, and only while it knows the answers so far; a router whose share is not renewed goes back to the base share by itself. Routers send a heartbeat each 0.3 s while their share is above it.

Ruled out: a longer wait before each step (the leader can be lost at any later moment), smaller shares (they only move the limit). Good versions are still undone and late; their cause is another one.

--- a/source/common/control/leader_role.cc
+++ b/source/common/control/leader_role.cc
@@ -158,7 +158,10 @@
   protocol::HeartbeatReplyT reply;
   reply.sequence = heartbeat.sequence;
   reply.outcome = ToOutcome(outcome);
-  reply.granted_us = outcome == GrantOutcome::kGranted ? lease_.count() : 0;
+  if (outcome == GrantOutcome::kGranted) {
+    reply.granted_us = lease_.count();
+    reply.renewed_rollouts = rollout_judge_.RenewedShares();
+  }
   reply.term = leases_.term();
   reply.in_force_revision = leases_.in_force();
   const auto& members = ports_.state().fleet().members;
--- a/source/common/control/operation_applier_rollouts.cc
+++ b/source/common/control/operation_applier_rollouts.cc
@@ -73,6 +73,7 @@
   rollout.ordered_at = state_.wall_time_;
   rollout.duration = Duration(operation.duration_us);
   rollout.share_permille = operation.share_permille;
+  rollout.base_share_permille = operation.share_permille;
   rollout.change_id = operation.change_id;
   if (is_there && rollout.replaced_versions.empty()) {
     // Nothing else runs: holding it back would leave the service without back
--- a/source/common/control/rollout_record.cc
+++ b/source/common/control/rollout_record.cc
@@ -18,6 +18,7 @@
   record.revision = rollout.revision;
   record.change_id = rollout.change_id;
   record.reason = rollout.reason;
+  record.base_share_permille = rollout.base_share_permille;
   return record;
 }
 
@@ -31,6 +32,7 @@
           .state = static_cast<rollout::RolloutState>(record.state),
           .phase = static_cast<rollout::RolloutPhase>(record.phase),
           .share_permille = record.share_permille,
+          .base_share_permille = record.base_share_permille,
           .revision = record.revision,
           .change_id = record.change_id,
           .reason = record.reason};
--- a/source/common/control/update_builder.cc
+++ b/source/common/control/update_builder.cc
@@ -215,7 +215,8 @@
   update_.rollouts.push_back(std::make_unique<protocol::RunningRolloutRecordT>(
       session::EncodeRunningRollout(
           service, {.number = rollout.number,
-                    .share_permille = rollout.share_permille})));
+                    .share_permille = rollout.share_permille,
+                    .base_share_permille = rollout.base_share_permille})));
 }
 
 }  // namespace juniperway::control
--- a/source/common/forwarding/backend_pool.cc
+++ b/source/common/forwarding/backend_pool.cc
@@ -419,6 +419,16 @@
                       observation);
 }
 
+void BackendPool::OnSharesRenewed(
+    const std::vector<rollout::RolloutNumber>& rollouts, MonotonicTime until) {
+  for (auto& [name, service] : services_) {
+    if (service.rollout != 0 &&
+        std::ranges::find(rollouts, service.rollout) != rollouts.end()) {
+      service.canary_allowance.Renew(until);
+    }
+  }
+}
+
 void BackendPool::OnNamedRequest(const std::string& service) {
   const auto found = services_.find(service);
   if (found != services_.end()) {
@@ -430,7 +440,7 @@
                                  MonotonicTime now) {
   Service& known = services_[service];
   known.budget.OnRequest(ExtraLimits(now), now);
-  known.canary_allowance.OnRequest(random_());
+  known.canary_allowance.OnRequest(random_(), now);
 }
 
 bool BackendPool::TakeExtra(const std::string& service, MonotonicTime now) {
--- a/source/common/forwarding/backend_pool.h
+++ b/source/common/forwarding/backend_pool.h
@@ -185,6 +185,9 @@
   void CountForRollout(const std::string& route, const std::string& id,
                        const AttemptOutcome& outcome);
   rollout::AnswerTally& answer_tally() { return answer_tally_; }
+  // The leader renewed the shares of these roll-outs (canary_allowance.h).
+  void OnSharesRenewed(const std::vector<rollout::RolloutNumber>& rollouts,
+                       MonotonicTime until);
 
   // What this router has to tell the others.
   observation::ObservationLog& observation_log() { return observation_log_; }
--- a/source/common/forwarding/backend_pool_update.cc
+++ b/source/common/forwarding/backend_pool_update.cc
@@ -205,7 +205,11 @@
   std::map<std::string, rollout::RolloutNumber> numbers;
   for (const auto& [name, running] : view.rollouts) {
     Service& service = services_[name];
-    service.canary_allowance.SetShare(running.share_permille);
+    if (service.rollout != running.number) {
+      service.canary_allowance = rollout::CanaryAllowance();
+    }
+    service.canary_allowance.SetShare(running.share_permille,
+                                      running.base_share_permille);
     numbers[name] = running.number;
   }
   for (auto& [name, service] : services_) {
--- a/source/common/forwarding/router_server.cc
+++ b/source/common/forwarding/router_server.cc
@@ -116,6 +116,7 @@
                          RefuseWithoutTable(held->message, *held->responder);
                        }),
         stop_timer_(context),
+        renewal_timer_(context),
         front_(context,
                net::HttpServerOptions{.endpoint = options.http_listen,
                                       .maximum_body_bytes = kMaximumBodyBytes,
@@ -193,6 +194,10 @@
     return pool_.answer_tally().MakeReport();
   }
   void OnNewLeader() { pool_.answer_tally().ReportAllAgain(); }
+  void OnSharesRenewed(const std::vector<rollout::RolloutNumber>& rollouts,
+                       MonotonicTime asked_at) {
+    pool_.OnSharesRenewed(rollouts, asked_at + rollout::kShareLease);
+  }
 
   void SetObservationReport(ObservationReporter::Report report) {
     observation_reporter_.SetReport(std::move(report));
@@ -521,6 +526,27 @@
       }
     }
     rollouts_ = std::move(running);
+    if (!renewing_shares_) {
+      RenewShares();
+    }
+  }
+
+  // Asks for heartbeats as long as a share has to be renewed.
+  void RenewShares() {
+    renewing_shares_ =
+        report_ask_ && std::ranges::any_of(rollouts_, [](const auto& entry) {
+          return entry.second.IsRenewable();
+        });
+    if (!renewing_shares_) {
+      return;
+    }
+    report_ask_();
+    renewal_timer_.expires_after(rollout::kShareRenewalInterval);
+    renewal_timer_.async_wait([this](const asio::error_code& error) {
+      if (!error) {
+        RenewShares();
+      }
+    });
   }
 
   // Canaries' answers are told soon, so that a bad version is found before many
@@ -613,11 +639,14 @@
   std::map<std::string, RouteHistory> histories_;
   std::uint64_t last_request_number_ = 0;
   asio::steady_timer stop_timer_;
+  asio::steady_timer renewal_timer_;
   std::uint64_t revision_ = 0;
   // As the newest view says.
   std::set<std::string> evacuated_zones_;
   // Under way, by service.
   std::map<std::string, session::RunningRollout> rollouts_;
+  // The renewal timer runs.
+  bool renewing_shares_ = false;
   MonotonicTime next_canary_report_ = MonotonicTime::min();
   bool was_ready_ = false;
   bool stopping_ = false;
@@ -662,6 +691,12 @@
 
 void RouterServer::OnNewLeader() { implementation_->OnNewLeader(); }
 
+void RouterServer::OnSharesRenewed(
+    const std::vector<rollout::RolloutNumber>& rollouts,
+    MonotonicTime asked_at) {
+  implementation_->OnSharesRenewed(rollouts, asked_at);
+}
+
 void RouterServer::SetObservationReport(ObservationReporter::Report report) {
   implementation_->SetObservationReport(std::move(report));
 }
--- a/source/common/forwarding/router_server.h
+++ b/source/common/forwarding/router_server.h
@@ -69,6 +69,9 @@
   std::vector<rollout::AnswerReport> MakeAnswerReport();
   // A leader hears the reports that has heard none before.
   void OnNewLeader();
+  // See session::ControlSessionClient::AnswerReportPorts.
+  void OnSharesRenewed(const std::vector<rollout::RolloutNumber>& rollouts,
+                       MonotonicTime asked_at);
 
   // @param report passes on to control what this router sees of back ends; what
   //   it does not reach is lost. To be set before requests come.
--- a/source/common/protocol/command_generated.h
+++ b/source/common/protocol/command_generated.h
@@ -3210,6 +3210,7 @@
   uint64_t revision = 0;
   std::string change_id{};
   std::string reason{};
+  uint32_t base_share_permille = 0;
 };
 
 struct RolloutRecord FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -3228,7 +3229,8 @@
     VT_SHARE_PERMILLE = 20,
     VT_REVISION = 22,
     VT_CHANGE_ID = 24,
-    VT_REASON = 26
+    VT_REASON = 26,
+    VT_BASE_SHARE_PERMILLE = 28
   };
   const flatbuffers::String *service() const {
     return GetPointer<const flatbuffers::String *>(VT_SERVICE);
@@ -3266,6 +3268,9 @@
   const flatbuffers::String *reason() const {
     return GetPointer<const flatbuffers::String *>(VT_REASON);
   }
+  uint32_t base_share_permille() const {
+    return GetField<uint32_t>(VT_BASE_SHARE_PERMILLE, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_SERVICE) &&
@@ -3286,6 +3291,7 @@
            verifier.VerifyString(change_id()) &&
            VerifyOffset(verifier, VT_REASON) &&
            verifier.VerifyString(reason()) &&
+           VerifyField<uint32_t>(verifier, VT_BASE_SHARE_PERMILLE, 4) &&
            verifier.EndTable();
   }
   RolloutRecordT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -3333,6 +3339,9 @@
   void add_reason(flatbuffers::Offset<flatbuffers::String> reason) {
     fbb_.AddOffset(RolloutRecord::VT_REASON, reason);
   }
+  void add_base_share_permille(uint32_t base_share_permille) {
+    fbb_.AddElement<uint32_t>(RolloutRecord::VT_BASE_SHARE_PERMILLE, base_share_permille, 0);
+  }
   explicit RolloutRecordBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -3357,12 +3366,14 @@
     uint32_t share_permille = 0,
     uint64_t revision = 0,
     flatbuffers::Offset<flatbuffers::String> change_id = 0,
-    flatbuffers::Offset<flatbuffers::String> reason = 0) {
+    flatbuffers::Offset<flatbuffers::String> reason = 0,
+    uint32_t base_share_permille = 0) {
   RolloutRecordBuilder builder_(_fbb);
   builder_.add_revision(revision);
   builder_.add_duration_us(duration_us);
   builder_.add_ordered_us(ordered_us);
   builder_.add_number(number);
+  builder_.add_base_share_permille(base_share_permille);
   builder_.add_reason(reason);
   builder_.add_change_id(change_id);
   builder_.add_share_permille(share_permille);
@@ -3392,7 +3403,8 @@
     uint32_t share_permille = 0,
     uint64_t revision = 0,
     const char *change_id = nullptr,
-    const char *reason = nullptr) {
+    const char *reason = nullptr,
+    uint32_t base_share_permille = 0) {
   auto service__ = service ? _fbb.CreateString(service) : 0;
   auto target_version__ = target_version ? _fbb.CreateString(target_version) : 0;
   auto replaced_versions__ = replaced_versions ? _fbb.CreateVector<flatbuffers::Offset<flatbuffers::String>>(*replaced_versions) : 0;
@@ -3411,7 +3423,8 @@
       share_permille,
       revision,
       change_id__,
-      reason__);
+      reason__,
+      base_share_permille);
 }
 
 flatbuffers::Offset<RolloutRecord> CreateRolloutRecord(flatbuffers::FlatBufferBuilder &_fbb, const RolloutRecordT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -4675,6 +4688,7 @@
   { auto _e = revision(); _o->revision = _e; }
   { auto _e = change_id(); if (_e) _o->change_id = _e->str(); }
   { auto _e = reason(); if (_e) _o->reason = _e->str(); }
+  { auto _e = base_share_permille(); _o->base_share_permille = _e; }
 }
 
 inline flatbuffers::Offset<RolloutRecord> RolloutRecord::Pack(flatbuffers::FlatBufferBuilder &_fbb, const RolloutRecordT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -4697,6 +4711,7 @@
   auto _revision = _o->revision;
   auto _change_id = _o->change_id.empty() ? 0 : _fbb.CreateString(_o->change_id);
   auto _reason = _o->reason.empty() ? 0 : _fbb.CreateString(_o->reason);
+  auto _base_share_permille = _o->base_share_permille;
   return juniperway::protocol::CreateRolloutRecord(
       _fbb,
       _service,
@@ -4710,7 +4725,8 @@
       _share_permille,
       _revision,
       _change_id,
-      _reason);
+      _reason,
+      _base_share_permille);
 }
 
 inline StateSnapshotT::StateSnapshotT(const StateSnapshotT &o)
--- a/source/common/protocol/control_generated.h
+++ b/source/common/protocol/control_generated.h
@@ -3631,6 +3631,7 @@
   uint64_t in_force_revision = 0;
   uint64_t zone_released_revision = 0;
   std::vector<std::unique_ptr<juniperway::protocol::RateGrantRecordT>> rate_grants{};
+  std::vector<uint64_t> renewed_rollouts{};
   HeartbeatReplyT() = default;
   HeartbeatReplyT(const HeartbeatReplyT &o);
   HeartbeatReplyT(HeartbeatReplyT&&) FLATBUFFERS_NOEXCEPT = default;
@@ -3648,7 +3649,8 @@
     VT_TERM = 10,
     VT_IN_FORCE_REVISION = 12,
     VT_ZONE_RELEASED_REVISION = 14,
-    VT_RATE_GRANTS = 16
+    VT_RATE_GRANTS = 16,
+    VT_RENEWED_ROLLOUTS = 18
   };
   uint64_t sequence() const {
     return GetField<uint64_t>(VT_SEQUENCE, 0);
@@ -3671,6 +3673,9 @@
   const flatbuffers::Vector<flatbuffers::Offset<juniperway::protocol::RateGrantRecord>> *rate_grants() const {
     return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<juniperway::protocol::RateGrantRecord>> *>(VT_RATE_GRANTS);
   }
+  const flatbuffers::Vector<uint64_t> *renewed_rollouts() const {
+    return GetPointer<const flatbuffers::Vector<uint64_t> *>(VT_RENEWED_ROLLOUTS);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_SEQUENCE, 8) &&
@@ -3682,6 +3687,8 @@
            VerifyOffset(verifier, VT_RATE_GRANTS) &&
            verifier.VerifyVector(rate_grants()) &&
            verifier.VerifyVectorOfTables(rate_grants()) &&
+           VerifyOffset(verifier, VT_RENEWED_ROLLOUTS) &&
+           verifier.VerifyVector(renewed_rollouts()) &&
            verifier.EndTable();
   }
   HeartbeatReplyT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -3714,6 +3721,9 @@
   void add_rate_grants(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<juniperway::protocol::RateGrantRecord>>> rate_grants) {
     fbb_.AddOffset(HeartbeatReply::VT_RATE_GRANTS, rate_grants);
   }
+  void add_renewed_rollouts(flatbuffers::Offset<flatbuffers::Vector<uint64_t>> renewed_rollouts) {
+    fbb_.AddOffset(HeartbeatReply::VT_RENEWED_ROLLOUTS, renewed_rollouts);
+  }
   explicit HeartbeatReplyBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -3733,13 +3743,15 @@
     uint64_t term = 0,
     uint64_t in_force_revision = 0,
     uint64_t zone_released_revision = 0,
-    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<juniperway::protocol::RateGrantRecord>>> rate_grants = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<juniperway::protocol::RateGrantRecord>>> rate_grants = 0,
+    flatbuffers::Offset<flatbuffers::Vector<uint64_t>> renewed_rollouts = 0) {
   HeartbeatReplyBuilder builder_(_fbb);
   builder_.add_zone_released_revision(zone_released_revision);
   builder_.add_in_force_revision(in_force_revision);
   builder_.add_term(term);
   builder_.add_granted_us(granted_us);
   builder_.add_sequence(sequence);
+  builder_.add_renewed_rollouts(renewed_rollouts);
   builder_.add_rate_grants(rate_grants);
   builder_.add_outcome(outcome);
   return builder_.Finish();
@@ -3758,8 +3770,10 @@
     uint64_t term = 0,
     uint64_t in_force_revision = 0,
     uint64_t zone_released_revision = 0,
-    const std::vector<flatbuffers::Offset<juniperway::protocol::RateGrantRecord>> *rate_grants = nullptr) {
+    const std::vector<flatbuffers::Offset<juniperway::protocol::RateGrantRecord>> *rate_grants = nullptr,
+    const std::vector<uint64_t> *renewed_rollouts = nullptr) {
   auto rate_grants__ = rate_grants ? _fbb.CreateVector<flatbuffers::Offset<juniperway::protocol::RateGrantRecord>>(*rate_grants) : 0;
+  auto renewed_rollouts__ = renewed_rollouts ? _fbb.CreateVector<uint64_t>(*renewed_rollouts) : 0;
   return juniperway::protocol::CreateHeartbeatReply(
       _fbb,
       sequence,
@@ -3768,7 +3782,8 @@
       term,
       in_force_revision,
       zone_released_revision,
-      rate_grants__);
+      rate_grants__,
+      renewed_rollouts__);
 }
 
 flatbuffers::Offset<HeartbeatReply> CreateHeartbeatReply(flatbuffers::FlatBufferBuilder &_fbb, const HeartbeatReplyT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -5920,7 +5935,8 @@
         granted_us(o.granted_us),
         term(o.term),
         in_force_revision(o.in_force_revision),
-        zone_released_revision(o.zone_released_revision) {
+        zone_released_revision(o.zone_released_revision),
+        renewed_rollouts(o.renewed_rollouts) {
   rate_grants.reserve(o.rate_grants.size());
   for (const auto &rate_grants_ : o.rate_grants) { rate_grants.emplace_back((rate_grants_) ? new juniperway::protocol::RateGrantRecordT(*rate_grants_) : nullptr); }
 }
@@ -5933,6 +5949,7 @@
   std::swap(in_force_revision, o.in_force_revision);
   std::swap(zone_released_revision, o.zone_released_revision);
   std::swap(rate_grants, o.rate_grants);
+  std::swap(renewed_rollouts, o.renewed_rollouts);
   return *this;
 }
 
@@ -5952,6 +5969,7 @@
   { auto _e = in_force_revision(); _o->in_force_revision = _e; }
   { auto _e = zone_released_revision(); _o->zone_released_revision = _e; }
   { auto _e = rate_grants(); if (_e) { _o->rate_grants.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->rate_grants[_i] = std::unique_ptr<juniperway::protocol::RateGrantRecordT>(_e->Get(_i)->UnPack(_resolver)); } } }
+  { auto _e = renewed_rollouts(); if (_e) { _o->renewed_rollouts.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->renewed_rollouts[_i] = _e->Get(_i); } } }
 }
 
 inline flatbuffers::Offset<HeartbeatReply> HeartbeatReply::Pack(flatbuffers::FlatBufferBuilder &_fbb, const HeartbeatReplyT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -5969,6 +5987,7 @@
   auto _in_force_revision = _o->in_force_revision;
   auto _zone_released_revision = _o->zone_released_revision;
   auto _rate_grants = _o->rate_grants.size() ? _fbb.CreateVector<flatbuffers::Offset<juniperway::protocol::RateGrantRecord>> (_o->rate_grants.size(), [](size_t i, _VectorArgs *__va) { return CreateRateGrantRecord(*__va->__fbb, __va->__o->rate_grants[i].get(), __va->__rehasher); }, &_va ) : 0;
+  auto _renewed_rollouts = _o->renewed_rollouts.size() ? _fbb.CreateVector(_o->renewed_rollouts) : 0;
   return juniperway::protocol::CreateHeartbeatReply(
       _fbb,
       _sequence,
@@ -5977,7 +5996,8 @@
       _term,
       _in_force_revision,
       _zone_released_revision,
-      _rate_grants);
+      _rate_grants,
+      _renewed_rollouts);
 }
 
 inline RateTokensT::RateTokensT(const RateTokensT &o)
--- a/source/common/protocol/fleet_generated.h
+++ b/source/common/protocol/fleet_generated.h
@@ -781,6 +781,7 @@
   std::string service{};
   uint64_t number = 0;
   uint32_t share_permille = 0;
+  uint32_t base_share_permille = 0;
 };
 
 struct RunningRolloutRecord FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -790,7 +791,8 @@
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
     VT_SERVICE = 4,
     VT_NUMBER = 6,
-    VT_SHARE_PERMILLE = 8
+    VT_SHARE_PERMILLE = 8,
+    VT_BASE_SHARE_PERMILLE = 10
   };
   const flatbuffers::String *service() const {
     return GetPointer<const flatbuffers::String *>(VT_SERVICE);
@@ -801,12 +803,16 @@
   uint32_t share_permille() const {
     return GetField<uint32_t>(VT_SHARE_PERMILLE, 0);
   }
+  uint32_t base_share_permille() const {
+    return GetField<uint32_t>(VT_BASE_SHARE_PERMILLE, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_SERVICE) &&
            verifier.VerifyString(service()) &&
            VerifyField<uint64_t>(verifier, VT_NUMBER, 8) &&
            VerifyField<uint32_t>(verifier, VT_SHARE_PERMILLE, 4) &&
+           VerifyField<uint32_t>(verifier, VT_BASE_SHARE_PERMILLE, 4) &&
            verifier.EndTable();
   }
   RunningRolloutRecordT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -827,6 +833,9 @@
   void add_share_permille(uint32_t share_permille) {
     fbb_.AddElement<uint32_t>(RunningRolloutRecord::VT_SHARE_PERMILLE, share_permille, 0);
   }
+  void add_base_share_permille(uint32_t base_share_permille) {
+    fbb_.AddElement<uint32_t>(RunningRolloutRecord::VT_BASE_SHARE_PERMILLE, base_share_permille, 0);
+  }
   explicit RunningRolloutRecordBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -842,9 +851,11 @@
     flatbuffers::FlatBufferBuilder &_fbb,
     flatbuffers::Offset<flatbuffers::String> service = 0,
     uint64_t number = 0,
-    uint32_t share_permille = 0) {
+    uint32_t share_permille = 0,
+    uint32_t base_share_permille = 0) {
   RunningRolloutRecordBuilder builder_(_fbb);
   builder_.add_number(number);
+  builder_.add_base_share_permille(base_share_permille);
   builder_.add_share_permille(share_permille);
   builder_.add_service(service);
   return builder_.Finish();
@@ -859,13 +870,15 @@
     flatbuffers::FlatBufferBuilder &_fbb,
     const char *service = nullptr,
     uint64_t number = 0,
-    uint32_t share_permille = 0) {
+    uint32_t share_permille = 0,
+    uint32_t base_share_permille = 0) {
   auto service__ = service ? _fbb.CreateString(service) : 0;
   return juniperway::protocol::CreateRunningRolloutRecord(
       _fbb,
       service__,
       number,
-      share_permille);
+      share_permille,
+      base_share_permille);
 }
 
 flatbuffers::Offset<RunningRolloutRecord> CreateRunningRolloutRecord(flatbuffers::FlatBufferBuilder &_fbb, const RunningRolloutRecordT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -1559,6 +1572,7 @@
   { auto _e = service(); if (_e) _o->service = _e->str(); }
   { auto _e = number(); _o->number = _e; }
   { auto _e = share_permille(); _o->share_permille = _e; }
+  { auto _e = base_share_permille(); _o->base_share_permille = _e; }
 }
 
 inline flatbuffers::Offset<RunningRolloutRecord> RunningRolloutRecord::Pack(flatbuffers::FlatBufferBuilder &_fbb, const RunningRolloutRecordT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -1572,11 +1586,13 @@
   auto _service = _o->service.empty() ? 0 : _fbb.CreateString(_o->service);
   auto _number = _o->number;
   auto _share_permille = _o->share_permille;
+  auto _base_share_permille = _o->base_share_permille;
   return juniperway::protocol::CreateRunningRolloutRecord(
       _fbb,
       _service,
       _number,
-      _share_permille);
+      _share_permille,
+      _base_share_permille);
 }
 
 inline RouteTableRecordT *RouteTableRecord::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
--- a/source/common/rollout/rollout.h
+++ b/source/common/rollout/rollout.h
@@ -62,6 +62,8 @@
   RolloutPhase phase = RolloutPhase::kObserving;
   // Share of each router's requests that goes to canaries, in thousandths.
   std::uint32_t share_permille = 0;
+  // Share of a router whose share no leader renews (canary_allowance.h).
+  std::uint32_t base_share_permille = 0;
   // Revision of its last change.
   std::uint64_t revision = 0;
   // The change that ordered it.
--- a/source/common/rollout/rollout_judge.cc
+++ b/source/common/rollout/rollout_judge.cc
@@ -98,6 +98,7 @@
         .other_answers = evidence.other_answers,
         .canaries = fleet.count_backends(service, rollout.target_version),
         .in_force = in_force};
+    watch.renews_share = MayRenewShare(rollout, facts);
     if (auto step = NextStep(rollout, facts, limit_)) {
       steps.push_back({.service = service,
                        .rollout = rollout.number,
@@ -108,6 +109,16 @@
   return steps;
 }
 
+std::vector<RolloutNumber> RolloutJudge::RenewedShares() const {
+  std::vector<RolloutNumber> renewed;
+  for (const auto& [service, watch] : watches_) {
+    if (watch.renews_share) {
+      renewed.push_back(watch.number);
+    }
+  }
+  return renewed;
+}
+
 Evidence RolloutJudge::EvidenceOf(const std::string& service) const {
   const auto watch = watches_.find(service);
   return watch == watches_.end() ? Evidence{}
--- a/source/common/rollout/rollout_judge.h
+++ b/source/common/rollout/rollout_judge.h
@@ -50,6 +50,10 @@
   std::vector<NamedStep> TakeSteps(const Rollouts& rollouts, const Fleet& fleet,
                                    MonotonicTime now);
 
+  // Roll-outs whose routers may use a share above the base share, as of the
+  // last TakeSteps.
+  std::vector<RolloutNumber> RenewedShares() const;
+
   // Of the roll-out that is under way; nothing was found otherwise.
   Evidence EvidenceOf(const std::string& service) const;
 
@@ -64,6 +68,8 @@
     RolloutPhase phase = RolloutPhase::kObserving;
     // In force everywhere since then; max(): it is not.
     MonotonicTime phase_since = MonotonicTime::max();
+    // Routers may use a share above the base share.
+    bool renews_share = false;
     VersionComparison comparison;
   };
 
--- a/source/common/rollout/rollout_plan.cc
+++ b/source/common/rollout/rollout_plan.cc
@@ -90,14 +90,20 @@
              : std::nullopt;
 }
 
+Duration AtMostPart(const Rollout& rollout, Duration longest, double part) {
+  return std::min(longest, FromSeconds(ToSeconds(rollout.duration) * part));
+}
+
+// The leader has been told of all answers so far.
+bool KnowsAnswers(const Rollout& rollout, const RolloutFacts& facts) {
+  return facts.watched >= AtMostPart(rollout, kReportTime, kReportShare);
+}
+
 // The phase is known everywhere, and what its answers say as well.
 bool IsReadyForStep(const Rollout& rollout, const RolloutFacts& facts) {
-  const auto at_most = [&rollout](Duration longest, double share) {
-    return std::min(longest, FromSeconds(ToSeconds(rollout.duration) * share));
-  };
   return facts.in_force && facts.suspicion < kSuspicious &&
-         facts.watched >= at_most(kReportTime, kReportShare) &&
-         facts.in_phase >= at_most(kLeastPhase, kLeastPhaseShare);
+         KnowsAnswers(rollout, facts) &&
+         facts.in_phase >= AtMostPart(rollout, kLeastPhase, kLeastPhaseShare);
 }
 
 // Canaries may take the place of the others.
@@ -151,6 +157,12 @@
       std::floor(limit.share * kObservingPart * kWholePermille));
 }
 
+bool MayRenewShare(const Rollout& rollout, const RolloutFacts& facts) {
+  return rollout.share_permille > rollout.base_share_permille &&
+         KnowsAnswers(rollout, facts) && !facts.canaries_worse &&
+         facts.suspicion < kSuspicious;
+}
+
 std::optional<RolloutStep> NextStep(const Rollout& rollout,
                                     const RolloutFacts& facts,
                                     const ExposureLimit& limit) {
--- a/source/common/rollout/rollout_plan.h
+++ b/source/common/rollout/rollout_plan.h
@@ -87,6 +87,10 @@
 // First share of canaries, in thousandths.
 std::uint32_t ObservingShare(const ExposureLimit& limit);
 
+// Whether routers may use a share above the base share: the leader knows the
+// answers so far, and they do not speak against the version.
+bool MayRenewShare(const Rollout& rollout, const RolloutFacts& facts);
+
 // @return nothing: it stays as it is for now.
 std::optional<RolloutStep> NextStep(const Rollout& rollout,
                                     const RolloutFacts& facts,
--- a/source/common/session/control_session_client.cc
+++ b/source/common/session/control_session_client.cc
@@ -338,13 +338,13 @@
       return;
     }
     protocol::HeartbeatT heartbeat = EncodeHeartbeat(content);
+    const MonotonicTime now = Now();
+    reports_sent_[content.sequence] = now;
+    std::erase_if(reports_sent_, [now](const auto& report) {
+      return now - report.second > quota::kRateLease;
+    });
     if (rate_ports_.make_report) {
-      const MonotonicTime now = Now();
       EncodeRateReport(rate_ports_.make_report(now), heartbeat);
-      reports_sent_[content.sequence] = now;
-      std::erase_if(reports_sent_, [now](const auto& report) {
-        return now - report.second > quota::kRateLease;
-      });
     }
     if (answer_ports_.make_report) {
       EncodeAnswerReports(answer_ports_.make_report(), heartbeat);
@@ -360,7 +360,7 @@
     }
   }
 
-  void OnRateGrants(const protocol::HeartbeatReplyT& reply) {
+  void OnGrants(const protocol::HeartbeatReplyT& reply) {
     const auto sent = reports_sent_.find(reply.sequence);
     if (sent == reports_sent_.end()) {
       return;
@@ -372,6 +372,9 @@
       rate_ports_.on_grants(DecodeRateGrants(reply.rate_grants), reply.term,
                             sent->second);
     }
+    if (answer_ports_.on_renewed && !reply.renewed_rollouts.empty()) {
+      answer_ports_.on_renewed(reply.renewed_rollouts, sent->second);
+    }
   }
 
   void OnRateTokens(const protocol::RateTokensT& tokens) {
@@ -399,7 +402,7 @@
       OnCompressedUpdate(*compressed);
     } else if (const auto* reply = message.AsHeartbeatReply()) {
       state_->OnHeartbeatReply(DecodeHeartbeatAnswer(*reply), Now());
-      OnRateGrants(*reply);
+      OnGrants(*reply);
       NoteLeader(reply->term);
     } else if (const auto* tokens = message.AsRateTokens()) {
       OnRateTokens(*tokens);
--- a/source/common/session/control_session_client.h
+++ b/source/common/session/control_session_client.h
@@ -90,6 +90,11 @@
     std::function<std::vector<rollout::AnswerReport>()> make_report;
     // Another leader hears the reports from now on: it knows nothing yet.
     std::function<void()> on_new_leader;
+    // The leader renews the shares of these roll-outs.
+    // @param asked_at when the heartbeat that it answers was sent.
+    std::function<void(const std::vector<rollout::RolloutNumber>& rollouts,
+                       MonotonicTime asked_at)>
+        on_renewed;
   };
   // Before Start.
   void SetAnswerReportPorts(AnswerReportPorts ports);
--- a/source/common/session/fleet_codec.cc
+++ b/source/common/session/fleet_codec.cc
@@ -350,12 +350,15 @@
   record.service = service;
   record.number = rollout.number;
   record.share_permille = rollout.share_permille;
+  record.base_share_permille = rollout.base_share_permille;
   return record;
 }
 
 RunningRollout DecodeRunningRollout(
     const protocol::RunningRolloutRecordT& record) {
-  return {.number = record.number, .share_permille = record.share_permille};
+  return {.number = record.number,
+          .share_permille = record.share_permille,
+          .base_share_permille = record.base_share_permille};
 }
 
 bool IsApplicable(const protocol::FleetUpdateT& update,
--- a/source/common/session/fleet_view.h
+++ b/source/common/session/fleet_view.h
@@ -99,7 +99,10 @@
 struct RunningRollout {
   rollout::RolloutNumber number = 0;
   std::uint32_t share_permille = 0;
+  std::uint32_t base_share_permille = 0;
 
+  // The share holds only while a leader renews it.
+  bool IsRenewable() const { return share_permille > base_share_permille; }
   bool operator==(const RunningRollout&) const = default;
 };
 
--- a/source/daemon/router_role.cc
+++ b/source/daemon/router_role.cc
@@ -73,7 +73,12 @@
              }});
     session.SetAnswerReportPorts(
         {.make_report = [this] { return router.MakeAnswerReport(); },
-         .on_new_leader = [this] { router.OnNewLeader(); }});
+         .on_new_leader = [this] { router.OnNewLeader(); },
+         .on_renewed =
+             [this](const std::vector<rollout::RolloutNumber>& rollouts,
+                    MonotonicTime asked_at) {
+               router.OnSharesRenewed(rollouts, asked_at);
+             }});
     session.SetObservationListener(
         [this](const observation::BackendObservations& observations) {
           router.OnObservations(observations);
--- a/test/property/rollout/rollout_world.cc
+++ b/test/property/rollout/rollout_world.cc
@@ -25,11 +25,18 @@
 constexpr double kPauseShare = 0.02;
 constexpr Duration kPause = milliseconds(200);
 constexpr double kUnderLoadPermille = 200;
+// As session::SessionTiming gives them.
+constexpr Duration kHeartbeatInterval = seconds(1);
+constexpr Duration kUnrenewedInterval = milliseconds(400);
+constexpr Duration kCanaryReportInterval = milliseconds(200);
 
 }  // namespace
 
 RolloutWorld::RolloutWorld(const RolloutWorldOptions& options)
-    : options_(options), random_(options.seed), ordered_(now_) {
+    : options_(options),
+      random_(options.seed),
+      ordered_(now_),
+      answer_random_(options.seed + 1) {
   for (std::size_t number = 0; number < options.routers; ++number) {
     names_.push_back("router-" + std::to_string(number));
   }
@@ -38,12 +45,18 @@
     router.name = name;
     router.next_report =
         now_ + Duration(static_cast<Duration::rep>(Draw() * 1e6));
+    session::Member& member = members_[name];
+    member.daemon_id = name;
+    member.incarnation = router.incarnation;
+    member.router = true;
   }
   Rollout& rollout = rollouts_[kService];
   rollout.number = 1;
   rollout.target_version = "v2";
   rollout.duration = options.duration;
   rollout.share_permille = rollout::ObservingShare(kWorldExposure);
+  rollout.base_share_permille = rollout.share_permille;
+  BeginToLead();
   Publish();
 }
 
@@ -55,6 +68,11 @@
   return milliseconds(5) + Duration(static_cast<Duration::rep>(Draw() * 40e3));
 }
 
+Duration RolloutWorld::AnswerWay() {
+  return Duration(std::uniform_int_distribution<Duration::rep>(
+      5'000, 45'000)(answer_random_));
+}
+
 void RolloutWorld::At(MonotonicTime time, std::function<void()> run) {
   events_.push_back({time, std::move(run)});
 }
@@ -102,14 +120,7 @@
 void RolloutWorld::MakeTrouble() {
   const double per_step = ToSeconds(kStep);
   if (Draw() < 0.2 * per_step) {  // Each five seconds.
-    judge_.Stop();
-    step_under_way_ = false;
-    leaderless_until_ = now_ + milliseconds(500) + 20 * Way();
-    At(leaderless_until_, [this] {
-      for (Router& router : routers_) {
-        router.tally.ReportAllAgain();
-      }
-    });
+    LoseLeader();
   }
   if (Draw() < 0.5 * per_step) {
     Router& cut = routers_[random_() % routers_.size()];
@@ -122,11 +133,39 @@
     ++restarted.incarnation;
     restarted.knows = false;
     restarted.tally = rollout::AnswerTally();
-    At(restarted.down_until,
-       [this, &restarted] { Take(restarted, rollouts_.at(kService)); });
+    restarted.allowance = rollout::CanaryAllowance();
+    restarted.term = 0;
+    restarted.lease_end = MonotonicTime::min();
+    At(restarted.down_until, [this, &restarted] {
+      Take(restarted, rollouts_.at(kService));
+      session::Member& member = members_.at(restarted.name);
+      member.incarnation = restarted.incarnation;
+      lease_table_.SetMember(restarted.name, &member, now_);
+    });
   }
 }
 
+void RolloutWorld::LoseLeader() {
+  judge_.Stop();
+  lease_table_.Stop();
+  step_under_way_ = false;
+  leaderless_until_ = now_ + milliseconds(500) + 20 * Way();
+  At(leaderless_until_, [this] {
+    BeginToLead();
+    if (options_.leases) {
+      return;
+    }
+    for (Router& router : routers_) {
+      router.tally.ReportAllAgain();
+      router.term = term_;
+    }
+  });
+}
+
+void RolloutWorld::BeginToLead() {
+  lease_table_.Start(++term_, rollouts_.at(kService).revision, members_, now_);
+}
+
 void RolloutWorld::MakeRequests() {
   std::poisson_distribution<int> count(options_.requests_per_second *
                                        ToSeconds(kStep));
@@ -149,7 +188,10 @@
        (running && view.phase == rollout::RolloutPhase::kReplacing));
   bool canary = replaced;
   if (running && !replaced) {
-    router.allowance.OnRequest(random_());
+    if (options_.ignores_share_lease) {
+      router.allowance.Renew(MonotonicTime::max());
+    }
+    router.allowance.OnRequest(random_(), now_);
     const bool may = options_.ignores_share || router.allowance.MaySend();
     canary = may && are_there;
     if (canary) {
@@ -216,33 +258,82 @@
                        observation);
     if (router.tally.has_news()) {
       router.next_report =
-          std::min(router.next_report, now_ + milliseconds(200));
+          std::min(router.next_report, now_ + kCanaryReportInterval);
     }
   });
 }
 
 void RolloutWorld::Report(Router& router) {
-  router.next_report = now_ + seconds(1);
+  router.next_report =
+      now_ + (router.refused ? kUnrenewedInterval : kHeartbeatInterval);
+  if (router.view.share_permille > router.view.base_share_permille) {
+    router.next_report =
+        std::min(router.next_report, now_ + rollout::kShareRenewalInterval);
+  }
   auto reports = router.tally.MakeReport();
-  if (reports.empty()) {
+  const control::HeartbeatFacts facts{
+      .daemon = {router.name, router.incarnation},
+      .confirmed = router.view.revision,
+      .term = router.term,
+      .holds_lease = now_ < router.lease_end};
+  const Duration way = reports.empty() ? AnswerWay() : Way();
+  At(now_ + way, [this, &router, facts, reports = std::move(reports),
+                  sent_at = now_] {
+    OnHeartbeat(router, facts, reports, sent_at);
+  });
+}
+
+void RolloutWorld::OnHeartbeat(
+    Router& router, const control::HeartbeatFacts& facts,
+    const std::vector<rollout::AnswerReport>& reports, MonotonicTime sent_at) {
+  if (now_ < leaderless_until_) {
+    router.refused = true;
     return;
   }
-  At(now_ + Way(), [this, name = router.name, incarnation = router.incarnation,
-                    reports = std::move(reports)] {
-    if (now_ >= leaderless_until_) {
-      judge_.OnReport(name, incarnation, reports, rollouts_, now_);
+  const control::GrantOutcome outcome = lease_table_.OnHeartbeat(facts, now_);
+  judge_.OnReport(facts.daemon.daemon_id, facts.daemon.incarnation, reports,
+                  rollouts_, now_);
+  AnswerHeartbeat(router, facts.daemon.incarnation, outcome, sent_at);
+}
+
+void RolloutWorld::AnswerHeartbeat(Router& router, std::uint64_t incarnation,
+                                   control::GrantOutcome outcome,
+                                   MonotonicTime sent_at) {
+  At(now_ + AnswerWay(), [this, &router, incarnation, outcome, sent_at, term = term_,
+                  renewed = judge_.RenewedShares()] {
+    if (!IsReached(router) || router.incarnation != incarnation) {
+      return;
+    }
+    if (std::exchange(router.term, term) != term) {
+      router.tally.ReportAllAgain();
+      router.next_report = now_;
+    }
+    router.refused = outcome != control::GrantOutcome::kGranted;
+    if (!router.refused) {
+      router.lease_end = sent_at + control::LeaseTable::Options().lease;
+      if (!renewed.empty()) {
+        router.allowance.Renew(sent_at + rollout::kShareLease);
+      }
     }
   });
 }
 
+std::uint64_t RolloutWorld::InForce() {
+  const std::uint64_t newest = rollouts_.at(kService).revision;
+  if (!options_.leases) {
+    return newest;
+  }
+  lease_table_.Advance(newest, now_);
+  return lease_table_.in_force();
+}
+
 void RolloutWorld::Lead() {
   if (step_under_way_) {
     return;
   }
   const rollout::RolloutJudge::Fleet fleet{
       .wall_time = WallTime{Duration(now_ - ordered_)},
-      // What was changed a moment ago is in force by now.
-      .in_force = rollouts_.at(kService).revision,
+      .in_force = InForce(),
       .routers = options_.routers,
       .count_backends = [this](const std::string&, const std::string&) {
         return now_ >= ordered_ + kCanariesAfter ? std::size_t{3} : 0;
@@ -288,7 +379,11 @@
   }
   router.knows = true;
   router.view = rollout;
-  router.allowance.SetShare(rollout.share_permille);
+  router.allowance.SetShare(rollout.share_permille,
+                            rollout.base_share_permille);
+  if (options_.leases) {
+    router.next_report = now_;
+  }
   std::map<std::string, rollout::RolloutNumber> running;
   if (rollout.running()) {
     running[kService] = rollout.number;
--- a/test/property/rollout/rollout_world.h
+++ b/test/property/rollout/rollout_world.h
@@ -1,14 +1,19 @@
 // The pure code of a fleet that rolls a version out, under virtual time: the
 // leader's judge and plan, and for each router its allowance and its counts.
 // Messages take a while; routers are cut off and restart, and leaders change.
+// With `leases` the control machines' lease table says what is in force, and a
+// new leader hears routers as they find it; otherwise a change is in force at
+// once, and all routers report again when a leader begins.
 #pragma once
 
 #include <cstdint>
-#include <deque>
 #include <functional>
+#include <map>
 #include <random>
+#include <string>
 #include <vector>
 
+#include "common/control/lease_table.h"
 #include "common/rollout/answer_tally.h"
 #include "common/rollout/canary_allowance.h"
 #include "common/rollout/rollout_judge.h"
@@ -36,6 +41,10 @@
   bool trouble = false;
   // Planted: routers take the leader's share for all of their requests.
   bool ignores_share = false;
+  // Planted: routers keep a share that no leader renews.
+  bool ignores_share_lease = false;
+  // What is in force is known from routers' heartbeats only.
+  bool leases = false;
 };
 
 struct RolloutReport {
@@ -69,6 +78,11 @@
     rollout::CanaryAllowance allowance;
     rollout::AnswerTally tally;
     MonotonicTime next_report;
+    // Of the leader that answered last.
+    std::uint64_t term = 0;
+    // The last answer did not renew the lease.
+    bool refused = false;
+    MonotonicTime lease_end = MonotonicTime::min();
     MonotonicTime cut_until = MonotonicTime::min();
     MonotonicTime down_until = MonotonicTime::min();
   };
@@ -85,12 +99,22 @@
               rollout::RolloutNumber number);
   bool IsBad(const std::string& route, bool canary);
   void Report(Router& router);
+  void OnHeartbeat(Router& router, const control::HeartbeatFacts& facts,
+                   const std::vector<rollout::AnswerReport>& reports,
+                   MonotonicTime sent_at);
+  void AnswerHeartbeat(Router& router, std::uint64_t incarnation,
+                       control::GrantOutcome outcome, MonotonicTime sent_at);
+  void LoseLeader();
+  void BeginToLead();
+  std::uint64_t InForce();
   void Lead();
   void Publish();
   void Take(Router& router, const rollout::Rollout& rollout);
   void MakeTrouble();
   bool IsReached(const Router& router) const;
   Duration Way();
+  // Of messages besides the reports.
+  Duration AnswerWay();
   double Draw();
 
   RolloutWorldOptions options_;
@@ -101,6 +125,11 @@
   std::vector<Router> routers_;
   rollout::Rollouts rollouts_;
   rollout::RolloutJudge judge_{kWorldExposure};
+  std::uint64_t term_ = 1;
+  control::LeaseTable lease_table_{control::LeaseTable::Options()};
+  std::map<std::string, session::Member> members_;
+  // Of answers to heartbeats, apart from the other draws.
+  std::mt19937_64 answer_random_;
   MonotonicTime leaderless_until_ = MonotonicTime::min();
   std::vector<Event> events_;
   bool step_under_way_ = false;
--- a/test/unit/forwarding/canary_test.cc
+++ b/test/unit/forwarding/canary_test.cc
@@ -27,7 +27,8 @@
                              .version = canary ? "v2" : "v1",
                              .canary = canary};
     }
-    view.rollouts["s"] = {.number = 7, .share_permille = 100};
+    view.rollouts["s"] = {
+        .number = 7, .share_permille = 100, .base_share_permille = 100};
     route.name = "r";
     route.repeatable = true;
     route.timeout = seconds(4);
@@ -89,6 +90,10 @@
   CHECK(canaries < 140);
   fleet.view.rollouts["s"].share_permille = 1000;
   fleet.Update();
+  // Guards against canaries that keep a larger share while no leader judges
+  // them.
+  CHECK(fleet.Play(1000) < 140);
+  fleet.pool.OnSharesRenewed({7}, MonotonicTime::max());
   CHECK(fleet.Play(100) == 100);
 }
 
--- a/test/unit/rollout/canary_allowance_test.cc
+++ b/test/unit/rollout/canary_allowance_test.cc
@@ -16,8 +16,8 @@
   std::size_t sent = 0;
   for (int request = 0; request < 10'000; ++request) {
     CanaryAllowance& allowance = allowances[random() % routers];
-    allowance.SetShare(permille);
-    allowance.OnRequest(random());
+    allowance.SetShare(permille, permille);
+    allowance.OnRequest(random(), MonotonicTime{});
     if (allowance.MaySend()) {
       allowance.OnSent();
       CHECK_FALSE(allowance.MaySend());
@@ -42,5 +42,35 @@
   CHECK(CanaryRequests(60, kWholePermille) == 10'000);
 }
 
+// Of 1,000 requests of one router at this time.
+std::size_t CanaryRequestsAt(CanaryAllowance allowance, MonotonicTime now) {
+  std::size_t sent = 0;
+  for (std::uint64_t random = 0; random < kWholePermille; ++random) {
+    allowance.OnRequest(random, now);
+    sent += allowance.MaySend() ? 1 : 0;
+  }
+  return sent;
+}
+
+// Guards against canaries that keep all requests while nobody judges them.
+TEST_CASE("a share above the base share lasts while a leader renews it") {
+  const MonotonicTime end{seconds(10)};
+  CanaryAllowance allowance;
+  allowance.SetShare(300, 75);
+  CHECK(CanaryRequestsAt(allowance, MonotonicTime{}) == 75);
+  allowance.Renew(end);
+  CHECK(CanaryRequestsAt(allowance, end - milliseconds(1)) == 300);
+  CHECK(CanaryRequestsAt(allowance, end) == 75);
+  // An answer that comes late does not shorten the lease.
+  allowance.Renew(end - seconds(1));
+  CHECK(CanaryRequestsAt(allowance, end - milliseconds(1)) == 300);
+}
+
+TEST_CASE("a share below the base share needs no renewal") {
+  CanaryAllowance allowance;
+  allowance.SetShare(0, 75);
+  CHECK(CanaryRequestsAt(allowance, MonotonicTime{}) == 0);
+}
+
 }  // namespace
 }  // namespace juniperway::rollout
