Roll-outs: a step needs nine in ten routers, a new leader what they report

Steps need nine in ten routers now; "complete" needs all, without leases of processes that a newer start has replaced. A new leader goes on once nine in ten routers have reported everything. The time of a step, and the answers known then, are replicated with it. Routers report when nothing of theirs is under way at withdrawn back ends, instead of 1.5 s. A version whose answers speak for it may be late, up to 1.5 of its time, and is not undone. Routers log when a share lapses (3418, 3419).

With few requests in a short roll-out bad versions were complete, also without any loss: canaries replace the others only with 40 answers, or where all requests to the end stay within the limit, and little suspicion.

Late ones are left: "complete" waits for routers that are cut off.

--- a/source/common/control/leader_role.cc
+++ b/source/common/control/leader_role.cc
@@ -178,6 +178,10 @@
       rollout_judge_.OnReport(item.daemon_id, item.incarnation,
                               session::DecodeAnswerReports(heartbeat),
                               ports_.state().fleet().rollouts, now);
+      // It learned of this leader before, and has made all its reports again.
+      if (heartbeat.term == leases_.term()) {
+        rollout_judge_.OnHeard(item.daemon_id);
+      }
     }
   }
   return reply;
@@ -315,12 +319,17 @@
       fleet.members, [](const auto& entry) { return entry.second.router; }));
   const rollout::RolloutJudge::Fleet facts{
       .wall_time = ports_.state().wall_time(),
-      .in_force = leases_.in_force(),
       .routers = routers,
-      .count_backends = [&fleet](const std::string& service,
-                                 const std::string& version) {
-        return fleet.CountDiscovered(service, version);
-      }};
+      .progress =
+          [this](resources::Revision revision) {
+            const RevisionParts parts = leases_.PartsOf(revision);
+            return rollout::RouterProgress{.confirmed = parts.confirmed,
+                                           .released = parts.released};
+          },
+      .count_backends =
+          [&fleet](const std::string& service, const std::string& version) {
+            return fleet.CountDiscovered(service, version);
+          }};
   for (const rollout::NamedStep& due :
        rollout_judge_.TakeSteps(fleet.rollouts, facts, now)) {
     if (!rollout_steps_under_way_.insert(due.service).second) {
@@ -333,6 +342,7 @@
     operation.phase = static_cast<std::uint8_t>(due.step.phase);
     operation.share_permille = due.step.share_permille;
     operation.reason = due.step.reason;
+    operation.canary_answers = due.evidence.canary_answers;
     const bool undone = due.step.state == rollout::RolloutState::kRolledBack;
     logging::LogEvent(undone ? kRolloutUndone : kRolloutAdvanced,
                       {{"service", due.service},
--- a/source/common/control/lease_table.cc
+++ b/source/common/control/lease_table.cc
@@ -193,6 +193,27 @@
   return removals;
 }
 
+RevisionParts LeaseTable::PartsOf(resources::Revision revision) const {
+  double running = 0;
+  RevisionParts parts;
+  for (const auto& [key, lease] : leases_) {
+    const auto member = members_.find(key.daemon_id);
+    const bool replaced = member != members_.end() &&
+                          member->second.incarnation > key.incarnation;
+    if (replaced) {
+      continue;
+    }
+    ++running;
+    parts.confirmed += lease.confirmed >= revision ? 1 : 0;
+    parts.released += lease.released >= revision ? 1 : 0;
+  }
+  if (running == 0) {
+    return {};
+  }
+  return {.confirmed = parts.confirmed / running,
+          .released = parts.released / running};
+}
+
 resources::Revision LeaseTable::zone_released(const std::string& zone) const {
   auto watermark = zone_released_.find(zone);
   return watermark == zone_released_.end() ? revision_ : watermark->second;
--- a/source/common/control/lease_table.h
+++ b/source/common/control/lease_table.h
@@ -74,6 +74,13 @@
   std::vector<std::string> without_lease;
 };
 
+// Parts of the daemons with a lease that have confirmed a revision, and that
+// have let go of what they may not use any more at it.
+struct RevisionParts {
+  double confirmed = 0;
+  double released = 0;
+};
+
 class LeaseTable {
  public:
   struct Options {
@@ -122,6 +129,10 @@
     return zone_released_;
   }
 
+  // A start that a newer one of the same daemon has replaced is not counted:
+  // its process has ended, though its lease has not.
+  RevisionParts PartsOf(resources::Revision revision) const;
+
   RevisionProgress ProgressOf(resources::Revision revision) const;
   std::size_t leases() const { return leases_.size(); }
 
--- a/source/common/control/operation_applier_rollouts.cc
+++ b/source/common/control/operation_applier_rollouts.cc
@@ -72,6 +72,7 @@
       rollout.replaced_versions.erase(rollout.target_version) > 0;
   rollout.ordered_at = state_.wall_time_;
   rollout.duration = Duration(operation.duration_us);
+  rollout.phase_began_at = rollout.ordered_at;
   rollout.share_permille = operation.share_permille;
   rollout.base_share_permille = operation.share_permille;
   rollout.change_id = operation.change_id;
@@ -93,8 +94,13 @@
     return Done();
   }
   Rollout& rollout = found->second;
+  const auto phase = static_cast<rollout::RolloutPhase>(operation.phase);
+  if (rollout.phase != phase) {
+    rollout.phase_began_at = state_.wall_time_;
+    rollout.answers_before_phase = operation.canary_answers;
+  }
   rollout.state = static_cast<RolloutState>(operation.state);
-  rollout.phase = static_cast<rollout::RolloutPhase>(operation.phase);
+  rollout.phase = phase;
   rollout.share_permille = operation.share_permille;
   rollout.reason = operation.reason;
   CommitRollout(operation.service);
--- a/source/common/control/rollout_record.cc
+++ b/source/common/control/rollout_record.cc
@@ -19,6 +19,8 @@
   record.change_id = rollout.change_id;
   record.reason = rollout.reason;
   record.base_share_permille = rollout.base_share_permille;
+  record.phase_began_us = rollout.phase_began_at.time_since_epoch().count();
+  record.answers_before_phase = rollout.answers_before_phase;
   return record;
 }
 
@@ -31,6 +33,8 @@
           .duration = Duration(record.duration_us),
           .state = static_cast<rollout::RolloutState>(record.state),
           .phase = static_cast<rollout::RolloutPhase>(record.phase),
+          .phase_began_at = WallTime{Duration(record.phase_began_us)},
+          .answers_before_phase = record.answers_before_phase,
           .share_permille = record.share_permille,
           .base_share_permille = record.base_share_permille,
           .revision = record.revision,
--- a/source/common/forwarding/backend_pool.cc
+++ b/source/common/forwarding/backend_pool.cc
@@ -267,6 +267,7 @@
     return;
   }
   backend->second.under_way[attempt] = now;
+  retired_under_way_ += backend->second.retired ? 1 : 0;
   backend->second.warm.OnSent(now);
   if (IsColdLimited(backend->second, now)) {
     backend->second.cold_allowance.OnSent(backend->second.cold_share, now);
@@ -307,6 +308,7 @@
   const MonotonicTime sent = under_way->second;
   const Duration elapsed = now - sent;
   backend.under_way.erase(under_way);
+  retired_under_way_ -= backend.retired ? 1 : 0;
   if (result != AttemptResult::kCancelled) {
     backend.failure_rate.Record(result != AttemptResult::kAnswered, now);
   }
@@ -419,6 +421,13 @@
                       observation);
 }
 
+bool BackendPool::IsShareLapsed(const std::string& service,
+                                MonotonicTime now) const {
+  const auto found = services_.find(service);
+  return found != services_.end() &&
+         found->second.canary_allowance.IsLapsed(now);
+}
+
 void BackendPool::OnSharesRenewed(
     const std::vector<rollout::RolloutNumber>& rollouts, MonotonicTime until) {
   for (auto& [name, service] : services_) {
--- a/source/common/forwarding/backend_pool.h
+++ b/source/common/forwarding/backend_pool.h
@@ -181,10 +181,16 @@
   void OnEnded(const std::string& id, AttemptId attempt, AttemptResult result,
                MonotonicTime now);
 
+  // Attempts at back ends that get no new work.
+  std::size_t retired_under_way() const { return retired_under_way_; }
+
   // How an attempt at a back end ended, for the service's roll-out, if any.
   void CountForRollout(const std::string& route, const std::string& id,
                        const AttemptOutcome& outcome);
   rollout::AnswerTally& answer_tally() { return answer_tally_; }
+  // The service's canaries get the base share only, since no leader renews the
+  // share of its roll-out.
+  bool IsShareLapsed(const std::string& service, MonotonicTime now) const;
   // The leader renewed the shares of these roll-outs (canary_allowance.h).
   void OnSharesRenewed(const std::vector<rollout::RolloutNumber>& rollouts,
                        MonotonicTime until);
@@ -231,7 +237,7 @@
   // Of a back end that has started again under its id: what was seen of the
   // process before says nothing about it. Attempts that are under way there
   // bring no answer, and do not count against the new process.
-  static void ForgetProcess(Backend& backend);
+  void ForgetProcess(Backend& backend);
   void UpdateServices(const session::FleetView& view);
   // Shares of what cold back ends take.
   void UpdateColdShares(const session::FleetView& view);
@@ -294,6 +300,7 @@
   decltype(session::FleetView::evacuations) known_evacuations_;
   routes::RouteTablePointer known_table_;
   std::uint64_t backends_worked_out_ = 0;
+  std::size_t retired_under_way_ = 0;
   rollout::AnswerTally answer_tally_;
   observation::ObservationLog observation_log_;
   observation::SharedFailures shared_failures_;
--- a/source/common/forwarding/backend_pool_update.cc
+++ b/source/common/forwarding/backend_pool_update.cc
@@ -148,9 +148,11 @@
   if (retired) {
     backends.erase(place);
     --live_backends_;
+    retired_under_way_ += backend.under_way.size();
   } else {
     backends.insert(place, &backend);
     ++live_backends_;
+    retired_under_way_ -= backend.under_way.size();
   }
 }
 
@@ -159,6 +161,9 @@
   backend.failure_rate = FailureRate();
   backend.connections = ConnectionAllowance();
   backend.warm.Clear();
+  if (backend.retired) {
+    retired_under_way_ -= backend.under_way.size();
+  }
   backend.under_way.clear();
   backend.failures = 0;
   backend.ejected_until = MonotonicTime::min();
--- a/source/common/forwarding/events.h
+++ b/source/common/forwarding/events.h
@@ -26,6 +26,10 @@
                                          Severity::kInfo};
 inline constexpr EventType kCanariesShared{3408, "canaries_shared",
                                            Severity::kInfo};
+inline constexpr EventType kCanaryShareLapsed{3418, "canary_share_lapsed",
+                                              Severity::kWarning};
+inline constexpr EventType kCanaryShareRenewed{3419, "canary_share_renewed",
+                                               Severity::kInfo};
 inline constexpr EventType kCrashReportLimited{
     3416, "crash_report_limited", Severity::kWarning, Volume::kRequest};
 // Volume kRequest: bounded, as other lines on single requests are.
--- a/source/common/forwarding/router_server.cc
+++ b/source/common/forwarding/router_server.cc
@@ -104,12 +104,14 @@
                          [this](const Exchange& exchange) {
                            dispatcher_.OnProgress(exchange);
                            ReportCanariesSoon();
+                           ReportReleased();
                            observation_reporter_.OnProgress();
                          },
                      .on_over =
                          [this](const Exchange& exchange) {
                            OnOver(exchange);
                            dispatcher_.OnOver(exchange);
+                           ReportReleased();
                          }},
         startup_queue_(context,
                        [this](const StartupQueue::HeldRequestPointer& held) {
@@ -146,6 +148,7 @@
     crash_guard_.OnView(*view);
     metrics_.OnQuarantine(crash_guard_.quarantined());
     revision_ = view->revision;
+    ReportReleased();
     metrics_.OnView(revision_,
                     view->route_table ? view->route_table->version : 0, pool_);
     if (view->route_table &&
@@ -169,6 +172,9 @@
   }
 
   void SetReportAsk(std::function<void()> ask) { report_ask_ = std::move(ask); }
+  void SetReleaseReport(std::function<void(std::uint64_t revision)> report) {
+    release_report_ = std::move(report);
+  }
   quota::RateReport MakeRateReport(MonotonicTime now) {
     return admission_.MakeReport(now);
   }
@@ -537,6 +543,7 @@
         report_ask_ && std::ranges::any_of(rollouts_, [](const auto& entry) {
           return entry.second.IsRenewable();
         });
+    NoteShares();
     if (!renewing_shares_) {
       return;
     }
@@ -549,6 +556,32 @@
     });
   }
 
+  // Logs where canaries get the base share only, and where that has ended.
+  void NoteShares() {
+    const MonotonicTime now = ReadMonotonicClock();
+    std::set<std::string> lapsed;
+    for (const auto& [service, rollout] : rollouts_) {
+      if (!rollout.IsRenewable() || !pool_.IsShareLapsed(service, now)) {
+        continue;
+      }
+      lapsed.insert(service);
+      if (!lapsed_shares_.contains(service)) {
+        LogEvent(kCanaryShareLapsed,
+                 {{"service", service},
+                  {"rollout", rollout.number},
+                  {"share_permille", rollout.base_share_permille},
+                  {"revision", revision_}});
+      }
+    }
+    for (const std::string& service : lapsed_shares_) {
+      if (!lapsed.contains(service) && rollouts_.contains(service)) {
+        LogEvent(kCanaryShareRenewed,
+                 {{"service", service}, {"revision", revision_}});
+      }
+    }
+    lapsed_shares_ = std::move(lapsed);
+  }
+
   // Canaries' answers are told soon, so that a bad version is found before many
   // requests have met it.
   void ReportCanariesSoon() {
@@ -562,6 +595,16 @@
     }
   }
 
+  // A roll-out is complete only once no router uses the replaced back ends.
+  void ReportReleased() {
+    if (rollouts_.empty() || !release_report_ ||
+        released_revision_ == revision_ || pool_.retired_under_way() > 0) {
+      return;
+    }
+    released_revision_ = revision_;
+    release_report_(revision_);
+  }
+
   bool IsReady() const {
     return !stopping_ && index_ && pool_.live_backends() > 0;
   }
@@ -625,6 +668,7 @@
   ObservationReporter observation_reporter_;
   net::HttpClient client_;
   std::function<void()> report_ask_;
+  std::function<void(std::uint64_t revision)> release_report_;
   TenantAdmission admission_;
   ExchangeDispatcher dispatcher_;
   Exchange::Environment environment_;
@@ -641,10 +685,13 @@
   asio::steady_timer stop_timer_;
   asio::steady_timer renewal_timer_;
   std::uint64_t revision_ = 0;
+  std::uint64_t released_revision_ = 0;
   // As the newest view says.
   std::set<std::string> evacuated_zones_;
   // Under way, by service.
   std::map<std::string, session::RunningRollout> rollouts_;
+  // Services whose canaries get the base share only.
+  std::set<std::string> lapsed_shares_;
   // The renewal timer runs.
   bool renewing_shares_ = false;
   MonotonicTime next_canary_report_ = MonotonicTime::min();
@@ -676,6 +723,11 @@
   implementation_->SetReportAsk(std::move(ask));
 }
 
+void RouterServer::SetReleaseReport(
+    std::function<void(std::uint64_t revision)> report) {
+  implementation_->SetReleaseReport(std::move(report));
+}
+
 quota::RateReport RouterServer::MakeRateReport(MonotonicTime now) {
   return implementation_->MakeRateReport(now);
 }
--- a/source/common/protocol/command_generated.h
+++ b/source/common/protocol/command_generated.h
@@ -1982,6 +1982,7 @@
   uint8_t phase = 0;
   uint32_t share_permille = 0;
   std::string reason{};
+  uint64_t canary_answers = 0;
 };
 
 struct AdvanceRollout FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -1994,7 +1995,8 @@
     VT_STATE = 8,
     VT_PHASE = 10,
     VT_SHARE_PERMILLE = 12,
-    VT_REASON = 14
+    VT_REASON = 14,
+    VT_CANARY_ANSWERS = 16
   };
   const flatbuffers::String *service() const {
     return GetPointer<const flatbuffers::String *>(VT_SERVICE);
@@ -2014,6 +2016,9 @@
   const flatbuffers::String *reason() const {
     return GetPointer<const flatbuffers::String *>(VT_REASON);
   }
+  uint64_t canary_answers() const {
+    return GetField<uint64_t>(VT_CANARY_ANSWERS, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_SERVICE) &&
@@ -2024,6 +2029,7 @@
            VerifyField<uint32_t>(verifier, VT_SHARE_PERMILLE, 4) &&
            VerifyOffset(verifier, VT_REASON) &&
            verifier.VerifyString(reason()) &&
+           VerifyField<uint64_t>(verifier, VT_CANARY_ANSWERS, 8) &&
            verifier.EndTable();
   }
   AdvanceRolloutT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -2053,6 +2059,9 @@
   void add_reason(flatbuffers::Offset<flatbuffers::String> reason) {
     fbb_.AddOffset(AdvanceRollout::VT_REASON, reason);
   }
+  void add_canary_answers(uint64_t canary_answers) {
+    fbb_.AddElement<uint64_t>(AdvanceRollout::VT_CANARY_ANSWERS, canary_answers, 0);
+  }
   explicit AdvanceRolloutBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -2071,8 +2080,10 @@
     uint8_t state = 0,
     uint8_t phase = 0,
     uint32_t share_permille = 0,
-    flatbuffers::Offset<flatbuffers::String> reason = 0) {
+    flatbuffers::Offset<flatbuffers::String> reason = 0,
+    uint64_t canary_answers = 0) {
   AdvanceRolloutBuilder builder_(_fbb);
+  builder_.add_canary_answers(canary_answers);
   builder_.add_number(number);
   builder_.add_reason(reason);
   builder_.add_share_permille(share_permille);
@@ -2094,7 +2105,8 @@
     uint8_t state = 0,
     uint8_t phase = 0,
     uint32_t share_permille = 0,
-    const char *reason = nullptr) {
+    const char *reason = nullptr,
+    uint64_t canary_answers = 0) {
   auto service__ = service ? _fbb.CreateString(service) : 0;
   auto reason__ = reason ? _fbb.CreateString(reason) : 0;
   return juniperway::protocol::CreateAdvanceRollout(
@@ -2104,7 +2116,8 @@
       state,
       phase,
       share_permille,
-      reason__);
+      reason__,
+      canary_answers);
 }
 
 flatbuffers::Offset<AdvanceRollout> CreateAdvanceRollout(flatbuffers::FlatBufferBuilder &_fbb, const AdvanceRolloutT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -3211,6 +3224,8 @@
   std::string change_id{};
   std::string reason{};
   uint32_t base_share_permille = 0;
+  int64_t phase_began_us = 0;
+  uint64_t answers_before_phase = 0;
 };
 
 struct RolloutRecord FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -3230,7 +3245,9 @@
     VT_REVISION = 22,
     VT_CHANGE_ID = 24,
     VT_REASON = 26,
-    VT_BASE_SHARE_PERMILLE = 28
+    VT_BASE_SHARE_PERMILLE = 28,
+    VT_PHASE_BEGAN_US = 30,
+    VT_ANSWERS_BEFORE_PHASE = 32
   };
   const flatbuffers::String *service() const {
     return GetPointer<const flatbuffers::String *>(VT_SERVICE);
@@ -3271,6 +3288,12 @@
   uint32_t base_share_permille() const {
     return GetField<uint32_t>(VT_BASE_SHARE_PERMILLE, 0);
   }
+  int64_t phase_began_us() const {
+    return GetField<int64_t>(VT_PHASE_BEGAN_US, 0);
+  }
+  uint64_t answers_before_phase() const {
+    return GetField<uint64_t>(VT_ANSWERS_BEFORE_PHASE, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_SERVICE) &&
@@ -3292,6 +3315,8 @@
            VerifyOffset(verifier, VT_REASON) &&
            verifier.VerifyString(reason()) &&
            VerifyField<uint32_t>(verifier, VT_BASE_SHARE_PERMILLE, 4) &&
+           VerifyField<int64_t>(verifier, VT_PHASE_BEGAN_US, 8) &&
+           VerifyField<uint64_t>(verifier, VT_ANSWERS_BEFORE_PHASE, 8) &&
            verifier.EndTable();
   }
   RolloutRecordT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -3342,6 +3367,12 @@
   void add_base_share_permille(uint32_t base_share_permille) {
     fbb_.AddElement<uint32_t>(RolloutRecord::VT_BASE_SHARE_PERMILLE, base_share_permille, 0);
   }
+  void add_phase_began_us(int64_t phase_began_us) {
+    fbb_.AddElement<int64_t>(RolloutRecord::VT_PHASE_BEGAN_US, phase_began_us, 0);
+  }
+  void add_answers_before_phase(uint64_t answers_before_phase) {
+    fbb_.AddElement<uint64_t>(RolloutRecord::VT_ANSWERS_BEFORE_PHASE, answers_before_phase, 0);
+  }
   explicit RolloutRecordBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -3367,8 +3398,12 @@
     uint64_t revision = 0,
     flatbuffers::Offset<flatbuffers::String> change_id = 0,
     flatbuffers::Offset<flatbuffers::String> reason = 0,
-    uint32_t base_share_permille = 0) {
+    uint32_t base_share_permille = 0,
+    int64_t phase_began_us = 0,
+    uint64_t answers_before_phase = 0) {
   RolloutRecordBuilder builder_(_fbb);
+  builder_.add_answers_before_phase(answers_before_phase);
+  builder_.add_phase_began_us(phase_began_us);
   builder_.add_revision(revision);
   builder_.add_duration_us(duration_us);
   builder_.add_ordered_us(ordered_us);
@@ -3404,7 +3439,9 @@
     uint64_t revision = 0,
     const char *change_id = nullptr,
     const char *reason = nullptr,
-    uint32_t base_share_permille = 0) {
+    uint32_t base_share_permille = 0,
+    int64_t phase_began_us = 0,
+    uint64_t answers_before_phase = 0) {
   auto service__ = service ? _fbb.CreateString(service) : 0;
   auto target_version__ = target_version ? _fbb.CreateString(target_version) : 0;
   auto replaced_versions__ = replaced_versions ? _fbb.CreateVector<flatbuffers::Offset<flatbuffers::String>>(*replaced_versions) : 0;
@@ -3424,7 +3461,9 @@
       revision,
       change_id__,
       reason__,
-      base_share_permille);
+      base_share_permille,
+      phase_began_us,
+      answers_before_phase);
 }
 
 flatbuffers::Offset<RolloutRecord> CreateRolloutRecord(flatbuffers::FlatBufferBuilder &_fbb, const RolloutRecordT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -4276,6 +4315,7 @@
   { auto _e = phase(); _o->phase = _e; }
   { auto _e = share_permille(); _o->share_permille = _e; }
   { auto _e = reason(); if (_e) _o->reason = _e->str(); }
+  { auto _e = canary_answers(); _o->canary_answers = _e; }
 }
 
 inline flatbuffers::Offset<AdvanceRollout> AdvanceRollout::Pack(flatbuffers::FlatBufferBuilder &_fbb, const AdvanceRolloutT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -4292,6 +4332,7 @@
   auto _phase = _o->phase;
   auto _share_permille = _o->share_permille;
   auto _reason = _o->reason.empty() ? 0 : _fbb.CreateString(_o->reason);
+  auto _canary_answers = _o->canary_answers;
   return juniperway::protocol::CreateAdvanceRollout(
       _fbb,
       _service,
@@ -4299,7 +4340,8 @@
       _state,
       _phase,
       _share_permille,
-      _reason);
+      _reason,
+      _canary_answers);
 }
 
 inline RemoveRolloutT *RemoveRollout::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
@@ -4689,6 +4731,8 @@
   { auto _e = change_id(); if (_e) _o->change_id = _e->str(); }
   { auto _e = reason(); if (_e) _o->reason = _e->str(); }
   { auto _e = base_share_permille(); _o->base_share_permille = _e; }
+  { auto _e = phase_began_us(); _o->phase_began_us = _e; }
+  { auto _e = answers_before_phase(); _o->answers_before_phase = _e; }
 }
 
 inline flatbuffers::Offset<RolloutRecord> RolloutRecord::Pack(flatbuffers::FlatBufferBuilder &_fbb, const RolloutRecordT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -4712,6 +4756,8 @@
   auto _change_id = _o->change_id.empty() ? 0 : _fbb.CreateString(_o->change_id);
   auto _reason = _o->reason.empty() ? 0 : _fbb.CreateString(_o->reason);
   auto _base_share_permille = _o->base_share_permille;
+  auto _phase_began_us = _o->phase_began_us;
+  auto _answers_before_phase = _o->answers_before_phase;
   return juniperway::protocol::CreateRolloutRecord(
       _fbb,
       _service,
@@ -4726,7 +4772,9 @@
       _revision,
       _change_id,
       _reason,
-      _base_share_permille);
+      _base_share_permille,
+      _phase_began_us,
+      _answers_before_phase);
 }
 
 inline StateSnapshotT::StateSnapshotT(const StateSnapshotT &o)
--- a/source/common/rollout/canary_allowance.h
+++ b/source/common/rollout/canary_allowance.h
@@ -44,6 +44,9 @@
     renewed_until_ = std::max(renewed_until_, until);
   }
 
+  // The share is above the base share, and nothing renews it.
+  bool IsLapsed(MonotonicTime now) const { return ShareAt(now) < share_; }
+
   // A request to the service is about to be sent for the first time.
   // @param random evenly distributed.
   void OnRequest(std::uint64_t random, MonotonicTime now) {
--- a/source/common/rollout/rollout.h
+++ b/source/common/rollout/rollout.h
@@ -38,7 +38,6 @@
 };
 
 inline constexpr std::uint32_t kWholePermille = 1000;
-
 // What the fleet may send to canaries that turn out bad, summed over all
 // routers, from the order to the end of its duration.
 struct ExposureLimit {
@@ -60,6 +59,10 @@
   Duration duration{};
   RolloutState state = RolloutState::kRunning;
   RolloutPhase phase = RolloutPhase::kObserving;
+  // By the leader's clock.
+  WallTime phase_began_at{};
+  // Answers of canaries that the leader knew of then.
+  std::uint64_t answers_before_phase = 0;
   // Share of each router's requests that goes to canaries, in thousandths.
   std::uint32_t share_permille = 0;
   // Share of a router whose share no leader renews (canary_allowance.h).
--- a/source/common/rollout/rollout_judge.h
+++ b/source/common/rollout/rollout_judge.h
@@ -5,6 +5,7 @@
 
 #include <functional>
 #include <map>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -24,6 +25,14 @@
   Evidence evidence;
 };
 
+// How far routers with a lease are with a revision, as parts of them.
+struct RouterProgress {
+  // They know of it.
+  double confirmed = 0;
+  // Nothing of theirs is under way at back ends that it withdraws.
+  double released = 0;
+};
+
 class RolloutJudge {
  public:
   explicit RolloutJudge(const ExposureLimit& limit) : limit_(limit) {}
@@ -35,12 +44,14 @@
                 const std::vector<AnswerReport>& reports,
                 const Rollouts& rollouts, MonotonicTime now);
 
+  // The router has reported everything to this leader.
+  void OnHeard(const std::string& router) { heard_.insert(router); }
+
   // What is known of the fleet.
   struct Fleet {
     WallTime wall_time{};
-    // That every router with a lease has confirmed.
-    std::uint64_t in_force = 0;
     std::size_t routers = 0;
+    std::function<RouterProgress(std::uint64_t revision)> progress;
     // Back ends of a service with a version that are in use.
     std::function<std::size_t(const std::string& service,
                               const std::string& version)>
@@ -66,8 +77,10 @@
     MonotonicTime since;
     Duration elapsed_before{};
     RolloutPhase phase = RolloutPhase::kObserving;
-    // In force everywhere since then; max(): it is not.
+    // Known to enough routers since then; max(): it is not.
     MonotonicTime phase_since = MonotonicTime::max();
+    // Most routers have reported everything.
+    bool heard = false;
     // Routers may use a share above the base share.
     bool renews_share = false;
     VersionComparison comparison;
@@ -77,9 +90,13 @@
   Watch& WatchOf(const std::string& service, const Rollout& rollout,
                  WallTime wall_time, MonotonicTime now);
   void ForgetEnded(const Rollouts& rollouts);
+  // Most routers of the fleet have reported everything.
+  bool HasHeardMost(const Fleet& fleet) const;
 
   ExposureLimit limit_;
   std::map<std::string, Watch> watches_;
+  // Routers that have reported everything to this leader.
+  std::set<std::string> heard_;
 };
 
 }  // namespace juniperway::rollout
--- a/source/common/rollout/rollout_plan.cc
+++ b/source/common/rollout/rollout_plan.cc
@@ -24,17 +24,20 @@
 // Part of the roll-out's time that a phase takes.
 constexpr double kPhaseShare = kFullAfter - kWidenAfter;
 
+// Answers of canaries without which their share grows to everything only within
+// the exposure limit.
+constexpr std::uint64_t kManyAnswers = 2 * kLeastAnswers;
+
 // A phase with more canaries, and what has to be known before it.
 struct Share {
   RolloutPhase phase;
   std::uint32_t permille;
-  // Answers of canaries. Twice as many before they get everything; chosen, not
-  // measured alone.
+  // Answers of canaries.
   std::uint64_t least_answers;
 };
 constexpr Share kWidening{RolloutPhase::kWidening, kWideningPermille,
                           kLeastAnswers};
-constexpr Share kFull{RolloutPhase::kFull, kWholePermille, 2 * kLeastAnswers};
+constexpr Share kFull{RolloutPhase::kFull, kWholePermille, kManyAnswers};
 
 std::uint64_t RequestsOf(const RolloutFacts& facts) {
   return facts.canary_answers + facts.other_answers;
@@ -62,29 +65,38 @@
          std::min(least, RequestsOf(facts) / kLeastAnswersPart);
 }
 
-// A phase with this share of canaries stays within what is left of the limit,
-// even if the version is bad.
-bool IsHarmless(const Rollout& rollout, const RolloutFacts& facts,
-                const ExposureLimit& limit, std::uint32_t share_permille) {
+// Sending this share to canaries for so long stays within what is left of the
+// limit, even if the version is bad.
+bool IsHarmless(const RolloutFacts& facts, const ExposureLimit& limit,
+                std::uint32_t share_permille, Duration time) {
   const auto requests = static_cast<double>(RequestsOf(facts));
   const double left = limit.share * requests + limit.slack -
                       static_cast<double>(facts.canary_answers);
   const double rate = requests / std::max(ToSeconds(facts.elapsed), 1.0);
   const double exposed_rate = rate * share_permille / kWholePermille;
-  const double phase = kPhaseShare * ToSeconds(rollout.duration);
-  // The whole phase, or what it takes to find a fault and to tell all routers.
+  // All of it, or what it takes to find a fault and to tell all routers.
   const double exposed =
-      std::min(exposed_rate * phase,
+      std::min(exposed_rate * ToSeconds(time),
                kFindingAnswers + exposed_rate * ToSeconds(kTellingTime));
   return exposed <= left * kUsedPart;
 }
 
+// Canaries may get all requests until the roll-out's time is over.
+bool IsHarmlessToTheEnd(const Rollout& rollout, const RolloutFacts& facts,
+                        const ExposureLimit& limit) {
+  const Duration left =
+      std::max(Duration(0), Duration(rollout.duration - facts.elapsed));
+  return IsHarmless(facts, limit, kWholePermille, left);
+}
+
 std::optional<RolloutStep> Widen(const Rollout& rollout,
                                  const RolloutFacts& facts,
                                  const ExposureLimit& limit,
                                  const Share& share) {
-  const bool may = !LacksAnswers(facts, share.least_answers) ||
-                   IsHarmless(rollout, facts, limit, share.permille);
+  const bool may =
+      !LacksAnswers(facts, share.least_answers) ||
+      IsHarmless(facts, limit, share.permille,
+                 FromSeconds(kPhaseShare * ToSeconds(rollout.duration)));
   return facts.canaries > 0 && may
              ? std::optional(GoOn(share.phase, share.permille))
              : std::nullopt;
@@ -96,25 +108,43 @@
 
 // The leader has been told of all answers so far.
 bool KnowsAnswers(const Rollout& rollout, const RolloutFacts& facts) {
-  return facts.watched >= AtMostPart(rollout, kReportTime, kReportShare);
+  return facts.heard ||
+         facts.watched >= AtMostPart(rollout, kReportTime, kReportShare);
 }
 
-// The phase is known everywhere, and what its answers say as well.
-bool IsReadyForStep(const Rollout& rollout, const RolloutFacts& facts) {
-  return facts.in_force && facts.suspicion < kSuspicious &&
-         KnowsAnswers(rollout, facts) &&
-         facts.in_phase >= AtMostPart(rollout, kLeastPhase, kLeastPhaseShare);
+// The phase has lasted long enough for its answers to come in. A new leader
+// takes answers that came after the step as a sign that routers knew of it.
+bool HasLasted(const Rollout& rollout, const RolloutFacts& facts,
+               const ExposureLimit& limit) {
+  const Duration least = AtMostPart(rollout, kLeastPhase, kLeastPhaseShare);
+  const bool answers_came =
+      facts.canary_answers >= rollout.answers_before_phase + kLeastAnswers;
+  if (facts.in_phase >= least ||
+      (answers_came && facts.since_phase_began >= least)) {
+    return true;
+  }
+  // Nothing that shows still can do harm.
+  return rollout.phase == RolloutPhase::kReplacing && facts.released &&
+         IsHarmlessToTheEnd(rollout, facts, limit);
+}
+
+// The phase is known, and what its answers say as well.
+bool IsReadyForStep(const Rollout& rollout, const RolloutFacts& facts,
+                    const ExposureLimit& limit) {
+  return facts.known && facts.suspicion < kSuspicious &&
+         KnowsAnswers(rollout, facts) && HasLasted(rollout, facts, limit);
 }
 
 // Canaries may take the place of the others.
 bool MayReplace(const Rollout& rollout, const RolloutFacts& facts,
                 const ExposureLimit& limit) {
-  if (!LacksAnswers(facts, kLeastAnswers)) {
+  if (facts.canary_answers >= kManyAnswers) {
     return true;
   }
-  return facts.canary_answers > 0 &&
-         IsPast(rollout, facts, kReplaceWithFewAfter) &&
-         IsHarmless(rollout, facts, limit, kWholePermille);
+  const bool is_late = IsPast(rollout, facts, kReplaceWithFewAfter);
+  const bool has_answers = !LacksAnswers(facts, kLeastAnswers) ||
+                           (is_late && facts.canary_answers > 0);
+  return has_answers && IsHarmlessToTheEnd(rollout, facts, limit);
 }
 
 // The next step of a phase that every router knows of.
@@ -133,15 +163,15 @@
                  : std::nullopt;
     case RolloutPhase::kFull:
       return IsPast(rollout, facts, kReplaceAfter) &&
+                     facts.suspicion < kSuspiciousBeforeFull &&
                      MayReplace(rollout, facts, limit)
                  ? std::optional(GoOn(RolloutPhase::kReplacing, kWholePermille))
                  : std::nullopt;
     case RolloutPhase::kReplacing:
       break;
   }
-  const Duration drain = std::min(
-      kLongestDrain, FromSeconds(ToSeconds(rollout.duration) * kDrainShare));
-  if (facts.in_phase < drain) {
+  if (!facts.released &&
+      facts.in_phase < AtMostPart(rollout, kLongestDrain, kDrainShare)) {
     return std::nullopt;
   }
   return RolloutStep{.state = RolloutState::kComplete,
@@ -150,6 +180,16 @@
                      .reason = {}};
 }
 
+// Answers speak for the version, and only time was short.
+bool MayBeLate(const Rollout& rollout, const RolloutFacts& facts,
+               const ExposureLimit& limit) {
+  const bool is_judged =
+      facts.canary_answers >= kManyAnswers ||
+      (facts.canary_answers > 0 && IsHarmlessToTheEnd(rollout, facts, limit));
+  return is_judged && facts.suspicion < kSuspiciousBeforeFull &&
+         !IsPast(rollout, facts, kUndoLateAfter);
+}
+
 }  // namespace
 
 std::uint32_t ObservingShare(const ExposureLimit& limit) {
@@ -170,13 +210,13 @@
   if (facts.canaries_worse) {
     return RollBack(rollout, "its answers are worse");
   }
-  if (IsReadyForStep(rollout, facts)) {
+  if (IsReadyForStep(rollout, facts, limit)) {
     if (auto step = StepAfter(rollout, facts, limit)) {
       return step;
     }
   }
   if (rollout.phase != RolloutPhase::kReplacing &&
-      IsPast(rollout, facts, kUndoAfter)) {
+      IsPast(rollout, facts, kUndoAfter) && !MayBeLate(rollout, facts, limit)) {
     return RollBack(rollout, "it could not be judged in time");
   }
   return std::nullopt;
--- a/source/common/rollout/rollout_plan.h
+++ b/source/common/rollout/rollout_plan.h
@@ -23,8 +23,12 @@
   Duration elapsed{};
   // Since this leader hears the routers' reports of it.
   Duration watched{};
-  // Since its phase began.
+  // Most routers have reported everything to this leader.
+  bool heard = false;
+  // Since this leader saw that its phase is known.
   Duration in_phase{};
+  // Since the step to its phase, by the wall clocks.
+  Duration since_phase_began{};
   // The canaries do worse than the others (version_comparison.h).
   bool canaries_worse = false;
   // How far the comparison has come towards that: 1 is there.
@@ -33,8 +37,11 @@
   std::uint64_t other_answers = 0;
   // Back ends of the target version that are listed and not leaving.
   std::size_t canaries = 0;
-  // The last change of the roll-out is in force at every router with a lease.
-  bool in_force = false;
+  // Most routers with a lease know of the last change of the roll-out; in the
+  // last phase all of them do.
+  bool known = false;
+  // No router has anything under way at back ends that get no new work.
+  bool released = false;
 };
 
 // A change of a roll-out that is under way.
@@ -59,6 +66,9 @@
 inline constexpr double kReplaceWithFewAfter = 0.85;
 // Without enough answers it waits, but no longer than this part.
 inline constexpr double kUndoAfter = 0.95;
+// One whose answers speak for it may be late, but ends within this time:
+// leaders that were lost one after the other have held it up.
+inline constexpr double kUndoLateAfter = 1.5;
 // A version is taken for suspicious from these parts of the way to a verdict,
 // and waits for more answers. At a third, 4 of 100 good versions whose service
 // failed in 30 % of all answers for four seconds were not judged in time; at
@@ -71,16 +81,18 @@
 // Answers of canaries without which nothing is known of the version. Of a
 // version that fails in a third of its answers 20 show none in 0.03 %.
 inline constexpr std::uint64_t kLeastAnswers = 20;
-// A leader that is new knows nothing of the answers before every router has
-// reported: each does once a second.
+// A leader that is new knows nothing of the answers before the routers have
+// reported. Those that it has not heard by then are cut off: each reports once
+// a second.
 inline constexpr Duration kReportTime = milliseconds(1500);
 inline constexpr double kReportShare = 0.125;
-// Every phase lasts this long at the least once it is in force, also when a new
+// Every phase lasts this long at the least once it is known, also when a new
 // leader is late: the answers that it brings have to come in.
 inline constexpr Duration kLeastPhase = seconds(1);
 inline constexpr double kLeastPhaseShare = 0.08;
 // Work of the replaced versions that is under way when they get nothing more
-// has this time to end, as far as the roll-out's own time has room for it.
+// has this time to end, as far as the roll-out's own time has room for it. It
+// is not waited for once all routers have said that nothing is under way.
 inline constexpr Duration kLongestDrain = milliseconds(1500);
 inline constexpr double kDrainShare = 0.125;
 
--- a/source/daemon/router_role.cc
+++ b/source/daemon/router_role.cc
@@ -88,6 +88,8 @@
           session.SendObservations(observations);
         });
     router.SetReportAsk([this] { session.SendReportSoon(); });
+    router.SetReleaseReport(
+        [this](std::uint64_t revision) { session.ReportReleased(revision); });
     router.SetCrashReport([this](const session::CrashReport& report) {
       session.ReportCrash(report);
     });
--- /dev/null
+++ b/test/property/rollout/rollout_leases_test.cc
@@ -0,0 +1,92 @@
+// Roll-outs while leaders, routers and networks fail, where what is in force is
+// known from routers' heartbeats only, over several rates, durations and
+// fleets.
+#include <doctest/doctest.h>
+
+#include <cstdint>
+#include <vector>
+
+#include "property/rollout/rollout_world.h"
+
+namespace juniperway::test {
+namespace {
+
+constexpr std::uint64_t kSeeds = 15;
+
+const std::vector<RolloutWorldOptions> kFleets = {
+    {.routers = 60, .requests_per_second = 100, .duration = seconds(12)},
+    {.routers = 150, .requests_per_second = 200, .duration = seconds(8)},
+    {.routers = 30, .requests_per_second = 40, .duration = seconds(30)},
+    {.routers = 100, .requests_per_second = 400, .duration = seconds(20)}};
+
+double ExposureOf(const RolloutReport& report) {
+  return static_cast<double>(report.canary_requests) /
+         (kWorldExposure.share * static_cast<double>(report.requests) +
+          kWorldExposure.slack);
+}
+
+RolloutReport Play(RolloutWorldOptions options, std::uint64_t seed) {
+  options.seed = seed;
+  options.leases = true;
+  return RolloutWorld(options).Run();
+}
+
+// Guards against bad versions that are sent more than the limit, or complete.
+TEST_CASE("bad versions stay within the limit while leaders are lost") {
+  for (RolloutWorldOptions options : kFleets) {
+    options.trouble = true;
+    CAPTURE(options.routers);
+    for (const VersionFault fault :
+         {VersionFault::kFails, VersionFault::kSlow,
+          VersionFault::kFailsOnOneRoute, VersionFault::kFailsLater,
+          VersionFault::kFailsUnderLoad}) {
+      options.fault = fault;
+      CAPTURE(static_cast<int>(fault));
+      for (std::uint64_t seed = 1; seed <= kSeeds; ++seed) {
+        CAPTURE(seed);
+        const RolloutReport report = Play(options, seed);
+        CHECK(report.state == rollout::RolloutState::kRolledBack);
+        CHECK(ExposureOf(report) <= 1);
+        CHECK(report.late_canary_requests == 0);
+      }
+    }
+  }
+}
+
+// Guards against canaries that keep their share while no leader judges them.
+TEST_CASE("without leased shares the limit does not hold") {
+  for (const std::uint64_t seed : {265U, 303U}) {
+    RolloutWorldOptions options = kFleets[1];
+    options.fault = VersionFault::kFailsUnderLoad;
+    options.trouble = true;
+    CHECK(ExposureOf(Play(options, seed)) <= 1);
+    options.ignores_share_lease = true;
+    CHECK(ExposureOf(Play(options, seed)) > 1);
+  }
+}
+
+TEST_CASE("good versions are complete in time") {
+  for (const RolloutWorldOptions& options : kFleets) {
+    CAPTURE(options.routers);
+    for (std::uint64_t seed = 1; seed <= kSeeds; ++seed) {
+      CAPTURE(seed);
+      const RolloutReport report = Play(options, seed);
+      CHECK(report.state == rollout::RolloutState::kComplete);
+      CHECK(report.decided_after <= options.duration);
+    }
+  }
+}
+
+// Guards against steps that wait for routers that are cut off or have
+// restarted, and for what a new leader learns again.
+TEST_CASE("good versions outlive the loss of leaders") {
+  RolloutWorldOptions options = kFleets[2];
+  options.trouble = true;
+  for (std::uint64_t seed = 1; seed <= kSeeds; ++seed) {
+    CAPTURE(seed);
+    CHECK(Play(options, seed).state == rollout::RolloutState::kComplete);
+  }
+}
+
+}  // namespace
+}  // namespace juniperway::test
--- /dev/null
+++ b/test/unit/control/lease_table_test.cc
@@ -0,0 +1,76 @@
+// How many daemons with a lease know a revision.
+#include "common/control/lease_table.h"
+
+#include <doctest/doctest.h>
+
+namespace juniperway::control {
+namespace {
+
+constexpr std::uint64_t kTerm = 3;
+
+session::Member MakeMember(const std::string& name, std::uint64_t incarnation) {
+  session::Member member;
+  member.daemon_id = name;
+  member.incarnation = incarnation;
+  member.router = true;
+  return member;
+}
+
+HeartbeatFacts Heartbeat(const std::string& name, std::uint64_t incarnation,
+                         resources::Revision confirmed) {
+  HeartbeatFacts facts;
+  facts.daemon = {name, incarnation};
+  facts.confirmed = confirmed;
+  facts.released = confirmed;
+  facts.term = kTerm;
+  facts.holds_lease = true;
+  return facts;
+}
+
+struct Table {
+  Table() {
+    for (const std::string name : {"a", "b", "c", "d"}) {
+      members[name] = MakeMember(name, 1);
+    }
+    leases.Start(kTerm, 10, members, now);
+    leases.Advance(11, now);
+  }
+
+  std::map<std::string, session::Member> members;
+  LeaseTable leases{LeaseTable::Options()};
+  MonotonicTime now{seconds(100)};
+};
+
+TEST_CASE("a new leader takes no daemon to know anything") {
+  Table table;
+  CHECK(table.leases.PartsOf(10).confirmed == 0);
+  CHECK(table.leases.PartsOf(10).released == 0);
+}
+
+TEST_CASE("parts count daemons with a lease") {
+  Table table;
+  table.leases.OnHeartbeat(Heartbeat("a", 1, 11), table.now);
+  table.leases.OnHeartbeat(Heartbeat("b", 1, 11), table.now);
+  table.leases.OnHeartbeat(Heartbeat("c", 1, 10), table.now);
+  CHECK(table.leases.PartsOf(10).confirmed == 0.75);
+  CHECK(table.leases.PartsOf(11).confirmed == 0.5);
+  CHECK(table.leases.PartsOf(11).released == 0.5);
+  table.leases.OnGoodbye({"c", 1});
+  table.leases.OnGoodbye({"d", 1});
+  CHECK(table.leases.PartsOf(11).confirmed == 1);
+}
+
+// Guards against roll-outs that wait for the lease of a process that has ended.
+TEST_CASE("a daemon that has started anew is not waited for") {
+  Table table;
+  for (const std::string name : {"a", "b", "c"}) {
+    table.leases.OnHeartbeat(Heartbeat(name, 1, 11), table.now);
+  }
+  CHECK(table.leases.PartsOf(11).confirmed < 1);
+  const session::Member restarted = MakeMember("d", 2);
+  table.leases.SetMember("d", &restarted, table.now);
+  CHECK(table.leases.PartsOf(11).confirmed == 1);
+}
+
+}  // namespace
+}  // namespace juniperway::control
--- a/test/unit/forwarding/canary_test.cc
+++ b/test/unit/forwarding/canary_test.cc
@@ -90,13 +90,55 @@
   CHECK(canaries < 140);
   fleet.view.rollouts["s"].share_permille = 1000;
   fleet.Update();
-  // Guards against canaries that keep a larger share while no leader judges
-  // them.
-  CHECK(fleet.Play(1000) < 140);
   fleet.pool.OnSharesRenewed({7}, MonotonicTime::max());
   CHECK(fleet.Play(100) == 100);
 }
 
+// Guards against canaries that keep a larger share while no leader judges them.
+TEST_CASE("a share that no leader renews falls back to the base share") {
+  Fleet fleet;
+  fleet.view.rollouts["s"].share_permille = 1000;
+  fleet.Update();
+  CHECK(fleet.pool.IsShareLapsed("s", fleet.now));
+  CHECK(fleet.Play(1000) < 140);
+  // Of another roll-out.
+  fleet.pool.OnSharesRenewed({6}, MonotonicTime::max());
+  CHECK(fleet.pool.IsShareLapsed("s", fleet.now));
+  fleet.pool.OnSharesRenewed({7}, fleet.now + seconds(1));
+  CHECK_FALSE(fleet.pool.IsShareLapsed("s", fleet.now));
+  CHECK(fleet.Play(50) == 50);
+  fleet.now += seconds(1);
+  CHECK(fleet.pool.IsShareLapsed("s", fleet.now));
+  CHECK(fleet.Play(1000) < 140);
+}
+
+TEST_CASE("a renewal is not carried over to the next roll-out") {
+  Fleet fleet;
+  fleet.pool.OnSharesRenewed({7}, MonotonicTime::max());
+  fleet.view.rollouts["s"].number = 8;
+  fleet.view.rollouts["s"].share_permille = 1000;
+  fleet.Update();
+  CHECK(fleet.pool.IsShareLapsed("s", fleet.now));
+}
+
+TEST_CASE("work at back ends that get nothing more is counted") {
+  Fleet fleet;
+  fleet.pool.OnSent("old-1", 1, fleet.now);
+  fleet.pool.OnSent("old-2", 2, fleet.now);
+  CHECK(fleet.pool.retired_under_way() == 0);
+  fleet.view.discovered["old-1"].draining = true;
+  fleet.view.discovered.erase("old-2");
+  fleet.Update();
+  CHECK(fleet.pool.retired_under_way() == 2);
+  fleet.pool.OnEnded("old-2", 2, AttemptResult::kAnswered, fleet.now);
+  CHECK(fleet.pool.retired_under_way() == 1);
+  fleet.view.discovered["old-1"].draining = false;
+  fleet.Update();
+  CHECK(fleet.pool.retired_under_way() == 0);
+  fleet.pool.OnEnded("old-1", 1, AttemptResult::kAnswered, fleet.now);
+  CHECK(fleet.pool.retired_under_way() == 0);
+}
+
 TEST_CASE("what a canary failed is retried elsewhere, and counted") {
   Fleet fleet;
   const int canaries = fleet.Play(100, AttemptResult::kFailed);
