Roll-outs: what is harmless to the end counts all requests to the end

"Harmless" counted requests until a fault is found, also before "replacing", after which little is judged and nothing is undone. It counts all requests until the end of the time there.

--- a/source/common/rollout/rollout_plan.cc
+++ b/source/common/rollout/rollout_plan.cc
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <cmath>
 
+#include "common/rollout/version_comparison.h"
+
 namespace juniperway::rollout {
 namespace {
 
@@ -65,38 +67,47 @@
          std::min(least, RequestsOf(facts) / kLeastAnswersPart);
 }
 
-// Sending this share to canaries for so long stays within what is left of the
-// limit, even if the version is bad.
-bool IsHarmless(const RolloutFacts& facts, const ExposureLimit& limit,
-                std::uint32_t share_permille, Duration time) {
-  const auto requests = static_cast<double>(RequestsOf(facts));
-  const double left = limit.share * requests + limit.slack -
-                      static_cast<double>(facts.canary_answers);
-  const double rate = requests / std::max(ToSeconds(facts.elapsed), 1.0);
-  const double exposed_rate = rate * share_permille / kWholePermille;
-  // All of it, or what it takes to find a fault and to tell all routers.
+// What is left of the limit for a version that is not found bad yet.
+double UsableLimit(const RolloutFacts& facts, const ExposureLimit& limit) {
+  const double left = limit.share * static_cast<double>(RequestsOf(facts)) +
+                      limit.slack - static_cast<double>(facts.canary_answers);
+  return left * kUsedPart;
+}
+
+// Requests a second.
+double RateOf(const RolloutFacts& facts) {
+  return static_cast<double>(RequestsOf(facts)) /
+         std::max(ToSeconds(facts.elapsed), 1.0);
+}
+
+// A phase with this share of canaries stays within what is left of the limit,
+// even if the version is bad.
+bool IsHarmless(const Rollout& rollout, const RolloutFacts& facts,
+                const ExposureLimit& limit, std::uint32_t share_permille) {
+  const double exposed_rate = RateOf(facts) * share_permille / kWholePermille;
+  const double phase = kPhaseShare * ToSeconds(rollout.duration);
+  // The whole phase, or what it takes to find a fault and to tell all routers.
   const double exposed =
-      std::min(exposed_rate * ToSeconds(time),
+      std::min(exposed_rate * phase,
                kFindingAnswers + exposed_rate * ToSeconds(kTellingTime));
-  return exposed <= left * kUsedPart;
+  return exposed <= UsableLimit(facts, limit);
 }
 
-// Canaries may get all requests until the roll-out's time is over.
+// The same of all requests until the roll-out's time is over, whether or not a
+// fault is found: a version that is complete is not undone.
 bool IsHarmlessToTheEnd(const Rollout& rollout, const RolloutFacts& facts,
                         const ExposureLimit& limit) {
-  const Duration left =
-      std::max(Duration(0), Duration(rollout.duration - facts.elapsed));
-  return IsHarmless(facts, limit, kWholePermille, left);
+  const double left =
+      std::max(0.0, ToSeconds(rollout.duration - facts.elapsed));
+  return RateOf(facts) * left <= UsableLimit(facts, limit);
 }
 
 std::optional<RolloutStep> Widen(const Rollout& rollout,
                                  const RolloutFacts& facts,
                                  const ExposureLimit& limit,
                                  const Share& share) {
-  const bool may =
-      !LacksAnswers(facts, share.least_answers) ||
-      IsHarmless(facts, limit, share.permille,
-                 FromSeconds(kPhaseShare * ToSeconds(rollout.duration)));
+  const bool may = !LacksAnswers(facts, share.least_answers) ||
+                   IsHarmless(rollout, facts, limit, share.permille);
   return facts.canaries > 0 && may
              ? std::optional(GoOn(share.phase, share.permille))
              : std::nullopt;
@@ -114,8 +125,7 @@
 
 // The phase has lasted long enough for its answers to come in. A new leader
 // takes answers that came after the step as a sign that routers knew of it.
-bool HasLasted(const Rollout& rollout, const RolloutFacts& facts,
-               const ExposureLimit& limit) {
+bool HasLasted(const Rollout& rollout, const RolloutFacts& facts) {
   const Duration least = AtMostPart(rollout, kLeastPhase, kLeastPhaseShare);
   const bool answers_came =
       facts.canary_answers >= rollout.answers_before_phase + kLeastAnswers;
@@ -123,16 +133,16 @@
       (answers_came && facts.since_phase_began >= least)) {
     return true;
   }
-  // Nothing that shows still can do harm.
-  return rollout.phase == RolloutPhase::kReplacing && facts.released &&
-         IsHarmlessToTheEnd(rollout, facts, limit);
+  // With so few requests the last phase brings no verdict.
+  const bool too_few = RateOf(facts) * ToSeconds(least) <
+                       static_cast<double>(VersionComparison::kWitnesses);
+  return rollout.phase == RolloutPhase::kReplacing && too_few;
 }
 
 // The phase is known, and what its answers say as well.
-bool IsReadyForStep(const Rollout& rollout, const RolloutFacts& facts,
-                    const ExposureLimit& limit) {
+bool IsReadyForStep(const Rollout& rollout, const RolloutFacts& facts) {
   return facts.known && facts.suspicion < kSuspicious &&
-         KnowsAnswers(rollout, facts) && HasLasted(rollout, facts, limit);
+         KnowsAnswers(rollout, facts) && HasLasted(rollout, facts);
 }
 
 // Canaries may take the place of the others.
@@ -210,7 +220,7 @@
   if (facts.canaries_worse) {
     return RollBack(rollout, "its answers are worse");
   }
-  if (IsReadyForStep(rollout, facts, limit)) {
+  if (IsReadyForStep(rollout, facts)) {
     if (auto step = StepAfter(rollout, facts, limit)) {
       return step;
     }
