Roll-outs: slow answers are compared to those of the same moment

Cause: slow answers come in bursts, when a machine is busy for a moment. Once canaries got all first attempts, the other version's mean over 4 s still showed the time before, while nearly all that was slow was theirs; no request had failed. The unit test "a burst that slows both versions" plays it over the pure code.

The other version keeps one in ten first attempts in the phase "full". While canaries get a larger share, slow answers are judged after half a second, against the other version's answers of the same moment alone; without those they say nothing. Failures and slow answers have a sum each, so that pauses of the other version no longer hide failures, and failures are judged at once as before. A leader that has just heard the routers judges what they said at once: it holds both versions' answers.

rollout_plan_test asks for the new share (kFullPermille) where it asked for 1000; version_comparison_test names the rule that says when answers are judged, with the waits that it had.

--- a/source/common/forwarding/backend_pool.cc
+++ b/source/common/forwarding/backend_pool.cc
@@ -195,7 +195,7 @@
     }
   }
   const Backend* other = ChooseAmong(service, need, /*canary=*/false, now);
-  return other == nullptr && service.CanariesGetAll()
+  return other == nullptr && service.CanariesGetMost()
              ? ChooseAmong(service, need, /*canary=*/true, now)
              : other;
 }
@@ -245,7 +245,7 @@
   }
   auto availability = Availability::kNone;
   const Service& service = found->second;
-  const bool canaries = WantsCanary(service, need) || service.CanariesGetAll();
+  const bool canaries = WantsCanary(service, need) || service.CanariesGetMost();
   for (const Backend* backend : service.backends) {
     if (!MayServe(*backend, need) || (backend->info.canary && !canaries)) {
       continue;
--- a/source/common/forwarding/backend_pool.h
+++ b/source/common/forwarding/backend_pool.h
@@ -117,9 +117,9 @@
     rollout::RolloutNumber rollout = 0;
     rollout::CanaryAllowance canary_allowance;
 
-    // All first attempts go to canaries.
-    bool CanariesGetAll() const {
-      return canary_allowance.share() >= rollout::kWholePermille;
+    // Canaries are there for what the other version cannot take.
+    bool CanariesGetMost() const {
+      return canary_allowance.share() >= rollout::kFullPermille;
     }
   };
 
--- a/source/common/rollout/answer_counts.cc
+++ b/source/common/rollout/answer_counts.cc
@@ -34,4 +34,13 @@
                          timed.end(), std::uint32_t{0});
 }
 
+AnswerCounts& AnswerCounts::operator+=(const AnswerCounts& other) {
+  failed += other.failed;
+  untimed += other.untimed;
+  for (std::size_t step = 0; step < kLatencySteps; ++step) {
+    timed[step] += other.timed[step];
+  }
+  return *this;
+}
+
 }  // namespace juniperway::rollout
--- a/source/common/rollout/answer_counts.h
+++ b/source/common/rollout/answer_counts.h
@@ -31,6 +31,7 @@
   // That took this step or a higher one.
   std::uint32_t SlowerFrom(std::size_t step) const;
 
+  AnswerCounts& operator+=(const AnswerCounts& other);
   bool operator==(const AnswerCounts&) const = default;
 };
 
--- a/source/common/rollout/rollout.h
+++ b/source/common/rollout/rollout.h
@@ -30,7 +30,8 @@
   kObserving = 0,
   // More, so that a fault under load shows.
   kWidening = 1,
-  // All first attempts.
+  // Nearly all first attempts; the other version gets what it takes to show how
+  // long it would take.
   kFull = 2,
   // The replaced versions get nothing, but are there still; what they work on
   // ends.
@@ -38,6 +39,10 @@
 };
 
 inline constexpr std::uint32_t kWholePermille = 1000;
+// Share of canaries in the phase kFull. What the other version gets has to show
+// within half a second whether answers have become slower in general.
+inline constexpr std::uint32_t kFullPermille = 900;
+
 // What the fleet may send to canaries that turn out bad, summed over all
 // routers, from the order to the end of its duration.
 struct ExposureLimit {
--- a/source/common/rollout/rollout_judge.cc
+++ b/source/common/rollout/rollout_judge.cc
@@ -11,17 +11,25 @@
 
 // While canaries get little, a verdict can wait for what all routers report of
 // the same second; later each second costs much of the exposure limit.
-Duration JudgingDelay(RolloutPhase phase) {
-  return phase == RolloutPhase::kObserving ? kOthersReportedWithin
-                                           : Duration(0);
+VersionComparison::JudgingRule JudgingRuleOf(RolloutPhase phase) {
+  switch (phase) {
+    case RolloutPhase::kObserving:
+      return {.failures_after = kOthersReportedWithin,
+              .latencies_after = kOthersReportedWithin};
+    case RolloutPhase::kWidening:
+    case RolloutPhase::kFull:
+      return {.latencies_after = VersionComparison::kMomentReportedWithin,
+              .same_moment = true};
+    case RolloutPhase::kReplacing:
+      break;
+  }
+  return {};
 }
 
-// In the last phase the other version gets no requests.
-VersionComparison::BadAnswers JudgedBad(RolloutPhase phase) {
-  return phase == RolloutPhase::kReplacing
-             ? VersionComparison::BadAnswers::kFailed
-             : VersionComparison::BadAnswers::kFailedOrSlow;
-}
+// What routers tell a new leader holds both versions' answers of the same time:
+// there is nothing to wait for.
+constexpr VersionComparison::JudgingRule kJudgeAtOnce{.latencies_after =
+                                                          Duration(0)};
 
 // Part of the routers that has to know a phase, or to have reported to a new
 // leader. With all of them a router that is cut off would hold up the roll-out
@@ -107,10 +115,9 @@
     }
     if (!watch.heard && HasHeardMost(fleet)) {
       watch.heard = true;
-      watch.comparison.Judge(now, Duration(0), JudgedBad(rollout.phase));
+      watch.comparison.Judge(now, kJudgeAtOnce);
     }
-    watch.comparison.Judge(now, JudgingDelay(rollout.phase),
-                           JudgedBad(rollout.phase));
+    watch.comparison.Judge(now, JudgingRuleOf(rollout.phase));
     const Evidence evidence = watch.comparison.Describe();
     const RolloutFacts facts{
         .elapsed = watch.elapsed_before + (now - watch.since),
--- a/source/common/rollout/rollout_plan.cc
+++ b/source/common/rollout/rollout_plan.cc
@@ -39,7 +39,7 @@
 };
 constexpr Share kWidening{RolloutPhase::kWidening, kWideningPermille,
                           kLeastAnswers};
-constexpr Share kFull{RolloutPhase::kFull, kWholePermille, kManyAnswers};
+constexpr Share kFull{RolloutPhase::kFull, kFullPermille, kManyAnswers};
 
 std::uint64_t RequestsOf(const RolloutFacts& facts) {
   return facts.canary_answers + facts.other_answers;
--- a/source/common/rollout/version_comparison.cc
+++ b/source/common/rollout/version_comparison.cc
@@ -27,6 +27,15 @@
   return difference;
 }
 
+// Slots of moments that answers may still be compared to.
+constexpr std::int64_t kSlotsKept = 8;
+
+// Share of bad answers that a version may have where the other one has this.
+double AllowedShare(double usual_share) {
+  return std::clamp(usual_share * VersionComparison::kUsualShareMargin,
+                    VersionComparison::kLeastUsualShare, kMostUsualShare);
+}
+
 }  // namespace
 
 void VersionComparison::Usual::Fade(MonotonicTime now) {
@@ -65,35 +74,73 @@
   return std::min(step + kSlowerSteps, kLatencySteps);
 }
 
-double VersionComparison::Usual::Bad(std::size_t slow_step) const {
-  double bad = failed_;
-  for (std::size_t step = slow_step; step < kLatencySteps; ++step) {
-    bad += timed_[step];
+VersionComparison::BadCount VersionComparison::Usual::Count(
+    Badness badness, std::size_t slow_step) const {
+  if (badness == Badness::kFailed) {
+    return {.bad = failed_, .total = total_};
+  }
+  BadCount count;
+  for (std::size_t step = 0; step < kLatencySteps; ++step) {
+    count.total += timed_[step];
+    count.bad += step >= slow_step ? timed_[step] : 0;
+  }
+  return count;
+}
+
+void VersionComparison::Moments::Add(const AnswerCounts& counts,
+                                     MonotonicTime now) {
+  const std::int64_t slot = now.time_since_epoch() / kMomentSlot;
+  by_slot_[slot] += counts;
+  by_slot_.erase(by_slot_.begin(), by_slot_.lower_bound(slot - kSlotsKept));
+}
+
+VersionComparison::BadCount VersionComparison::Moments::CountAround(
+    MonotonicTime time, std::size_t slow_step) const {
+  const std::int64_t slot = time.time_since_epoch() / kMomentSlot;
+  const auto end = by_slot_.upper_bound(slot + 2);
+  BadCount count;
+  for (auto entry = by_slot_.lower_bound(slot - 1); entry != end; ++entry) {
+    count.bad += entry->second.SlowerFrom(slow_step);
+    count.total += entry->second.SlowerFrom(0);
   }
-  return bad;
+  return count;
 }
 
 void VersionComparison::Comparison::AddOther(const AnswerCounts& counts,
                                              MonotonicTime now) {
-  for (Usual* memory : {&usual, &latest}) {
-    memory->Fade(now);
-    memory->Add(counts);
-  }
+  Fade(now);
+  usual.Add(counts);
+  latest.Add(counts);
+  moments.Add(counts, now);
 }
 
-double VersionComparison::Comparison::UsualShare() const {
+void VersionComparison::Comparison::Fade(MonotonicTime now) {
+  usual.Fade(now);
+  latest.Fade(now);
+}
+
+double VersionComparison::Comparison::UsualShare(Badness badness) const {
   const std::size_t slow_step = usual.SlowStep();
   const auto share = [](double bad, double total) {
     return total > 0 ? bad / total : 0;
   };
-  const double bad_latest = latest.Bad(slow_step);
+  const BadCount of_late = usual.Count(badness, slow_step);
+  const BadCount now = latest.Count(badness, slow_step);
   // One standard deviation of a count is its root.
-  const double beyond_chance =
-      std::max(0.0, bad_latest - std::sqrt(bad_latest));
-  const double seen = std::max(share(usual.Bad(slow_step), usual.total()),
-                               share(beyond_chance, latest.total()));
-  return std::clamp(seen * kUsualShareMargin, kLeastUsualShare,
-                    kMostUsualShare);
+  const double beyond_chance = std::max(0.0, now.bad - std::sqrt(now.bad));
+  return AllowedShare(std::max(share(of_late.bad, of_late.total),
+                               share(beyond_chance, now.total)));
+}
+
+std::optional<double> VersionComparison::Comparison::SlowShareAround(
+    MonotonicTime time) const {
+  const BadCount count = moments.CountAround(time, usual.SlowStep());
+  if (count.total < kLeastUsualAnswers) {
+    return std::nullopt;
+  }
+  // Laplace's rule of succession: a share of few answers is not taken for zero.
+  const double share = (count.bad + 1) / (count.total + 2);
+  return std::max(AllowedShare(share), UsualShare(Badness::kSlow));
 }
 
 void VersionComparison::Sum::Add(const std::string& router, std::uint32_t good,
@@ -130,10 +177,12 @@
   const AnswerCounts fresh = TakeNew(router, incarnation, report);
   if (report.group.canary) {
     canary_answers_ += fresh.total();
-    unjudged_.push_back({.reported_at = now,
-                         .router = router,
-                         .route = report.group.route,
-                         .counts = fresh});
+    const Unjudged unjudged{.reported_at = now,
+                            .router = router,
+                            .route = report.group.route,
+                            .counts = fresh};
+    unjudged_failures_.push_back(unjudged);
+    unjudged_latencies_.push_back(unjudged);
     return;
   }
   other_answers_ += fresh.total();
@@ -141,53 +190,78 @@
   all_routes_.AddOther(fresh, now);
 }
 
-void VersionComparison::Judge(MonotonicTime now, Duration wait,
-                              BadAnswers bad) {
-  while (!unjudged_.empty() && unjudged_.front().reported_at + wait <= now) {
-    const Unjudged due = std::move(unjudged_.front());
-    unjudged_.pop_front();
-    for (Comparison* comparison : {&by_route_[due.route], &all_routes_}) {
-      comparison->AddOther({}, now);
-      AddCanary(due, bad, *comparison);
+void VersionComparison::Judge(MonotonicTime now, const JudgingRule& rule) {
+  const auto take_due = [now](std::deque<Unjudged>& unjudged, Duration after,
+                              const auto& judge) {
+    while (!unjudged.empty() && unjudged.front().reported_at + after <= now) {
+      judge(unjudged.front());
+      unjudged.pop_front();
     }
-    canary_bad_ += CountBad(due.counts, all_routes_, bad);
+  };
+  all_routes_.Fade(now);
+  for (auto& [route, comparison] : by_route_) {
+    comparison.Fade(now);
   }
+  take_due(unjudged_failures_, rule.failures_after,
+           [this](const Unjudged& answers) { JudgeFailures(answers); });
+  if (!rule.latencies_after) {
+    unjudged_latencies_.clear();
+    return;
+  }
+  take_due(unjudged_latencies_, *rule.latencies_after,
+           [&](const Unjudged& answers) {
+             JudgeLatencies(answers, rule.same_moment);
+           });
 }
 
-std::uint32_t VersionComparison::CountBad(const AnswerCounts& counts,
-                                          const Comparison& comparison,
-                                          BadAnswers bad) {
-  return bad == BadAnswers::kFailed
-             ? counts.failed
-             : counts.failed + counts.SlowerFrom(comparison.usual.SlowStep());
+void VersionComparison::JudgeFailures(const Unjudged& answers) {
+  const AnswerCounts& counts = answers.counts;
+  canary_bad_ += counts.failed;
+  for (Comparison* comparison : {&by_route_[answers.route], &all_routes_}) {
+    comparison->failures.Add(answers.router, counts.answered(), counts.failed,
+                             comparison->UsualShare(Badness::kFailed));
+  }
 }
 
-void VersionComparison::AddCanary(const Unjudged& answers, BadAnswers bad,
-                                  Comparison& comparison) {
-  const std::uint32_t count = CountBad(answers.counts, comparison, bad);
-  comparison.sum.Add(answers.router, answers.counts.total() - count, count,
-                     comparison.UsualShare());
+void VersionComparison::JudgeLatencies(const Unjudged& answers,
+                                       bool same_moment) {
+  const auto count_slow = [&](const Comparison& comparison) {
+    return answers.counts.SlowerFrom(comparison.usual.SlowStep());
+  };
+  canary_bad_ += count_slow(all_routes_);
+  for (Comparison* comparison : {&by_route_[answers.route], &all_routes_}) {
+    const std::uint32_t slow = count_slow(*comparison);
+    const std::uint32_t fast = answers.counts.SlowerFrom(0) - slow;
+    const std::optional<double> usual_share =
+        same_moment ? comparison->SlowShareAround(answers.reported_at)
+                    : comparison->UsualShare(Badness::kSlow);
+    // Without others to compare with, slow answers say nothing.
+    comparison->slow.Add(
+        answers.router, fast, usual_share ? slow : 0,
+        usual_share.value_or(comparison->UsualShare(Badness::kSlow)));
+  }
 }
 
-const VersionComparison::Sum& VersionComparison::WorstSum() const {
-  const Sum* worst = &all_routes_.sum;
+std::vector<const VersionComparison::Sum*> VersionComparison::Sums() const {
+  std::vector<const Sum*> sums{&all_routes_.failures, &all_routes_.slow};
   for (const auto& [route, comparison] : by_route_) {
-    if (comparison.sum.score > worst->score) {
-      worst = &comparison.sum;
-    }
+    sums.push_back(&comparison.failures);
+    sums.push_back(&comparison.slow);
   }
-  return *worst;
+  return sums;
+}
+
+const VersionComparison::Sum& VersionComparison::WorstSum() const {
+  const std::vector<const Sum*> sums = Sums();
+  return **std::ranges::max_element(sums, {},
+                                    [](const Sum* sum) { return sum->score; });
 }
 
 bool VersionComparison::IsWorse(std::size_t routers) const {
   const std::size_t needed = std::clamp<std::size_t>(routers, 1, kWitnesses);
-  const auto is_worse = [needed](const Sum& sum) {
-    return sum.score >= kScoreLimit && sum.witnesses.size() >= needed;
-  };
-  return is_worse(all_routes_.sum) ||
-         std::ranges::any_of(by_route_, [&](const auto& entry) {
-           return is_worse(entry.second.sum);
-         });
+  return std::ranges::any_of(Sums(), [needed](const Sum* sum) {
+    return sum->score >= kScoreLimit && sum->witnesses.size() >= needed;
+  });
 }
 
 Evidence VersionComparison::Describe() const {
@@ -195,7 +269,8 @@
   return {.canary_answers = canary_answers_,
           .canary_bad = canary_bad_,
           .other_answers = other_answers_,
-          .other_bad_share = all_routes_.UsualShare(),
+          .other_bad_share = std::max(all_routes_.UsualShare(Badness::kFailed),
+                                      all_routes_.UsualShare(Badness::kSlow)),
           .score = worst.score,
           .witnesses = worst.witnesses.size()};
 }
--- a/source/common/rollout/version_comparison.h
+++ b/source/common/rollout/version_comparison.h
@@ -2,10 +2,15 @@
 // to replace, from what all routers have seen of both. Pure.
 //
 // An answer is bad when it is a failure or several times slower than what is
-// usual of the other version. What is compared is the share of bad answers, of
-// each route alone and of all routes together, on the same seconds: what hits
-// both versions alike (a zone that is down, spoiled answers) is no reason to
-// roll back.
+// usual of the other version. What is compared is the share of failures, and
+// that of slow answers, of each route alone and of all routes together, on the
+// same seconds: what hits both versions alike (a zone that is down, spoiled
+// answers) is no reason to roll back.
+//
+// Slow answers come in bursts: a machine that is busy for a moment makes
+// whatever is under way slow. Once canaries get most requests, most of those
+// are theirs, so their slow answers are judged by those of the other version in
+// the same fraction of a second only.
 //
 // The test is a cumulative sum of log-likelihood ratios (Page 1954) between the
 // other version's share of bad answers and that share plus kLeastHarm. It
@@ -15,12 +20,15 @@
 // least (Lorden 1971).
 #pragma once
 
+#include <array>
 #include <cstddef>
 #include <cstdint>
 #include <deque>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
+#include <vector>
 
 #include "common/base/time.h"
 #include "common/rollout/answer_counts.h"
@@ -68,23 +76,29 @@
   // One router, or one network between a router and its canaries, must not end
   // a roll-out.
   static constexpr std::size_t kWitnesses = 3;
+  // Answers are of the same moment when they were reported in the same slot as
+  // the canary's, the one before, or one of the two after it. Routers that send
+  // canaries requests report each 0.2 s.
+  static constexpr Duration kMomentSlot = milliseconds(250);
+  static constexpr Duration kMomentReportedWithin = 2 * kMomentSlot;
 
   // @param router and its start: a router that restarts counts from zero.
   void OnReport(const std::string& router, std::uint64_t incarnation,
                 const AnswerReport& report, MonotonicTime now);
 
-  // Which answers of canaries are bad.
-  enum class BadAnswers { kFailed, kFailedOrSlow };
-
-  // Judges what was reported of canaries at least `wait` ago. The others'
+  // When answers of canaries are judged, since they were reported. The others'
   // answers of the same moment are reported up to a second later: a fault that
   // hits both alike looks like the canaries' own until then, and 3 of 1,000
   // good versions were undone for it (property.rollout/rollout).
-  // @param bad kFailed while the other version gets no requests: what makes
-  //   all answers slower then has nothing to be compared with. A good version
-  //   was undone so within 0.4 s, on a machine with a load of 2.5 a core.
-  void Judge(MonotonicTime now, Duration wait,
-             BadAnswers bad = BadAnswers::kFailedOrSlow);
+  struct JudgingRule {
+    Duration failures_after{};
+    // Nothing: slow answers are not judged. While the other version gets no
+    // requests, what makes all answers slower has nothing to be compared with.
+    std::optional<Duration> latencies_after;
+    // Slow answers are compared to answers of the same moment.
+    bool same_moment = false;
+  };
+  void Judge(MonotonicTime now, const JudgingRule& rule);
 
   // The canaries do worse.
   // @param routers that there are: a fleet of two has two witnesses at most.
@@ -99,6 +113,13 @@
     std::uint64_t incarnation = 0;
     AnswerCounts counts;
   };
+  // What is bad of an answer.
+  enum class Badness { kFailed, kSlow };
+  // How many of some answers are bad.
+  struct BadCount {
+    double bad = 0;
+    double total = 0;
+  };
   // The other version's answers of late.
   class Usual {
    public:
@@ -108,9 +129,8 @@
     void Add(const AnswerCounts& counts);
     // The first step that counts as slow; kLatencySteps: none is known.
     std::size_t SlowStep() const;
-    double total() const { return total_; }
-    // That failed, or took this step or a higher one.
-    double Bad(std::size_t slow_step) const;
+    // Slow ones are those that took this step or a higher one.
+    BadCount Count(Badness badness, std::size_t slow_step) const;
 
    private:
     Duration memory_;
@@ -119,6 +139,16 @@
     std::array<double, kLatencySteps> timed_{};
     MonotonicTime faded_at_;
   };
+  // The other version's answers by the moment at which they were reported.
+  class Moments {
+   public:
+    void Add(const AnswerCounts& counts, MonotonicTime now);
+    // Timed answers that were reported around then.
+    BadCount CountAround(MonotonicTime time, std::size_t slow_step) const;
+
+   private:
+    std::map<std::int64_t, AnswerCounts> by_slot_;
+  };
   struct Sum {
     double score = 0;
     std::set<std::string> witnesses;
@@ -129,11 +159,16 @@
   struct Comparison {
     Usual usual{kMemory};
     Usual latest{kShortMemory};
-    Sum sum;
+    Moments moments;
+    Sum failures;
+    Sum slow;
 
     void AddOther(const AnswerCounts& counts, MonotonicTime now);
+    void Fade(MonotonicTime now);
     // Share of bad answers that a version as good as the other one may have.
-    double UsualShare() const;
+    double UsualShare(Badness badness) const;
+    // The same of slow answers around then; nothing: too few are known.
+    std::optional<double> SlowShareAround(MonotonicTime time) const;
   };
 
   // Answers of canaries that are not judged yet.
@@ -147,15 +182,17 @@
   // What is new in a report.
   AnswerCounts TakeNew(const std::string& router, std::uint64_t incarnation,
                        const AnswerReport& report);
-  static std::uint32_t CountBad(const AnswerCounts& counts,
-                                const Comparison& comparison, BadAnswers bad);
-  static void AddCanary(const Unjudged& answers, BadAnswers bad,
-                        Comparison& comparison);
+  void JudgeFailures(const Unjudged& answers);
+  void JudgeLatencies(const Unjudged& answers, bool same_moment);
+  // Of all routes together, and of each alone.
+  std::vector<const Sum*> Sums() const;
+  // The sum that is nearest to its limit.
   const Sum& WorstSum() const;
 
   std::map<std::pair<std::string, AnswerGroup>, Source> sources_;
   // Oldest first.
-  std::deque<Unjudged> unjudged_;
+  std::deque<Unjudged> unjudged_failures_;
+  std::deque<Unjudged> unjudged_latencies_;
   std::map<std::string, Comparison> by_route_;
   Comparison all_routes_;
   std::uint64_t canary_answers_ = 0;
--- a/test/property/rollout/rollout_open_seeds_test.cc
+++ b/test/property/rollout/rollout_open_seeds_test.cc
@@ -1,6 +1,6 @@
-// Seeds that show a fault still (KNOWN-RED.txt), of 1,000 played by hand for
-// each kind with 60 routers and 200 with 300; the checks are those of
-// rollout_test.cc.
+// Seeds that showed a fault once: bad versions beyond the limit while no leader
+// judged, good ones of services with few requests undone or late. The checks are
+// those of rollout_test.cc.
 #include <doctest/doctest.h>
 
 #include "property/rollout/rollout_world.h"
--- a/test/unit/rollout/rollout_plan_test.cc
+++ b/test/unit/rollout/rollout_plan_test.cc
@@ -44,7 +44,7 @@
   step = NextStep(rollout, FactsAt(milliseconds(7300)), kLimit);
   REQUIRE(step);
   CHECK(step->phase == RolloutPhase::kFull);
-  CHECK(step->share_permille == 1000);
+  CHECK(step->share_permille == kFullPermille);
   rollout.phase = step->phase;
   step = NextStep(rollout, FactsAt(milliseconds(9100)), kLimit);
   REQUIRE(step);
--- a/test/unit/rollout/version_comparison_test.cc
+++ b/test/unit/rollout/version_comparison_test.cc
@@ -11,6 +11,11 @@
 
 constexpr std::size_t kRouters = 10;
 
+// All answers are judged this long after they were reported.
+constexpr VersionComparison::JudgingRule JudgeAfter(Duration wait) {
+  return {.failures_after = wait, .latencies_after = wait};
+}
+
 // Routers that report each answer at once.
 struct Reports {
   void Add(std::size_t router, bool canary, bool failed, Duration latency,
@@ -24,7 +29,7 @@
     }
     comparison.OnReport("router-" + std::to_string(router), 1,
                         {.group = group, .rollout = 1, .counts = counts}, now);
-    comparison.Judge(now, Duration(0));
+    comparison.Judge(now, JudgeAfter(Duration(0)));
     now += milliseconds(10);
   }
 
@@ -138,7 +143,7 @@
     canary.counts.failed = 1;
     now += milliseconds(70);
     comparison.OnReport("router-" + std::to_string(router), 1, canary, now);
-    comparison.Judge(now, wait);
+    comparison.Judge(now, JudgeAfter(wait));
   }
   now += milliseconds(500);
   others.counts.failed = 30;
@@ -146,7 +151,7 @@
   comparison.OnReport("router-0", 1, others, now);
   for (int later = 0; later < 10; ++later) {
     now += milliseconds(100);
-    comparison.Judge(now, wait);
+    comparison.Judge(now, JudgeAfter(wait));
   }
   return comparison.IsWorse(kRouters);
 }
@@ -156,6 +161,71 @@
   CHECK_FALSE(IsWorseAfter(seconds(1)));
 }
 
+// Answers of both versions at 450 and 50 a second, a third of them slow for one
+// second; each router reports every 0.2 s.
+// @param others_slow the other version's answers are slow then as well.
+bool IsWorseInBurst(bool others_slow) {
+  VersionComparison comparison;
+  std::mt19937_64 random(1);
+  std::uniform_real_distribution<double> draw(0, 1);
+  std::map<std::pair<std::size_t, AnswerGroup>, AnswerCounts> totals;
+  const MonotonicTime begin{seconds(10)};
+  for (int tick = 0; tick < 1500; ++tick) {
+    const MonotonicTime now = begin + tick * milliseconds(2);
+    const std::size_t router = random() % kRouters;
+    const bool canary = draw(random) < 0.9;
+    const bool in_burst = tick >= 500 && tick < 1000;
+    const bool slow =
+        in_burst && (canary || others_slow) && draw(random) < 0.33;
+    const AnswerGroup group{.service = "s", .route = "r", .canary = canary};
+    ++totals[{router, group}].timed.at(
+        LatencyStepOf(slow ? milliseconds(60) : milliseconds(13)));
+    if (tick % 10 == 0) {
+      const std::size_t reporter = tick / 10 % kRouters;
+      for (const auto& [key, counts] : totals) {
+        if (key.first == reporter) {
+          comparison.OnReport("router-" + std::to_string(reporter), 1,
+                              {.group = key.second, .counts = counts}, now);
+        }
+      }
+    }
+    comparison.Judge(
+        now, {.latencies_after = VersionComparison::kMomentReportedWithin,
+              .same_moment = true});
+    if (comparison.IsWorse(kRouters)) {
+      return true;
+    }
+  }
+  return false;
+}
+
+// Guards against a good version that is undone because its machines, or the
+// routers', were busy for a moment once it got most requests.
+TEST_CASE("a burst that slows both versions is not held against canaries") {
+  CHECK_FALSE(IsWorseInBurst(/*others_slow=*/true));
+  CHECK(IsWorseInBurst(/*others_slow=*/false));
+}
+
+TEST_CASE("slow answers without others of the same moment say nothing") {
+  VersionComparison comparison;
+  MonotonicTime now{seconds(10)};
+  AnswerReport report;
+  report.group = {.service = "s", .route = "r"};
+  report.counts.timed.at(LatencyStepOf(milliseconds(13))) = 50;
+  comparison.OnReport("others", 1, report, now);
+  now += seconds(3);
+  report.group.canary = true;
+  report.counts = {};
+  report.counts.timed.at(LatencyStepOf(milliseconds(60))) = 50;
+  for (std::size_t router = 0; router < kRouters; ++router) {
+    comparison.OnReport("router-" + std::to_string(router), 1, report, now);
+  }
+  now += seconds(1);
+  comparison.Judge(now,
+                   {.latencies_after = milliseconds(500), .same_moment = true});
+  CHECK(comparison.Suspicion() == 0);
+}
+
 TEST_CASE("a router that restarts counts from zero and loses nothing") {
   VersionComparison comparison;
   AnswerReport report;
@@ -164,11 +234,11 @@
   const MonotonicTime now{seconds(1)};
   comparison.OnReport("a", 1, report, now);
   comparison.OnReport("a", 1, report, now);
-  comparison.Judge(now, Duration(0));
+  comparison.Judge(now, JudgeAfter(Duration(0)));
   CHECK(comparison.Describe().canary_bad == 5);
   report.counts.failed = 2;
   comparison.OnReport("a", 2, report, now);
-  comparison.Judge(now, Duration(0));
+  comparison.Judge(now, JudgeAfter(Duration(0)));
   CHECK(comparison.Describe().canary_bad == 7);
 }
 
