--- a/test/integration/forwarding/route_fleet.cc
+++ b/test/integration/forwarding/route_fleet.cc
@@ -449,7 +449,8 @@
     if (rollout.is_object() && rollout.contains("state")) {
       return {.state = rollout["state"],
               .reason = rollout["reason"],
-              .in_force = rollout["in_force"]};
+              .in_force = rollout["in_force"],
+              .share_permille = rollout["share_permille"]};
     }
   }
   return {};
--- a/test/integration/forwarding/route_fleet.h
+++ b/test/integration/forwarding/route_fleet.h
@@ -39,6 +39,7 @@
   std::string state;
   std::string reason;
   bool in_force = false;
+  std::uint32_t share_permille = 0;
 };
 
 class StandInBackend {
