Comments of roll-outs say what holds now

The threshold of suspicion also holds before canaries replace the others; a step needs a phase that is known and has lasted. No change of behaviour.

--- a/source/common/forwarding/router_server.h
+++ b/source/common/forwarding/router_server.h
@@ -60,9 +60,9 @@
   //   before requests come.
   void SetReportAsk(std::function<void()> ask);
 
-  // @param report nothing that back ends without new work still do for this
-  //   router is known of up to this revision. Called while a roll-out is under
-  //   way. To be set before requests come.
+  // @param report as of this revision no attempt of this router is under way at
+  //   a back end that gets no new work. Called while a roll-out is under way.
+  //   To be set before requests come.
   void SetReleaseReport(std::function<void(std::uint64_t revision)> report);
   // Leased rates of tenants' limits, which travel in the session's heartbeats.
   quota::RateReport MakeRateReport(MonotonicTime now);
--- a/source/common/rollout/rollout_plan.cc
+++ b/source/common/rollout/rollout_plan.cc
@@ -157,7 +157,7 @@
   return has_answers && IsHarmlessToTheEnd(rollout, facts, limit);
 }
 
-// The next step of a phase that every router knows of.
+// The next step of a phase that is known and has lasted.
 std::optional<RolloutStep> StepAfter(const Rollout& rollout,
                                      const RolloutFacts& facts,
                                      const ExposureLimit& limit) {
--- a/source/common/rollout/rollout_plan.h
+++ b/source/common/rollout/rollout_plan.h
@@ -72,10 +72,9 @@
 // A version is taken for suspicious from these parts of the way to a verdict,
 // and waits for more answers. At a third, 4 of 100 good versions whose service
 // failed in 30 % of all answers for four seconds were not judged in time; at
-// two thirds none. Before canaries get everything a third it is: a fault of one
-// route in six of a hundred answers got there otherwise, and with a leader that
-// was lost just then 1.1 to 1.5 times the exposure limit was sent in 4 of 2,000
-// roll-outs (property.rollout/rollout).
+// two thirds none. It is a third before canaries get nearly everything, and
+// before they replace the others: a fault of one route in six of a hundred
+// answers got there otherwise.
 inline constexpr double kSuspicious = 2.0 / 3;
 inline constexpr double kSuspiciousBeforeFull = 1.0 / 3;
 // Answers of canaries without which nothing is known of the version. Of a
--- a/test/property/rollout/rollout_open_seeds_test.cc
+++ b/test/property/rollout/rollout_open_seeds_test.cc
@@ -1,6 +1,6 @@
 // Seeds that showed a fault once: bad versions beyond the limit while no leader
-// judged, good ones of services with few requests undone or late. The checks are
-// those of rollout_test.cc.
+// judged, good ones of services with few requests undone or late. The checks
+// are those of rollout_test.cc.
 #include <doctest/doctest.h>
 
 #include "property/rollout/rollout_world.h"
