--- a/review/standins.py
+++ b/review/standins.py
@@ -334,6 +334,8 @@
             machine.process.send_signal(signal.SIGCONT)
             machine.process.kill()
             machine.process.wait()
+        for server in self.servers:
+            server.close()
         if self._list is not None:
             self._list.shutdown()
             self._list.server_close()
@@ -438,6 +440,94 @@
         return version
 
 
+class Server:
+    """A server of a service: answers each request, and notes what it ran."""
+
+    def __init__(self, deployment, service, number, port=8281):
+        self.record = deployment.record
+        self.service = service
+        self.id = "i-%08x" % random.getrandbits(32)
+        self.address = "%s:%d" % (deployment.network.address(20 + number), port)
+        self.work_s = 0.005
+        # Of each request that ran: (id, method, target, body).
+        self.ran = []
+        server = self
+
+        class Handler(http.server.BaseHTTPRequestHandler):
+            protocol_version = "HTTP/1.1"
+
+            def answer(self):
+                server.answer(self)
+
+            do_GET = do_POST = do_PUT = do_DELETE = do_HEAD = answer
+            do_PATCH = do_OPTIONS = answer
+
+            def log_message(self, *_):
+                pass
+
+        host, port_text = self.address.split(":")
+        self._listener = http.server.ThreadingHTTPServer(
+            (host, int(port_text)), Handler)
+        self._listener.daemon_threads = True
+        threading.Thread(target=self._listener.serve_forever,
+                         daemon=True).start()
+
+    def entry(self):
+        return {"id": self.id, "service": self.service, "zone": "a",
+                "address": self.address, "version": "v1", "slots": 5,
+                "state": "live", "warmup_left_ms": 0}
+
+    def answer(self, exchange):
+        length = int(exchange.headers.get("Content-Length", "0"))
+        body = exchange.rfile.read(length)
+        request = exchange.headers.get("Request-Id", "")
+        expected = exchange.headers.get("Expect-Instance", self.id)
+        if expected != self.id:
+            self.send(exchange, 421, request, b"", {"Not-Executed": "1"})
+            return
+        self.ran.append((request, exchange.command, exchange.path, body))
+        time.sleep(self.work_s)
+        stamp = "%s.%s" % (self.id, request)
+        self.send(exchange, 200, request, b"the bytes of " + stamp.encode(),
+                  {"Response-Stamp": stamp})
+
+    @staticmethod
+    def send(exchange, status, request, body, headers):
+        exchange.send_response(status)
+        exchange.send_header("Request-Id", request)
+        for name, value in headers.items():
+            exchange.send_header(name, value)
+        exchange.send_header("Content-Length", str(len(body)))
+        exchange.end_headers()
+        if exchange.command != "HEAD":
+            try:
+                exchange.wfile.write(body)
+            except OSError:
+                pass  # the router has given up on the attempt
+
+    def close(self):
+        self._listener.shutdown()
+        self._listener.server_close()
+
+
+class Client:
+    """Sends requests to the routers, each attempt with an id of its own."""
+
+    def __init__(self, record):
+        self.record = record
+        self._count = 0
+
+    def ask(self, front, path="/p0/2f", deadline_ms=4000):
+        """@return (id, status, body); status None without a whole answer."""
+        self._count += 1
+        request = "%016x" % (random.getrandbits(48) << 16 | self._count)
+        status, body = call("GET", front.ip, FRONT_PORT, path, None,
+                            deadline_ms / 1000,
+                            {"Host": "leno12.example", "Request-Id": request,
+                             "Deadline-Ms": str(deadline_ms)})
+        return request, status, body
+
+
 def run(play, folder_of_case, **options):
     """Plays a case and exits with its result."""
     deployment = None
