Review case 3: a kill while the store is made leaves a control machine that never starts

Cause: LoadNodeIdentity keeps node_id before the store exists and says is_new only in the start that wrote it; TryOpenStore creates the store only if is_new. After a kill between the two every start ends with exit 1.

--- /dev/null
+++ b/review/3/run.sh
@@ -0,0 +1,3 @@
+#!/bin/sh
+# Exit: 1 the rule was broken, 0 it held, 2 the case could not run.
+exec python3 "$(dirname "$0")/play.py"
