--- a/review/3/play.py
+++ b/review/3/play.py
@@ -11,7 +11,6 @@
 FIRST, SECOND = 7, 12
 # Losses of the first machine's disk until a kill meets the moment.
 MOST_TRIES = 4
-RESTARTS = 4
 
 
 def start_and_kill_early(core):
@@ -31,6 +30,18 @@
     return not any(name.endswith(".db") for name in files)
 
 
+def wait(core, seconds):
+    """Waits; the platform starts the machine's program when it has ended."""
+    end = time.monotonic() + seconds
+    while time.monotonic() < end:
+        time.sleep(1)
+        if core.has_ended():
+            core.own_ends += 1
+            core.record("platform:", core.name, "has ended by itself, exit",
+                        core.process.returncode, "-", core.last_words(1))
+            core.start()
+
+
 def play(deployment):
     record = deployment.record
     operator = standins.Operator(record)
@@ -45,7 +56,7 @@
     time.sleep(standins.CATCH_UP_S)
 
     # A machine loses its disk and comes back empty, at its old address.
-    first, second, third = deployment.cores
+    first, second, _ = deployment.cores
     for _ in range(MOST_TRIES):
         first.kill()
         first.lose_disk()
@@ -57,18 +68,9 @@
         first.await_listening(5)
         time.sleep(standins.CATCH_UP_S)
     first.start()
-    for _ in range(RESTARTS):
-        time.sleep(1)
-        if not first.has_ended():
-            break
-        first.own_ends += 1
-        record("platform:", first.name, "has ended by itself, exit",
-               first.process.returncode, "-", first.last_words(1))
-        first.start()
-    record(first.name, "ended by itself", first.own_ends, "times")
 
     # It is back for longer than catchUpS, so one more machine may be lost.
-    time.sleep(standins.CATCH_UP_S + standins.CONTACT_S)
+    wait(first, standins.CATCH_UP_S + standins.CONTACT_S)
     if not operator.put_until_taken(
             deployment.cores, standins.table(SECOND, "one", ["one", "two"])):
         raise standins.CannotRun("the second configuration was not taken")
@@ -79,13 +81,14 @@
 
     # Everybody is back; the bounds for recovery, contact and configuration
     # pass. Then the configuration is read back for longer than contactMs.
-    time.sleep(standins.RECOVER_S + standins.CONFIG_S)
+    wait(first, standins.RECOVER_S + standins.CONFIG_S)
+    record(first.name, "ended by itself", first.own_ends, "times")
     read = []
     end = time.monotonic() + standins.CONTACT_S + 5
     while time.monotonic() < end:
         for core in deployment.cores:
             read.append(operator.get(core))
-        time.sleep(0.5)
+        wait(first, 0.5)
     came = [version for version in read if version is not None]
     record("reads", len(read), "answered", len(came), "with", sorted(set(came)),
            "newest acknowledged version", operator.acknowledged[0])
--- a/review/standins.py
+++ b/review/standins.py
@@ -169,7 +169,8 @@
 
     def last_words(self, lines=3):
         with open(self.log, "r", encoding="utf-8", errors="replace") as log:
-            return log.read().splitlines()[-lines:]
+            text = log.read().replace(self.folder, "")
+        return " / ".join(text.splitlines()[-lines:])
 
 
 class Core(Machine):
