--- a/review/standins.py
+++ b/review/standins.py
@@ -19,6 +19,7 @@
 import tempfile
 import threading
 import time
+import traceback
 
 ROOT = os.path.dirname(os.path.dirname(os.path.abspath(__file__)))
 CONTROL_PORT = 8224
@@ -532,6 +533,8 @@
 def run(play, folder_of_case, **options):
     """Plays a case and exits with its result."""
     deployment = None
+    # Ends the processes also when the script itself is stopped.
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(NOT_RUN))
     result = NOT_RUN
     try:
         deployment = Deployment(folder_of_case, **options)
@@ -542,6 +545,8 @@
             deployment.record("could not run:", reason)
         else:
             print("could not run:", reason)
+    except Exception:  # a fault of the script says nothing about the rule
+        traceback.print_exc()
     finally:
         if deployment is not None:
             deployment.close()
