control: end a forwarded call only with a reply to this process

A gateway could be granted a claim that the leader had given to another one.

Cause: LeaderClient numbered the calls that a control node forwards to the leader from 1 in each process, and took any reply with a pending number, whichever node sent it. The leader replies to a node id over whatever connection is open by then, so the reply to call 1 of a killed process ended call 1 of the next one, which waited for a leader and was dropped unsent.

Why this works: call numbers start at a random 64-bit number in each process, so a reply to an earlier process has no pending number; and a reply counts only from a node that the call was sent to. The message format stays, so both builds run side by side; a field for the process would not be returned by a leader of the earlier build. Replies that end no call are logged (2152). Seeds and the incarnation of a rate pool get 64 random bits in place of 32 from the same function.

--- a/source/common/control/control_node_peers.cc
+++ b/source/common/control/control_node_peers.cc
@@ -75,11 +75,11 @@
   } else if (const auto* operations = message.AsForwardOperations()) {
     OnForwardedOperations(from, *operations);
   } else if (const auto* results = message.AsForwardOperationsReply()) {
-    leader_client_->OnReply(*results);
+    leader_client_->OnReply(from, *results);
   } else if (const auto* call = message.AsForwardCall()) {
     OnForwardedCall(from, *call);
   } else if (const auto* answer = message.AsForwardCallReply()) {
-    leader_client_->OnReply(*answer);
+    leader_client_->OnReply(from, *answer);
   }
 }
 
--- a/source/common/control/control_node_setup.cc
+++ b/source/common/control/control_node_setup.cc
@@ -4,10 +4,10 @@
 #include <algorithm>
 #include <cstdlib>
 #include <nlohmann/json.hpp>
-#include <random>
 #include <stdexcept>
 #include <utility>
 
+#include "common/base/random_seed.h"
 #include "common/control/control_node.h"
 #include "common/control/events.h"
 
@@ -46,10 +46,6 @@
   return std::move(*state);
 }
 
-std::uint64_t DrawSeed(std::uint64_t seed) {
-  return seed != 0 ? seed : std::random_device()();
-}
-
 [[noreturn]] void ExitProcess(const Error& error) {
   LOG(ERROR) << FormatError(error);
   google::FlushLogFiles(google::GLOG_INFO);
@@ -64,7 +60,7 @@
     : context_(context),
       options_(options),
       metrics_(*options_.registry),
-      seed_(DrawSeed(options.seed)),
+      seed_(options.seed != 0 ? options.seed : DrawRandomSeed()),
       tick_timer_(context),
       advance_timer_(context) {
   raft::InitialState initial = LoadOrBootstrapStore(options_, *store);
@@ -226,8 +222,9 @@
 }
 
 void ControlNode::MakeLeaderClient() {
+  // Not from the seed, which tests repeat at each start of a node.
   leader_client_ = std::make_unique<LeaderClient>(
-      options_.node_id,
+      options_.node_id, DrawRandomSeed(),
       LeaderClient::Ports{
           .leader = [this] { return KnownLeader(); },
           .run_operations =
--- a/source/common/control/events.h
+++ b/source/common/control/events.h
@@ -78,5 +78,7 @@
                                           Severity::kInfo};
 inline constexpr EventType kMemberRemoved{2151, "member_removed",
                                           Severity::kWarning};
+inline constexpr EventType kForwardedReplyIgnored{
+    2152, "forwarded_reply_ignored", Severity::kInfo};
 
 }  // namespace juniperway::control
--- a/source/common/control/leader_client.cc
+++ b/source/common/control/leader_client.cc
@@ -5,6 +5,7 @@
 #include <vector>
 
 #include "common/base/compression.h"
+#include "common/control/events.h"
 #include "common/session/control_frames.h"
 
 namespace juniperway::control {
@@ -37,8 +38,9 @@
 
 }  // namespace
 
-LeaderClient::LeaderClient(raft::NodeId self, Ports ports)
-    : self_(self), ports_(std::move(ports)) {}
+LeaderClient::LeaderClient(raft::NodeId self, std::uint64_t first_call_id,
+                           Ports ports)
+    : self_(self), ports_(std::move(ports)), next_id_(first_call_id) {}
 
 void LeaderClient::Submit(Operations operations, MonotonicTime deadline,
                           OperationsCallback callback) {
@@ -57,12 +59,12 @@
 std::uint64_t LeaderClient::Add(
     std::variant<PendingOperations, PendingCall> content,
     MonotonicTime deadline) {
-  const std::uint64_t id = ++last_id_;
+  const std::uint64_t id = next_id_++;
   Pending pending{.content = std::move(content),
                   .deadline = deadline,
                   .sent_to = raft::kNoNode,
                   .sent_at = {},
-                  .ever_sent = false};
+                  .asked = {}};
   pending_.emplace(id, std::move(pending));
   return id;
 }
@@ -77,10 +79,10 @@
   pending.sent_to = leader;
   pending.sent_at = now;
   if (leader == self_) {
-    pending.ever_sent = true;
+    pending.asked.insert(leader);
     RunLocally(id, pending);
   } else if (SendTo(id, pending, leader)) {
-    pending.ever_sent = true;
+    pending.asked.insert(leader);
   } else {
     pending.sent_to = raft::kNoNode;
   }
@@ -92,14 +94,14 @@
     // entry.
     const ApiCall copy = call->call;
     ports_.run_call(copy, [this, id](net::HttpResponse response) {
-      FinishCall(id, std::move(response));
+      FinishCall(self_, id, std::move(response));
     });
     return;
   }
   const auto& operations = std::get<PendingOperations>(pending.content);
   ports_.run_operations(Copy(operations.operations),
                         [this, id](Result<OperationResults> result) {
-                          FinishOperations(id, std::move(result));
+                          FinishOperations(self_, id, std::move(result));
                         });
 }
 
@@ -127,9 +129,10 @@
   return ports_.send_operations(leader, std::move(message));
 }
 
-void LeaderClient::OnReply(const protocol::ForwardOperationsReplyT& reply) {
+void LeaderClient::OnReply(raft::NodeId from,
+                           const protocol::ForwardOperationsReplyT& reply) {
   if (reply.error) {
-    FinishOperations(reply.call_id,
+    FinishOperations(from, reply.call_id,
                      tl::unexpected(session::DecodeError(*reply.error)));
     return;
   }
@@ -137,28 +140,49 @@
   for (const auto& result : reply.results) {
     results.push_back(std::make_unique<protocol::OperationResultT>(*result));
   }
-  FinishOperations(reply.call_id, std::move(results));
+  FinishOperations(from, reply.call_id, std::move(results));
 }
 
-void LeaderClient::OnReply(const protocol::ForwardCallReplyT& reply) {
+void LeaderClient::OnReply(raft::NodeId from,
+                           const protocol::ForwardCallReplyT& reply) {
   net::HttpResponse response;
   response.status = reply.status;
   response.body = reply.body;
   for (const auto& header : reply.headers) {
     response.headers.emplace_back(header->key, header->value);
   }
-  FinishCall(reply.call_id, std::move(response));
+  FinishCall(from, reply.call_id, std::move(response));
 }
 
-void LeaderClient::FinishOperations(std::uint64_t id,
-                                    Result<OperationResults> result) {
+template <typename Content>
+LeaderClient::PendingMap::iterator LeaderClient::FindAsked(raft::NodeId from,
+                                                           std::uint64_t id) {
   auto pending = pending_.find(id);
-  if (pending == pending_.end() ||
-      !std::holds_alternative<PendingOperations>(pending->second.content)) {
+  const bool ends_call =
+      pending != pending_.end() && pending->second.asked.contains(from) &&
+      std::holds_alternative<Content>(pending->second.content);
+  if (ends_call) {
+    return pending;
+  }
+  logging::LogEvent(kForwardedReplyIgnored,
+                    {{"node", self_}, {"from", from}, {"call", id}});
+  return pending_.end();
+}
+
+void LeaderClient::OnRetryableFailure(raft::NodeId from, Pending& pending) {
+  if (pending.sent_to == from) {
+    pending.sent_to = raft::kNoNode;
+  }
+}
+
+void LeaderClient::FinishOperations(raft::NodeId from, std::uint64_t id,
+                                    Result<OperationResults> result) {
+  auto pending = FindAsked<PendingOperations>(from, id);
+  if (pending == pending_.end()) {
     return;
   }
   if (!result && IsRetryable(result.error())) {
-    pending->second.sent_to = raft::kNoNode;  // Tick() sends the call.
+    OnRetryableFailure(from, pending->second);
     return;
   }
   const auto callback =
@@ -167,14 +191,14 @@
   callback(std::move(result));
 }
 
-void LeaderClient::FinishCall(std::uint64_t id, net::HttpResponse response) {
-  auto pending = pending_.find(id);
-  if (pending == pending_.end() ||
-      !std::holds_alternative<PendingCall>(pending->second.content)) {
+void LeaderClient::FinishCall(raft::NodeId from, std::uint64_t id,
+                              net::HttpResponse response) {
+  auto pending = FindAsked<PendingCall>(from, id);
+  if (pending == pending_.end()) {
     return;
   }
   if (response.status == kStatusUnavailable) {
-    pending->second.sent_to = raft::kNoNode;  // Tick() sends the call.
+    OnRetryableFailure(from, pending->second);
     return;
   }
   const ApiCallback callback =
@@ -210,14 +234,15 @@
 void LeaderClient::FailPending(std::uint64_t id) {
   Pending pending = std::move(pending_.at(id));
   pending_.erase(id);
+  const bool ever_sent = !pending.asked.empty();
   if (auto* call = std::get_if<PendingCall>(&pending.content)) {
-    call->callback(MakeTimeoutResponse(pending.ever_sent));
+    call->callback(MakeTimeoutResponse(ever_sent));
     return;
   }
   std::get<PendingOperations>(pending.content)
-      .callback(MakeError(pending.ever_sent ? ErrorCode::kDeadlineExceeded
-                                            : ErrorCode::kUnavailable,
-                          "", "no answer from the leader in time"));
+      .callback(MakeError(
+          ever_sent ? ErrorCode::kDeadlineExceeded : ErrorCode::kUnavailable,
+          "", "no answer from the leader in time"));
 }
 
 void LeaderClient::Stop() {
--- a/source/common/control/leader_client.h
+++ b/source/common/control/leader_client.h
@@ -3,12 +3,18 @@
 // without an answer is sent again when the leader changes and at a fixed
 // interval. Every call is idempotent through its change id, claim attempt or
 // incarnation.
+//
+// A reply ends a call only if this process sent the call to the node that
+// replies. Nodes reply to a node id over whatever connection is open, so a
+// reply to an earlier process of this node can arrive here. Call ids therefore
+// start at a random number in each process.
 #pragma once
 
 #include <cstdint>
 #include <functional>
 #include <map>
 #include <optional>
+#include <set>
 #include <variant>
 
 #include "common/control/api_call.h"
@@ -39,7 +45,8 @@
   };
 
   // @param self the id of this node.
-  LeaderClient(raft::NodeId self, Ports ports);
+  // @param first_call_id drawn at random for each process; see above.
+  LeaderClient(raft::NodeId self, std::uint64_t first_call_id, Ports ports);
 
   // Runs operations on the leader. The callback runs once: with the leader's
   // answer, or at `deadline` with kUnavailable (the operations were never sent)
@@ -50,9 +57,11 @@
   // Submit() gives kUnavailable or kDeadlineExceeded.
   void Call(ApiCall call, MonotonicTime deadline, ApiCallback callback);
 
-  // Handles the leader's answer to a forwarded call.
-  void OnReply(const protocol::ForwardOperationsReplyT& reply);
-  void OnReply(const protocol::ForwardCallReplyT& reply);
+  // Handles the reply of the node `from` to a forwarded call. Ignores and logs
+  // a reply that ends no call.
+  void OnReply(raft::NodeId from,
+               const protocol::ForwardOperationsReplyT& reply);
+  void OnReply(raft::NodeId from, const protocol::ForwardCallReplyT& reply);
 
   // Sends pending calls to the leader and fails calls whose deadline has
   // passed. The caller calls this several times a second and when the leader
@@ -80,23 +89,34 @@
     // The node that runs the call; kNoNode: the call waits to be sent.
     raft::NodeId sent_to = raft::kNoNode;
     MonotonicTime sent_at;
-    bool ever_sent = false;
+    // Every node that the call was sent to. An earlier leader may have run the
+    // call and may still report its result.
+    std::set<raft::NodeId> asked;
   };
+  using PendingMap = std::map<std::uint64_t, Pending>;
 
   std::uint64_t Add(std::variant<PendingOperations, PendingCall> content,
                     MonotonicTime deadline);
   void Dispatch(std::uint64_t id, MonotonicTime now);
   void RunLocally(std::uint64_t id, Pending& pending);
   bool SendTo(std::uint64_t id, const Pending& pending, raft::NodeId leader);
-  void FinishOperations(std::uint64_t id, Result<OperationResults> result);
-  void FinishCall(std::uint64_t id, net::HttpResponse response);
+  // @return the pending call `id` with this type of content, if it was sent to
+  //   `from`; otherwise the end of the map.
+  template <typename Content>
+  PendingMap::iterator FindAsked(raft::NodeId from, std::uint64_t id);
+  // Makes Tick() send the call again, unless another node has it by now.
+  static void OnRetryableFailure(raft::NodeId from, Pending& pending);
+  void FinishOperations(raft::NodeId from, std::uint64_t id,
+                        Result<OperationResults> result);
+  void FinishCall(raft::NodeId from, std::uint64_t id,
+                  net::HttpResponse response);
   void FailPending(std::uint64_t id);
   static Operations Copy(const Operations& operations);
 
   raft::NodeId self_;
   Ports ports_;
-  std::uint64_t last_id_ = 0;
-  std::map<std::uint64_t, Pending> pending_;
+  std::uint64_t next_id_;
+  PendingMap pending_;
 };
 
 }  // namespace juniperway::control
--- a/source/common/control/session_server.cc
+++ b/source/common/control/session_server.cc
@@ -2,9 +2,9 @@
 
 #include <algorithm>
 #include <asio/post.hpp>
-#include <random>
 #include <utility>
 
+#include "common/base/random_seed.h"
 #include "common/control/events.h"
 #include "common/session/control_frames.h"
 #include "common/session/observation_codec.h"
@@ -54,7 +54,7 @@
       ports_(std::move(ports)),
       update_timer_(context),
       announcement_timer_(context),
-      pool_(node_id, std::random_device()()) {}
+      pool_(node_id, DrawRandomSeed()) {}
 
 SessionServer::~SessionServer() { *alive_ = false; }
 
--- a/source/common/session/control_session_client.cc
+++ b/source/common/session/control_session_client.cc
@@ -4,10 +4,10 @@
 #include <asio/post.hpp>
 #include <asio/steady_timer.hpp>
 #include <map>
-#include <random>
 #include <stdexcept>
 #include <utility>
 
+#include "common/base/random_seed.h"
 #include "common/logging/event_log.h"
 #include "common/net/address.h"
 #include "common/net/frame_connection.h"
@@ -36,10 +36,6 @@
 // A goodbye is small: once the socket took it the kernel delivers it.
 constexpr Duration kGoodbyePollInterval = milliseconds(5);
 
-std::uint64_t DrawSeed(std::uint64_t seed) {
-  return seed != 0 ? seed : std::random_device()();
-}
-
 }  // namespace
 
 class ControlSessionClient::Implementation
@@ -59,9 +55,9 @@
         options_.daemon_id, keeper_->record().incarnation,
         [this] { SchedulePump(); });
     link_ = std::make_shared<SessionLink>(context, LinkPorts());
-    state_ = std::make_unique<SessionState>(options.timing, endpoints_.size(),
-                                            keeper_->record().revision,
-                                            DrawSeed(options.seed));
+    state_ = std::make_unique<SessionState>(
+        options.timing, endpoints_.size(), keeper_->record().revision,
+        options.seed != 0 ? options.seed : DrawRandomSeed());
   }
 
   void Start() {
