control: start on a number without a store, as a new node

Cause: the node's number is synced before the store exists, and only the start that took the number was allowed to make the store. The file node_id served as the sign that a store must be there.

Evidence: the folders that the case leaves hold node_id, with or without consensus.db.new, and every later start ends with that text, also with bootstrap = true.

Why this works: FindNodeIdentity asks whether a store exists. A number without one is replaced by another (1010), and the start goes on as that of a new node. The former number is not used again, since a store that was never made looks like one that was lost, and a node without its log must not vote under its former number.

The same cause on related paths: a founder's first voters were written after its store had its name, so a kill between left a founder that never votes; they are now in the store before it gets its name. A restored folder had no number and was refused by every start where the group forms itself; the number is restored with it. A store without a number is refused before anything is written.

--- a/source/common/control/control_node_setup.cc
+++ b/source/common/control/control_node_setup.cc
@@ -1,7 +1,6 @@
 // Creates and connects the components of a control node; see control_node.h.
 #include <glog/logging.h>
 
-#include <algorithm>
 #include <cstdlib>
 #include <nlohmann/json.hpp>
 #include <stdexcept>
@@ -10,6 +9,7 @@
 #include "common/base/random_seed.h"
 #include "common/control/control_node.h"
 #include "common/control/events.h"
+#include "common/raft/configuration.h"
 
 namespace juniperway::control {
 namespace {
@@ -31,9 +31,7 @@
   if (!IsEmptyState(*state) || options.initial_members.empty()) {
     return std::move(*state);
   }
-  raft::Snapshot snapshot;
-  snapshot.configuration.voters = options.initial_members;
-  std::ranges::sort(snapshot.configuration.voters);
+  raft::Snapshot snapshot = raft::MakeFirstSnapshot(options.initial_members);
   raft::Ready ready;
   ready.snapshot = snapshot;
   if (auto written = store.Write(ready); !written) {
--- a/source/common/control/store_restore.cc
+++ b/source/common/control/store_restore.cc
@@ -8,6 +8,7 @@
 #include "common/storage/backup_file.h"
 #include "common/storage/file_sync.h"
 #include "common/storage/log_store.h"
+#include "common/storage/node_id_file.h"
 
 namespace juniperway::control {
 namespace {
@@ -87,7 +88,11 @@
   if (!store) {
     return tl::unexpected(store.error());
   }
-  return (*store)->Write(ready);
+  if (auto written = (*store)->Write(ready); !written) {
+    return written;
+  }
+  // For a group that forms itself: the settings of its nodes give no number.
+  return storage::WriteNodeIdFile(folder, node);
 }
 
 // Writes the store into a temporary folder and renames the folder when the
--- a/source/common/raft/configuration.cc
+++ b/source/common/raft/configuration.cc
@@ -91,6 +91,13 @@
   return configuration;
 }
 
+Snapshot MakeFirstSnapshot(std::vector<Member> voters) {
+  Snapshot snapshot;
+  snapshot.configuration.voters = std::move(voters);
+  std::ranges::sort(snapshot.configuration.voters);
+  return snapshot;
+}
+
 ConfigurationHistory::ConfigurationHistory(Index index, Configuration base) {
   records_.push_back({index, std::move(base)});
 }
--- a/source/common/raft/configuration.h
+++ b/source/common/raft/configuration.h
@@ -21,6 +21,9 @@
 Configuration WithPromotion(Configuration configuration, NodeId id);
 Configuration WithoutMember(Configuration configuration, NodeId id);
 
+// What the store of each of these voters holds at the first start of a group.
+Snapshot MakeFirstSnapshot(std::vector<Member> voters);
+
 class ConfigurationHistory {
  public:
   // `base` is in force up to and including `index`.
--- a/source/common/storage/log_store.cc
+++ b/source/common/storage/log_store.cc
@@ -55,7 +55,19 @@
   if (auto inserted = InsertIdentity(*database, options); !inserted) {
     return inserted;
   }
-  return database->Execute("COMMIT");
+  if (auto committed = database->Execute("COMMIT"); !committed) {
+    return committed;
+  }
+  if (!options.first_snapshot) {
+    return {};
+  }
+  auto store = SqliteLogStore::Make(std::move(*database));
+  if (!store) {
+    return tl::unexpected(store.error());
+  }
+  raft::Ready ready;
+  ready.snapshot = options.first_snapshot;
+  return (*store)->Write(ready);
 }
 
 // Builds the database under another name first, so that a crash leaves either
@@ -213,6 +225,10 @@
 
 }  // namespace
 
+Result<bool> HasStore(const fs::path& folder) {
+  return FindStore(folder / kStoreFileName);
+}
+
 Result<BackupContent> ReadBackupFile(const fs::path& file) {
   const auto found = FindStore(file);
   if (!found) {
--- a/source/common/storage/log_store.h
+++ b/source/common/storage/log_store.h
@@ -4,6 +4,7 @@
 
 #include <filesystem>
 #include <memory>
+#include <optional>
 #include <vector>
 
 #include "common/base/error.h"
@@ -42,8 +43,16 @@
   raft::NodeId node = raft::kNoNode;
   // Create the store if the folder has none. Off: kNotFound instead.
   bool create = false;
+  // What a created store holds. A crash leaves either no store or one with
+  // this in it.
+  std::optional<raft::Snapshot> first_snapshot = std::nullopt;
 };
 
+// Whether the folder holds a store, which may be damaged.
+// @return kCorrupt when only parts of a store are there, kIo when the folder
+//   cannot be read.
+Result<bool> HasStore(const std::filesystem::path& folder);
+
 // Opens the SQLite store (synchronous=FULL). Checks integrity first.
 Result<std::unique_ptr<LogStore>> OpenSqliteLogStore(
     const OpenOptions& options);
--- a/source/daemon/control_role.cc
+++ b/source/daemon/control_role.cc
@@ -4,13 +4,16 @@
 #include <asio/post.hpp>
 #include <fstream>
 #include <iterator>
+#include <optional>
 #include <stdexcept>
 #include <string>
 #include <thread>
 #include <utility>
 
 #include "common/control/control_server.h"
+#include "common/control/events.h"
 #include "common/net/address.h"
+#include "common/raft/configuration.h"
 #include "common/storage/log_store.h"
 #include "daemon/events.h"
 #include "daemon/node_identity.h"
@@ -63,10 +66,10 @@
   if (control.bootstrap && endpoint) {
     founder_id = FounderId(*endpoint);
   }
-  auto identity = LoadNodeIdentity(ControlFolder(settings), founder_id);
+  auto identity = FindNodeIdentity(ControlFolder(settings), founder_id);
   while (!identity && identity.error().code == ErrorCode::kNoSpace) {
     AwaitDiskSpace(settings);
-    identity = LoadNodeIdentity(ControlFolder(settings), founder_id);
+    identity = FindNodeIdentity(ControlFolder(settings), founder_id);
   }
   if (!identity) {
     throw std::runtime_error(FormatError(identity.error()));
@@ -74,14 +77,21 @@
   return *identity;
 }
 
-// It starts the group together with the other seeds.
-bool IsFounder(const Settings& settings, raft::NodeId id) {
+// What the store holds when it is created. Nothing, unless this node starts the
+// group together with the other seeds.
+std::optional<raft::Snapshot> FirstSnapshot(const Settings& settings,
+                                            raft::NodeId id) {
   const auto founders = Founders(settings.control_peers);
-  return settings.control->bootstrap &&
-         settings.control->node_id == raft::kNoNode &&
-         std::ranges::any_of(founders, [id](const raft::Member& member) {
-           return member.id == id;
-         });
+  const bool is_founder =
+      settings.control->bootstrap &&
+      settings.control->node_id == raft::kNoNode &&
+      std::ranges::any_of(founders, [id](const raft::Member& member) {
+        return member.id == id;
+      });
+  if (!is_founder) {
+    return std::nullopt;
+  }
+  return raft::MakeFirstSnapshot(founders);
 }
 
 control::ControlServerOptions MakeOptions(
@@ -95,9 +105,6 @@
   options.http_listen = settings.control->http_listen;
   options.peer_listen = settings.control->peer_listen;
   options.initial_members = settings.control->initial_members;
-  if (IsFounder(settings, node.id)) {
-    options.initial_members = Founders(settings.control_peers);
-  }
   options.seeds = settings.control_seeds;
   options.wanted_voters = std::max<std::size_t>(
       kMinimumVoters, 2 * settings.control->tolerated_losses + 1);
@@ -121,11 +128,12 @@
 // @return null when the disk is full.
 std::unique_ptr<storage::LogStore> TryOpenStore(const Settings& settings,
                                                 const NodeIdentity& node) {
-  auto store = storage::OpenSqliteLogStore(
-      {.folder = settings.data_folder / control::kControlFolderName,
-       .cluster = settings.cluster,
-       .node = node.id,
-       .create = node.is_new});
+  const auto first_snapshot = FirstSnapshot(settings, node.id);
+  auto store = storage::OpenSqliteLogStore({.folder = ControlFolder(settings),
+                                            .cluster = settings.cluster,
+                                            .node = node.id,
+                                            .create = node.is_new,
+                                            .first_snapshot = first_snapshot});
   if (!store && store.error().code == ErrorCode::kNoSpace) {
     return nullptr;
   }
@@ -135,6 +143,12 @@
         FormatError(store.error()) +
         (missing ? " (control.bootstrap = true lets it be created)" : ""));
   }
+  if (node.is_new && first_snapshot) {
+    logging::LogEvent(
+        control::kStoreBootstrapped,
+        {{"node", node.id},
+         {"voters", first_snapshot->configuration.voters.size()}});
+  }
   return std::move(*store);
 }
 
--- a/source/daemon/events.h
+++ b/source/daemon/events.h
@@ -28,5 +28,7 @@
 
 inline constexpr EventType kMetricsNotServed{1009, "metrics_not_served",
                                              Severity::kWarning};
+inline constexpr EventType kNodeIdReplaced{1010, "node_id_replaced",
+                                           Severity::kWarning};
 
 }  // namespace juniperway::daemon
--- a/source/daemon/node_identity.cc
+++ b/source/daemon/node_identity.cc
@@ -1,19 +1,17 @@
 #include "daemon/node_identity.h"
 
-#include <cerrno>
-#include <fstream>
 #include <random>
-#include <system_error>
 
 #include "common/net/address.h"
-#include "common/storage/file_sync.h"
+#include "common/storage/log_store.h"
+#include "common/storage/node_id_file.h"
+#include "daemon/events.h"
 
 namespace juniperway::daemon {
 namespace {
 
 namespace fs = std::filesystem;
 
-constexpr const char* kFileName = "node_id";
 // Drawn numbers lie above every founder's.
 constexpr raft::NodeId kFirstDrawnId = raft::NodeId{1} << 48;
 constexpr raft::NodeId kLastDrawnId = (raft::NodeId{1} << 62) - 1;
@@ -25,27 +23,11 @@
   return numbers(device);
 }
 
-Result<void> Keep(const fs::path& folder, raft::NodeId id) {
-  std::error_code reason;
-  fs::create_directories(folder, reason);
-  if (reason) {
-    return MakeError(ErrorCode::kIo, folder.string(), reason.message());
-  }
-  const fs::path partial = folder / (std::string(kFileName) + ".new");
-  {
-    std::ofstream stream(partial, std::ios::trunc);
-    stream << id << '\n';
-    stream.flush();
-    if (!stream) {
-      const bool full = errno == ENOSPC;
-      return MakeError(full ? ErrorCode::kNoSpace : ErrorCode::kIo,
-                       partial.string(), "cannot be written");
-    }
-  }
-  if (auto kept = storage::PublishFile(partial, folder / kFileName); !kept) {
-    return kept;
+Result<NodeIdentity> KeepNewIdentity(const fs::path& folder, raft::NodeId id) {
+  if (auto kept = storage::WriteNodeIdFile(folder, id); !kept) {
+    return tl::unexpected(kept.error());
   }
-  return storage::SyncPath(fs::absolute(folder).parent_path());
+  return NodeIdentity{.id = id, .is_new = true};
 }
 
 }  // namespace
@@ -68,23 +50,41 @@
 
 Result<NodeIdentity> LoadNodeIdentity(const fs::path& folder,
                                       std::optional<raft::NodeId> founder_id) {
-  const fs::path file = folder / kFileName;
-  std::error_code reason;
-  if (fs::exists(file, reason)) {
-    std::ifstream stream(file);
-    NodeIdentity identity;
-    stream >> identity.id;
-    if (!stream || identity.id == raft::kNoNode) {
-      return MakeError(ErrorCode::kCorrupt, file.string(),
-                       "must hold this node's number");
-    }
-    return identity;
+  const auto kept = storage::ReadNodeIdFile(folder);
+  if (!kept) {
+    return tl::unexpected(kept.error());
+  }
+  if (*kept) {
+    return NodeIdentity{.id = **kept, .is_new = false};
   }
-  const NodeIdentity identity{founder_id ? *founder_id : DrawId(), true};
-  if (auto kept = Keep(folder, identity.id); !kept) {
+  return KeepNewIdentity(folder, founder_id ? *founder_id : DrawId());
+}
+
+Result<NodeIdentity> FindNodeIdentity(const fs::path& folder,
+                                      std::optional<raft::NodeId> founder_id) {
+  const auto has_store = storage::HasStore(folder);
+  if (!has_store) {
+    return tl::unexpected(has_store.error());
+  }
+  const auto kept = storage::ReadNodeIdFile(folder);
+  if (!kept) {
     return tl::unexpected(kept.error());
   }
-  return identity;
+  if (*has_store && !*kept) {
+    return MakeError(ErrorCode::kCorrupt, folder.string(),
+                     "holds a consensus store but no node_id: whose store it "
+                     "is cannot be told");
+  }
+  if (*kept && !*has_store) {
+    auto drawn = KeepNewIdentity(folder, DrawId());
+    if (drawn) {
+      logging::LogEvent(kNodeIdReplaced, {{"folder", folder.string()},
+                                          {"former", **kept},
+                                          {"node", drawn->id}});
+    }
+    return drawn;
+  }
+  return LoadNodeIdentity(folder, founder_id);
 }
 
 }  // namespace juniperway::daemon
--- a/source/daemon/node_identity.h
+++ b/source/daemon/node_identity.h
@@ -1,6 +1,10 @@
-// Who a control machine is, where the group forms itself: a number that it
-// takes at its first start and keeps beside its store. A machine without its
-// data takes another one, so that nobody counts on what it has forgotten.
+// Who a control node is, where the group forms itself: a number that the node
+// takes at its first start and keeps beside its store. A node without its store
+// takes another one, so that nobody counts on what it has forgotten.
+//
+// The number is synced before the store exists, so that a folder whose store
+// was lost is told from a new one. A node that is killed in between leaves a
+// number without a store, and takes another number at its next start.
 #pragma once
 
 #include <asio/ip/tcp.hpp>
@@ -16,7 +20,7 @@
 
 struct NodeIdentity {
   raft::NodeId id = raft::kNoNode;
-  // The data folder held no number: the store may be created.
+  // The node took the number in this start: the store may be created.
   bool is_new = false;
 };
 
@@ -32,4 +36,11 @@
 Result<NodeIdentity> LoadNodeIdentity(const std::filesystem::path& folder,
                                       std::optional<raft::NodeId> founder_id);
 
+// As LoadNodeIdentity, but takes another number where the folder has one and no
+// store.
+// @return also kCorrupt when the folder has a store and no number; nothing is
+//   written then.
+Result<NodeIdentity> FindNodeIdentity(const std::filesystem::path& folder,
+                                      std::optional<raft::NodeId> founder_id);
+
 }  // namespace juniperway::daemon
--- a/test/unit/daemon/node_identity_test.cc
+++ b/test/unit/daemon/node_identity_test.cc
@@ -6,6 +6,7 @@
 #include <fstream>
 
 #include "common/net/address.h"
+#include "common/storage/log_store.h"
 #include "support/temporary_folder.h"
 
 namespace juniperway::daemon {
@@ -48,5 +49,38 @@
   CHECK(identity.error().code == ErrorCode::kCorrupt);
 }
 
+TEST_CASE("A number without a store is replaced, also a founder's") {
+  const test::TemporaryFolder folder;
+  constexpr raft::NodeId kFounder = 5;
+  const auto first = FindNodeIdentity(folder.path(), kFounder);
+  REQUIRE(first);
+  CHECK(first->id == kFounder);
+  const auto second = FindNodeIdentity(folder.path(), kFounder);
+  REQUIRE(second);
+  CHECK(second->is_new);
+  CHECK(second->id != kFounder);
+  const auto kept = LoadNodeIdentity(folder.path(), kFounder);
+  REQUIRE(kept);
+  CHECK(kept->id == second->id);
+}
+
+TEST_CASE("A damaged number is an error without a store too") {
+  const test::TemporaryFolder folder;
+  std::ofstream(folder.path() / "node_id") << "x";
+  const auto identity = FindNodeIdentity(folder.path(), std::nullopt);
+  REQUIRE_FALSE(identity);
+  CHECK(identity.error().code == ErrorCode::kCorrupt);
+}
+
+TEST_CASE("A store without a number is an error, and nothing is written") {
+  const test::TemporaryFolder folder;
+  REQUIRE(storage::OpenSqliteLogStore(
+      {.folder = folder.path(), .cluster = "c", .node = 7, .create = true}));
+  const auto identity = FindNodeIdentity(folder.path(), std::nullopt);
+  REQUIRE_FALSE(identity);
+  CHECK(identity.error().code == ErrorCode::kCorrupt);
+  CHECK_FALSE(std::filesystem::exists(folder.path() / "node_id"));
+}
+
 }  // namespace
 }  // namespace juniperway::daemon
--- a/test/unit/storage/log_store_test.cc
+++ b/test/unit/storage/log_store_test.cc
@@ -12,6 +12,7 @@
 #include <fstream>
 #include <string>
 
+#include "common/raft/configuration.h"
 #include "common/raft/fsm.h"
 
 namespace juniperway::storage {
@@ -173,6 +174,36 @@
   CHECK(copy->entries.size() == 10);
 }
 
+TEST_CASE("A backup replaces what an interrupted one left") {
+  const TemporaryFolder folder;
+  const TemporaryFolder other;
+  const auto store = MustOpen(folder);
+  REQUIRE(store->Write(MakeReady(1, 1, 10)));
+  std::ofstream(other.store().string() + ".partial") << "part";
+  std::ofstream(other.store().string() + ".partial-journal") << "part";
+  REQUIRE(store->Backup(other.store()));
+  const auto copy = MustOpen(other)->Load();
+  REQUIRE(copy);
+  CHECK(copy->entries.size() == 10);
+}
+
+TEST_CASE("A store is created with its first snapshot, or not at all") {
+  const TemporaryFolder folder;
+  std::ofstream(folder.store().string() + ".new") << "part";
+  std::ofstream(folder.store().string() + ".new-journal") << "part";
+  CHECK(HasStore(folder.path()) == false);
+  OpenOptions options = MakeOptions(folder, /*create=*/true);
+  options.first_snapshot = raft::MakeFirstSnapshot({{2, "b:1"}, {1, "a:1"}});
+  // Nothing is written after the store has its name.
+  REQUIRE(OpenSqliteLogStore(options));
+  CHECK(HasStore(folder.path()) == true);
+  const auto state = MustOpen(folder)->Load();
+  REQUIRE(state);
+  CHECK(state->snapshot.index == 0);
+  CHECK(state->snapshot.configuration ==
+        raft::Configuration{{{1, "a:1"}, {2, "b:1"}}, {}});
+}
+
 TEST_CASE("A missing store is not created unasked") {
   const TemporaryFolder folder;
   CHECK(MustFail(MakeOptions(folder, /*create=*/false)).code ==
