raft: elect a first leader by quorum where ids don't outlive disks

Cause: a candidate with an empty log needs the vote of every first voter, since a voter that lost its disk and comes back under its id can't be told from one at its first start. Where the group forms itself no node comes back so: a node without its store takes another number. The rule protected nothing there and made each founder a single point of failure.

Why this works: raft::Options::ids_outlive_disks is off where nodes draw their numbers. The first election then needs a quorum, a founder that comes late follows the leader that it did not elect, and the killed machine takes the place of the missing founder by the repair of members that there is. With ids from the settings nothing changes.

--- a/source/common/control/control_node_setup.cc
+++ b/source/common/control/control_node_setup.cc
@@ -93,6 +93,7 @@
   raft_options.maximum_clock_drift = options_.maximum_clock_drift;
   raft_options.kept_entries = options_.kept_entries;
   raft_options.seed = seed_;
+  raft_options.ids_outlive_disks = options_.ids_outlive_disks;
   const CompactionLimits limits{.bytes = options_.compaction_bytes,
                                 .entries = options_.compaction_entries,
                                 .kept_entries = options_.kept_entries};
--- a/source/common/control/control_server.h
+++ b/source/common/control/control_server.h
@@ -46,6 +46,9 @@
   // until the cluster adds it. The list is ignored when the store already holds
   // state.
   std::vector<raft::Member> initial_members;
+  // See raft::Options. Off where each node draws a new id when its store is
+  // gone; every node of a cluster must get the same value.
+  bool ids_outlive_disks = true;
   // Content of the token file without surrounding white space. If the content
   // is empty, the API listens on the loopback interface only, at the port of
   // `http_listen`, unless `open_api` is set.
--- a/source/common/raft/fsm.h
+++ b/source/common/raft/fsm.h
@@ -35,6 +35,10 @@
   std::size_t kept_entries = 1000;
   // Seed of the election jitter.
   std::uint64_t seed = 0;
+  // Whether a node that lost its disk may come back under its id. If not, a
+  // node with an empty log has never taken part in anything, and the first
+  // election of a group needs a quorum, not all voters.
+  bool ids_outlive_disks = true;
 };
 
 // What storage holds when the process starts.
--- a/source/common/raft/fsm_first_start.cc
+++ b/source/common/raft/fsm_first_start.cc
@@ -7,6 +7,9 @@
 //   from nobody else. With the first election won, every founder has a term;
 // - told by a leader that it votes although it has seen no term, it lost its
 //   disk. It takes nothing and says so.
+// None of this is needed where a node that lost its disk gets another id
+// (Options::ids_outlive_disks). The rules would then only keep a group from
+// forming while one of its first voters is missing.
 #include <algorithm>
 #include <utility>
 
@@ -15,7 +18,7 @@
 namespace juniperway::raft {
 
 bool Fsm::Implementation::IsFirstStart() const {
-  return term() == 0 && log_.last_index() == 0;
+  return options_.ids_outlive_disks && term() == 0 && log_.last_index() == 0;
 }
 
 bool Fsm::Implementation::TakesAtFirstStart(const Message& message) {
@@ -45,7 +48,7 @@
 }
 
 bool Fsm::Implementation::WinsElection() const {
-  if (log_.last_index() != 0) {
+  if (log_.last_index() != 0 || !options_.ids_outlive_disks) {
     return HasQuorumOf(granted_);
   }
   return std::ranges::all_of(
--- a/source/daemon/control_role.cc
+++ b/source/daemon/control_role.cc
@@ -105,6 +105,7 @@
   options.http_listen = settings.control->http_listen;
   options.peer_listen = settings.control->peer_listen;
   options.initial_members = settings.control->initial_members;
+  options.ids_outlive_disks = settings.control->node_id != raft::kNoNode;
   options.seeds = settings.control_seeds;
   options.wanted_voters = std::max<std::size_t>(
       kMinimumVoters, 2 * settings.control->tolerated_losses + 1);
--- a/source/sim/raft_nemesis.h
+++ b/source/sim/raft_nemesis.h
@@ -23,6 +23,9 @@
   bool cuts = true;
   bool lossy = true;
   bool membership = true;  // adds, promotes, removes, destroys, transfers
+  // Nodes that lose their disk come back under their id. Only where
+  // raft::Options::ids_outlive_disks is set.
+  bool disk_losses = true;
 };
 
 class RaftNemesis {
--- a/test/property/raft/cluster_test.cc
+++ b/test/property/raft/cluster_test.cc
@@ -22,12 +22,7 @@
   std::uint64_t membership_changes = 0;
 };
 
-Outcome RunOnce(RaftClusterOptions options, RaftNemesisOptions nemesis_options,
-                int nodes) {
-  options.raft.kept_entries = 20;
-  RaftCluster cluster(options, nodes);
-  nemesis_options.seed = options.seed + 1;
-  RaftNemesis nemesis(nemesis_options, cluster);
+Outcome Play(RaftCluster& cluster, RaftNemesis& nemesis) {
   nemesis.RunFaults();
   Outcome outcome;
   if (!cluster.checker().violation()) {
@@ -40,6 +35,30 @@
   return outcome;
 }
 
+Outcome RunOnce(RaftClusterOptions options, RaftNemesisOptions nemesis_options,
+                int nodes) {
+  options.raft.kept_entries = 20;
+  RaftCluster cluster(options, nodes);
+  nemesis_options.seed = options.seed + 1;
+  RaftNemesis nemesis(nemesis_options, cluster);
+  return Play(cluster, nemesis);
+}
+
+// A group whose founder `missing` was lost before the first election.
+Outcome RunWithoutFounder(std::uint64_t seed, int nodes, raft::NodeId missing) {
+  RaftClusterOptions options;
+  options.seed = seed;
+  options.raft.ids_outlive_disks = false;
+  options.raft.kept_entries = 20;
+  RaftCluster cluster(options, nodes);
+  cluster.Destroy(missing);
+  RaftNemesisOptions nemesis_options;
+  nemesis_options.seed = seed + 1;
+  nemesis_options.disk_losses = false;
+  RaftNemesis nemesis(nemesis_options, cluster);
+  return Play(cluster, nemesis);
+}
+
 std::string Describe(const Outcome& outcome) {
   if (outcome.violation) {
     return std::string(RaftInvariantName(outcome.violation->invariant)) + ": " +
@@ -71,5 +90,18 @@
 
 TEST_CASE("Five nodes keep every invariant and recover") { CheckAllSeeds(5); }
 
+TEST_CASE("A group forms without a founder and keeps every invariant") {
+  std::uint64_t accepted = 0;
+  for (std::uint64_t seed = 1; seed <= kSeeds; ++seed) {
+    // Not the last founder: the nemesis gives new nodes the ids above the last
+    // one that runs, and no id is used again here.
+    const Outcome outcome = RunWithoutFounder(seed, 3, 1 + seed % 2);
+    CAPTURE(seed);
+    CHECK(Describe(outcome) == "holds");
+    accepted += outcome.accepted;
+  }
+  CHECK(accepted > kSeeds * 10);
+}
+
 }  // namespace
 }  // namespace juniperway::sim
