control: let a first start that was cut short go on where it stopped

Cause: a number without a store was always replaced, since a store that was never made looks like one that was lost; `bootstrap` is not seen again, so nothing said that these nodes were founders.

Why this works: node_id now carries a mark of the first start, and for a founder the first voters. The mark goes once the store exists, before the node takes part in anything. A marked number without a store has taken part in nothing and may go on under its number; one without the mark has lost its store and is replaced as before.

--- a/source/common/control/store_restore.cc
+++ b/source/common/control/store_restore.cc
@@ -92,7 +92,7 @@
     return written;
   }
   // For a group that forms itself: the settings of its nodes give no number.
-  return storage::WriteNodeIdFile(folder, node);
+  return storage::WriteNodeIdFile(folder, {.id = node});
 }
 
 // Writes the store into a temporary folder and renames the folder when the
--- a/source/daemon/control_role.cc
+++ b/source/daemon/control_role.cc
@@ -54,22 +54,37 @@
   std::this_thread::sleep_for(kFullDiskRetryInterval);
 }
 
+// How this node begins if it has neither number nor store.
+FirstStart MakeFirstStart(const Settings& settings) {
+  const auto endpoint =
+      net::ParseEndpoint(settings.control->peer_advertise, "peer_advertise");
+  if (!settings.control->bootstrap || !endpoint) {
+    return {};
+  }
+  FirstStart first_start;
+  first_start.founder_id = FounderId(*endpoint);
+  auto founders = Founders(settings.control_peers);
+  const bool is_founder =
+      std::ranges::any_of(founders, [&](const raft::Member& member) {
+        return member.id == *first_start.founder_id;
+      });
+  if (is_founder) {
+    first_start.first_voters = std::move(founders);
+  }
+  return first_start;
+}
+
 // From the settings, or the data folder where the group forms itself.
 NodeIdentity FindIdentity(const Settings& settings) {
   const ControlSettings& control = *settings.control;
   if (control.node_id != raft::kNoNode) {
-    return {control.node_id, control.bootstrap};
+    return {.id = control.node_id, .is_new = control.bootstrap};
   }
-  std::optional<raft::NodeId> founder_id;
-  const auto endpoint =
-      net::ParseEndpoint(control.peer_advertise, "peer_advertise");
-  if (control.bootstrap && endpoint) {
-    founder_id = FounderId(*endpoint);
-  }
-  auto identity = FindNodeIdentity(ControlFolder(settings), founder_id);
+  const FirstStart first_start = MakeFirstStart(settings);
+  auto identity = FindNodeIdentity(ControlFolder(settings), first_start);
   while (!identity && identity.error().code == ErrorCode::kNoSpace) {
     AwaitDiskSpace(settings);
-    identity = FindNodeIdentity(ControlFolder(settings), founder_id);
+    identity = FindNodeIdentity(ControlFolder(settings), first_start);
   }
   if (!identity) {
     throw std::runtime_error(FormatError(identity.error()));
@@ -77,21 +92,12 @@
   return *identity;
 }
 
-// What the store holds when it is created. Nothing, unless this node starts the
-// group together with the other seeds.
-std::optional<raft::Snapshot> FirstSnapshot(const Settings& settings,
-                                            raft::NodeId id) {
-  const auto founders = Founders(settings.control_peers);
-  const bool is_founder =
-      settings.control->bootstrap &&
-      settings.control->node_id == raft::kNoNode &&
-      std::ranges::any_of(founders, [id](const raft::Member& member) {
-        return member.id == id;
-      });
-  if (!is_founder) {
+// What the store holds when it is created.
+std::optional<raft::Snapshot> FirstSnapshot(const NodeIdentity& node) {
+  if (node.first_voters.empty()) {
     return std::nullopt;
   }
-  return raft::MakeFirstSnapshot(founders);
+  return raft::MakeFirstSnapshot(node.first_voters);
 }
 
 control::ControlServerOptions MakeOptions(
@@ -129,7 +135,7 @@
 // @return null when the disk is full.
 std::unique_ptr<storage::LogStore> TryOpenStore(const Settings& settings,
                                                 const NodeIdentity& node) {
-  const auto first_snapshot = FirstSnapshot(settings, node.id);
+  const auto first_snapshot = FirstSnapshot(node);
   auto store = storage::OpenSqliteLogStore({.folder = ControlFolder(settings),
                                             .cluster = settings.cluster,
                                             .node = node.id,
@@ -160,6 +166,14 @@
     AwaitDiskSpace(settings);
     store = TryOpenStore(settings, node);
   }
+  auto confirmed = ConfirmNodeIdentity(ControlFolder(settings), node);
+  while (!confirmed && confirmed.error().code == ErrorCode::kNoSpace) {
+    AwaitDiskSpace(settings);
+    confirmed = ConfirmNodeIdentity(ControlFolder(settings), node);
+  }
+  if (!confirmed) {
+    throw std::runtime_error(FormatError(confirmed.error()));
+  }
   return store;
 }
 
--- a/source/daemon/node_identity.cc
+++ b/source/daemon/node_identity.cc
@@ -1,6 +1,7 @@
 #include "daemon/node_identity.h"
 
 #include <random>
+#include <utility>
 
 #include "common/net/address.h"
 #include "common/storage/log_store.h"
@@ -23,11 +24,19 @@
   return numbers(device);
 }
 
-Result<NodeIdentity> KeepNewIdentity(const fs::path& folder, raft::NodeId id) {
-  if (auto kept = storage::WriteNodeIdFile(folder, id); !kept) {
+// Keeps the number of a node that has no store yet.
+Result<NodeIdentity> KeepFirstStart(const fs::path& folder, raft::NodeId id,
+                                    std::vector<raft::Member> first_voters) {
+  if (auto kept = storage::WriteNodeIdFile(
+          folder,
+          {.id = id, .first_start = true, .first_voters = first_voters});
+      !kept) {
     return tl::unexpected(kept.error());
   }
-  return NodeIdentity{.id = id, .is_new = true};
+  return NodeIdentity{.id = id,
+                      .is_new = true,
+                      .is_marked = true,
+                      .first_voters = std::move(first_voters)};
 }
 
 }  // namespace
@@ -55,13 +64,13 @@
     return tl::unexpected(kept.error());
   }
   if (*kept) {
-    return NodeIdentity{.id = **kept, .is_new = false};
+    return NodeIdentity{.id = (*kept)->id};
   }
-  return KeepNewIdentity(folder, founder_id ? *founder_id : DrawId());
+  return KeepFirstStart(folder, founder_id ? *founder_id : DrawId(), {});
 }
 
 Result<NodeIdentity> FindNodeIdentity(const fs::path& folder,
-                                      std::optional<raft::NodeId> founder_id) {
+                                      const FirstStart& first_start) {
   const auto has_store = storage::HasStore(folder);
   if (!has_store) {
     return tl::unexpected(has_store.error());
@@ -70,21 +79,38 @@
   if (!kept) {
     return tl::unexpected(kept.error());
   }
-  if (*has_store && !*kept) {
+  if (!*kept && *has_store) {
     return MakeError(ErrorCode::kCorrupt, folder.string(),
                      "holds a consensus store but no node_id: whose store it "
                      "is cannot be told");
   }
-  if (*kept && !*has_store) {
-    auto drawn = KeepNewIdentity(folder, DrawId());
-    if (drawn) {
-      logging::LogEvent(kNodeIdReplaced, {{"folder", folder.string()},
-                                          {"former", **kept},
-                                          {"node", drawn->id}});
-    }
-    return drawn;
+  if (!*kept) {
+    return KeepFirstStart(
+        folder, first_start.founder_id ? *first_start.founder_id : DrawId(),
+        first_start.first_voters);
+  }
+  const storage::NodeIdRecord& record = **kept;
+  if (*has_store || record.first_start) {
+    return NodeIdentity{.id = record.id,
+                        .is_new = !*has_store,
+                        .is_marked = record.first_start,
+                        .first_voters = record.first_voters};
+  }
+  auto drawn = KeepFirstStart(folder, DrawId(), {});
+  if (drawn) {
+    logging::LogEvent(kNodeIdReplaced, {{"folder", folder.string()},
+                                        {"former", record.id},
+                                        {"node", drawn->id}});
+  }
+  return drawn;
+}
+
+Result<void> ConfirmNodeIdentity(const fs::path& folder,
+                                 const NodeIdentity& identity) {
+  if (!identity.is_marked) {
+    return {};
   }
-  return LoadNodeIdentity(folder, founder_id);
+  return storage::WriteNodeIdFile(folder, {.id = identity.id});
 }
 
 }  // namespace juniperway::daemon
--- a/source/daemon/node_identity.h
+++ b/source/daemon/node_identity.h
@@ -1,10 +1,12 @@
 // Who a control node is, where the group forms itself: a number that the node
-// takes at its first start and keeps beside its store. A node without its store
-// takes another one, so that nobody counts on what it has forgotten.
+// takes at its first start and keeps beside its store.
 //
-// The number is synced before the store exists, so that a folder whose store
-// was lost is told from a new one. A node that is killed in between leaves a
-// number without a store, and takes another number at its next start.
+// The number is synced before the store exists, marked as that of a first
+// start; the mark goes once the store exists, before the node takes part in
+// anything. So a node that is killed in between is at its first start still,
+// also without `bootstrap`, and a founder stays one. A node without its store
+// whose mark is gone has lost the store: it takes another number, so that
+// nobody counts on what it has forgotten.
 #pragma once
 
 #include <asio/ip/tcp.hpp>
@@ -20,8 +22,12 @@
 
 struct NodeIdentity {
   raft::NodeId id = raft::kNoNode;
-  // The node took the number in this start: the store may be created.
+  // The node has no store yet: the store may be created.
   bool is_new = false;
+  // The file still has the mark of the first start; see ConfirmNodeIdentity.
+  bool is_marked = false;
+  // What a new store holds: the group's first voters, where this node is one.
+  std::vector<raft::Member> first_voters = {};
 };
 
 // The number of a founder: the same wherever it is worked out.
@@ -36,11 +42,22 @@
 Result<NodeIdentity> LoadNodeIdentity(const std::filesystem::path& folder,
                                       std::optional<raft::NodeId> founder_id);
 
-// As LoadNodeIdentity, but takes another number where the folder has one and no
-// store.
+// What a node that has neither number nor store begins with.
+struct FirstStart {
+  // Nothing: the number is drawn.
+  std::optional<raft::NodeId> founder_id;
+  std::vector<raft::Member> first_voters = {};
+};
+
+// As LoadNodeIdentity, with the rules above.
 // @return also kCorrupt when the folder has a store and no number; nothing is
 //   written then.
 Result<NodeIdentity> FindNodeIdentity(const std::filesystem::path& folder,
-                                      std::optional<raft::NodeId> founder_id);
+                                      const FirstStart& first_start);
+
+// Removes the mark of the first start. The store exists, and the node has taken
+// part in nothing yet.
+Result<void> ConfirmNodeIdentity(const std::filesystem::path& folder,
+                                 const NodeIdentity& identity);
 
 }  // namespace juniperway::daemon
