daemon: one way to find a node's number

Its three cases now ask FindNodeIdentity, with every check kept; the first one makes the store that a kept number needs.

--- a/source/daemon/node_identity.cc
+++ b/source/daemon/node_identity.cc
@@ -57,18 +57,6 @@
   return members;
 }
 
-Result<NodeIdentity> LoadNodeIdentity(const fs::path& folder,
-                                      std::optional<raft::NodeId> founder_id) {
-  const auto kept = storage::ReadNodeIdFile(folder);
-  if (!kept) {
-    return tl::unexpected(kept.error());
-  }
-  if (*kept) {
-    return NodeIdentity{.id = (*kept)->id};
-  }
-  return KeepFirstStart(folder, founder_id ? *founder_id : DrawId(), {});
-}
-
 Result<NodeIdentity> FindNodeIdentity(const fs::path& folder,
                                       const FirstStart& first_start) {
   const auto has_store = storage::HasStore(folder);
--- a/source/daemon/node_identity.h
+++ b/source/daemon/node_identity.h
@@ -3,10 +3,10 @@
 //
 // The number is synced before the store exists, marked as that of a first
 // start; the mark goes once the store exists, before the node takes part in
-// anything. So a node that is killed in between is at its first start still,
-// also without `bootstrap`, and a founder stays one. A node without its store
-// whose mark is gone has lost the store: it takes another number, so that
-// nobody counts on what it has forgotten.
+// anything. So a node that is killed in between goes on with its first start,
+// also without `bootstrap`, and a founder stays one. A node without a store
+// whose mark is gone has lost its store: it takes another number, so that the
+// group does not count on what the node has forgotten.
 #pragma once
 
 #include <asio/ip/tcp.hpp>
@@ -36,12 +36,6 @@
 // The group's first voters, from the seeds' peer addresses ("ip:port").
 std::vector<raft::Member> Founders(const std::vector<std::string>& peers);
 
-// Reads the number kept in `folder`, or takes one and keeps it.
-// @param founder_id for the first start of the whole fleet; nothing: drawn.
-// @return kIo or kCorrupt when the file cannot be used.
-Result<NodeIdentity> LoadNodeIdentity(const std::filesystem::path& folder,
-                                      std::optional<raft::NodeId> founder_id);
-
 // What a node that has neither number nor store begins with.
 struct FirstStart {
   // Nothing: the number is drawn.
@@ -49,9 +43,10 @@
   std::vector<raft::Member> first_voters = {};
 };
 
-// As LoadNodeIdentity, with the rules above.
-// @return also kCorrupt when the folder has a store and no number; nothing is
-//   written then.
+// Reads the number kept in `folder`, or takes one and keeps it, by the rules
+// above.
+// @return kIo, kNoSpace or kCorrupt when the file cannot be used; kCorrupt when
+//   the folder has a store and no number. Nothing is written then.
 Result<NodeIdentity> FindNodeIdentity(const std::filesystem::path& folder,
                                       const FirstStart& first_start);
 
--- a/test/unit/daemon/node_identity_test.cc
+++ b/test/unit/daemon/node_identity_test.cc
@@ -21,11 +21,16 @@
   REQUIRE(members.size() == 2);
   CHECK(members[0].id == id);
   CHECK(members[1].id != id);
-  const auto first = LoadNodeIdentity(folder.path() / "c", id);
+  const auto first = FindNodeIdentity(folder.path() / "c", {id, {}});
   REQUIRE(first);
   CHECK(first->id == id);
   CHECK(first->is_new);
-  const auto again = LoadNodeIdentity(folder.path() / "c", std::nullopt);
+  REQUIRE(storage::OpenSqliteLogStore({.folder = folder.path() / "c",
+                                       .cluster = "c",
+                                       .node = id,
+                                       .create = true}));
+  REQUIRE(ConfirmNodeIdentity(folder.path() / "c", *first));
+  const auto again = FindNodeIdentity(folder.path() / "c", {});
   REQUIRE(again);
   CHECK(again->id == id);
   CHECK_FALSE(again->is_new);
@@ -33,8 +38,8 @@
 
 TEST_CASE("a machine without its data is another one") {
   const test::TemporaryFolder folder;
-  const auto one = LoadNodeIdentity(folder.path() / "one", std::nullopt);
-  const auto two = LoadNodeIdentity(folder.path() / "two", std::nullopt);
+  const auto one = FindNodeIdentity(folder.path() / "one", {});
+  const auto two = FindNodeIdentity(folder.path() / "two", {});
   REQUIRE(one);
   REQUIRE(two);
   CHECK(one->is_new);
@@ -44,7 +49,7 @@
 TEST_CASE("a damaged number is an error, never a new one") {
   const test::TemporaryFolder folder;
   std::ofstream(folder.path() / "node_id") << "x";
-  const auto identity = LoadNodeIdentity(folder.path(), std::nullopt);
+  const auto identity = FindNodeIdentity(folder.path(), {});
   REQUIRE_FALSE(identity);
   CHECK(identity.error().code == ErrorCode::kCorrupt);
 }
@@ -78,7 +83,7 @@
   CHECK(second->is_new);
   CHECK(second->id != kFounder);
   CHECK(second->first_voters.empty());
-  const auto kept = LoadNodeIdentity(folder.path(), kFounder);
+  const auto kept = FindNodeIdentity(folder.path(), {kFounder, {}});
   REQUIRE(kept);
   CHECK(kept->id == second->id);
 }
@@ -102,9 +107,9 @@
   CHECK_FALSE(third->is_marked);
 }
 
-TEST_CASE("A damaged number is an error without a store too") {
+TEST_CASE("a number with anything unknown behind it is damaged") {
   const test::TemporaryFolder folder;
-  for (const char* content : {"x", "5\nother\n", "5\nfirst_start\nx y\n"}) {
+  for (const char* content : {"5\nother\n", "5\nfirst_start\nx y\n"}) {
     CAPTURE(content);
     std::ofstream(folder.path() / "node_id") << content;
     const auto identity = FindNodeIdentity(folder.path(), {});
