control: log each order at its receiver, and evacuations where they are applied

What callers saw: requests reached an evacuated zone.

No decision is changed. unit.logging/event_catalogue passes.

--- a/source/common/control/api_server.cc
+++ b/source/common/control/api_server.cc
@@ -12,6 +12,7 @@
 
 #include "common/control/events.h"
 #include "common/control/resource_api.h"
+#include "common/net/address.h"
 
 namespace juniperway::control {
 namespace {
@@ -97,6 +98,13 @@
     return;
   }
   const bool is_read = call->method == "GET";
+  if (!is_read) {
+    logging::LogEvent(kOrderReceived,
+                      {{"change", call->change_id},
+                       {"method", call->method},
+                       {"path", call->path},
+                       {"from", net::FormatEndpoint(request.remote)}});
+  }
   if (is_read && call->path == "/v1/watch") {
     Watch(*call, answer);
   } else if (is_read && call->path == "/v1/backup") {
--- a/source/common/control/control_node.cc
+++ b/source/common/control/control_node.cc
@@ -60,6 +60,7 @@
        {"http", net::FormatEndpoint(api_server_->local_endpoint())},
        {"peer", net::FormatEndpoint(listener_->local_endpoint())},
        {"revision", state_.revision()}});
+  LogEvacuations("store");
   OnRaftChange();
   driver_->Start();
   if (poller_) {
@@ -101,6 +102,7 @@
   }
   role_->OnApplied(entry, std::move(applied), ReadMonotonicClock());
   if (state_.revision() != before) {
+    LogEvacuations("log");
     OnStateChanged();
   }
 }
@@ -109,9 +111,35 @@
   auto state = ControlState::DecodeSnapshot(snapshot.data);
   CHECK(state) << FormatError(state.error());
   state_ = std::move(*state);
+  LogEvacuations("snapshot");
   OnStateChanged();
 }
 
+void ControlNode::LogEvacuations(std::string_view source) {
+  const auto& evacuations = state_.fleet().evacuations;
+  const auto log = [&](const std::string& zone, bool evacuated,
+                       const std::string& change_id) {
+    logging::LogEvent(kEvacuationApplied, {{"node", options_.node_id},
+                                           {"zone", zone},
+                                           {"evacuated", evacuated},
+                                           {"change", change_id},
+                                           {"revision", state_.revision()},
+                                           {"source", source}});
+  };
+  for (const auto& [zone, evacuation] : known_evacuations_) {
+    if (!evacuations.contains(zone)) {
+      log(zone, /*evacuated=*/false, "");
+    }
+  }
+  for (const auto& [zone, evacuation] : evacuations) {
+    const auto known = known_evacuations_.find(zone);
+    if (known == known_evacuations_.end() || known->second != evacuation) {
+      log(zone, /*evacuated=*/true, evacuation.change_id);
+    }
+  }
+  known_evacuations_ = evacuations;
+}
+
 void ControlNode::OnStateChanged() {
   sessions_->OnStateChanged();
   api_server_->OnStateChanged();
--- a/source/common/control/control_node.h
+++ b/source/common/control/control_node.h
@@ -11,6 +11,7 @@
 #include <memory>
 #include <nlohmann/json_fwd.hpp>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "common/control/api_server.h"
@@ -88,6 +89,9 @@
   void LogRoleChange(const raft::Status& status);
   void UpdateMembers(const raft::Status& status);
   void OnStateChanged();
+  // Logs which evacuations have started and ended since the last call.
+  // @param source where the state came from: "log", "snapshot" or "store".
+  void LogEvacuations(std::string_view source);
   // Returns the leader's id. Returns this node's id only while this node leads
   // and can write its store, and kNoNode when no leader is known.
   raft::NodeId KnownLeader() const;
@@ -145,6 +149,8 @@
   MonotonicTime stop_deadline_;
 
   ControlState state_;
+  // As logged last.
+  std::map<std::string, session::ZoneEvacuation> known_evacuations_;
   raft::Status known_status_;
   SnapshotAssembler snapshot_assembler_;
   // Members that were reported as having lost acknowledged entries. Each member
--- a/source/common/control/events.h
+++ b/source/common/control/events.h
@@ -80,5 +80,9 @@
                                           Severity::kWarning};
 inline constexpr EventType kForwardedReplyIgnored{
     2152, "forwarded_reply_ignored", Severity::kInfo};
+inline constexpr EventType kOrderReceived{2153, "order_received",
+                                          Severity::kInfo};
+inline constexpr EventType kEvacuationApplied{2154, "evacuation_applied",
+                                              Severity::kInfo};
 
 }  // namespace juniperway::control
