--- a/test/integration/forwarding/route_fleet.cc
+++ b/test/integration/forwarding/route_fleet.cc
@@ -345,6 +345,18 @@
   return status;
 }
 
+net::HttpClientResponse RouteFleet::CallControlNode(int number,
+                                                    const std::string& method,
+                                                    const std::string& path,
+                                                    Duration timeout) {
+  net::HttpClientRequest request;
+  request.method = method;
+  request.url =
+      fmt::format("http://{}:{}{}", AddressOf(number), http_port_, path);
+  request.timeout = timeout;
+  return http_.Call(std::move(request));
+}
+
 std::string RouteFleet::GetTable() {
   std::string body;
   int control_node = 0;
--- a/test/integration/forwarding/route_fleet.h
+++ b/test/integration/forwarding/route_fleet.h
@@ -129,6 +129,11 @@
   // @return the status.
   int CallControl(const std::string& method, const std::string& path,
                   const std::string& body = "");
+  // Sends a request to one control node and waits for the answer, for at most
+  // `timeout`; then the connection is closed.
+  net::HttpClientResponse CallControlNode(int number, const std::string& method,
+                                          const std::string& path,
+                                          Duration timeout);
   // Returns the service's rollout, from the first control node that answers
   // with it.
   RolloutStatus GetRollout(const std::string& service);
