lab: let the faults of a soak overlap, and give evacuation orders

What callers saw: an evacuated zone came back into use. No soak could find it: it gave no evacuation orders, and its faults came one after the other.

Faults begin while earlier ones last, except on the same process or path.

--- a/source/lab/soak/callers.h
+++ b/source/lab/soak/callers.h
@@ -23,6 +23,7 @@
   std::vector<std::atomic<std::uint64_t>> router_lives;
   std::vector<std::string> routers;
   std::vector<std::string> controls;
+  std::vector<std::string> zones;
 };
 
 // The services of a soak; the scatter's set changes with the version.
--- a/source/lab/soak/history.cc
+++ b/source/lab/soak/history.cc
@@ -55,6 +55,7 @@
     CheckRuns();
     CheckRegress();
     CheckReads();
+    CheckZonesReads();
     return std::move(broken_);
   }
 
@@ -208,6 +209,32 @@
     }
   }
 
+  // The latest order on a zone that was sent before `read` ended, by zone.
+  std::map<std::string, SoakZoneOrder> OrdersBefore(
+      const SoakZonesRead& read) const {
+    std::map<std::string, SoakZoneOrder> latest;
+    for (const SoakZoneOrder& order : history_.zone_orders) {
+      if (order.sent < read.ended) {
+        latest[order.zone] = order;
+      }
+    }
+    return latest;
+  }
+
+  void CheckZonesReads() {
+    for (const SoakZonesRead& read : history_.zones_reads) {
+      for (const auto& [zone, order] : OrdersBefore(read)) {
+        const bool holds =
+            order.acknowledged && *order.acknowledged < read.sent;
+        if (holds && read.evacuated.contains(zone) != order.evacuated) {
+          Break("zone {} was {} after it was acknowledged that it {}", zone,
+                order.evacuated ? "in use" : "evacuated",
+                order.evacuated ? "is evacuated" : "is in use");
+        }
+      }
+    }
+  }
+
   const SoakHistory& history_;
   std::map<std::string, int> runs_;
   std::vector<std::string> broken_;
--- a/source/lab/soak/history.h
+++ b/source/lab/soak/history.h
@@ -68,11 +68,30 @@
   std::string table;
 };
 
+// An operator's order on a zone. One operator gives all of them, one after the
+// other; an order that is never acknowledged may hold or not.
+struct SoakZoneOrder {
+  std::string zone;
+  bool evacuated = false;
+  MonotonicTime sent;
+  std::optional<MonotonicTime> acknowledged;
+};
+
+// The evacuated zones, as a control machine told them.
+struct SoakZonesRead {
+  MonotonicTime sent;
+  MonotonicTime ended;
+  std::set<std::string> evacuated;
+};
+
 struct SoakHistory {
   std::vector<SoakExchange> exchanges;
   std::vector<SoakRun> runs;
   std::vector<SoakWrite> writes;
   std::vector<SoakRead> reads;
+  // In the order in which they were sent.
+  std::vector<SoakZoneOrder> zone_orders;
+  std::vector<SoakZonesRead> zones_reads;
 };
 
 // @return a line for each promise that was broken, with the request or version
--- a/source/lab/soak/nemesis.cc
+++ b/source/lab/soak/nemesis.cc
@@ -2,16 +2,19 @@
 
 #include <fmt/format.h>
 
+#include <algorithm>
 #include <array>
 #include <csignal>
 #include <thread>
-
-#include "lab/wait.h"
+#include <utility>
 
 namespace juniperway::lab {
 namespace {
 
 constexpr Duration kShortest = milliseconds(50);
+// Between the beginnings of two faults.
+constexpr Duration kLongestGap = milliseconds(700);
+constexpr Duration kPollInterval = milliseconds(20);
 constexpr Duration kLongestPause = milliseconds(2500);
 constexpr Duration kLongestFault = milliseconds(1500);
 constexpr Duration kRepairLimit = seconds(60);
@@ -38,6 +41,45 @@
       &SoakNemesis::DrainBackend,        &SoakNemesis::FailList,
       &SoakNemesis::DisturbControlPaths, &SoakNemesis::ResetControlPaths};
   (this->*kFaults.at(random_() % kFaults.size()))();
+  WaitFor(Draw(kShortest, kLongestGap));
+}
+
+void SoakNemesis::Last(const std::string& target, Duration longest,
+                       std::function<void()> end) {
+  const MonotonicTime until = ReadMonotonicClock() + Draw(kShortest, longest);
+  lasting_[target] = {.until = until, .end = std::move(end)};
+}
+
+void SoakNemesis::EndDue() {
+  const MonotonicTime now = ReadMonotonicClock();
+  for (auto fault = lasting_.begin(); fault != lasting_.end();) {
+    if (fault->second.until > now) {
+      ++fault;
+      continue;
+    }
+    const std::function<void()> end = std::move(fault->second.end);
+    fault = lasting_.erase(fault);
+    end();
+  }
+}
+
+void SoakNemesis::WaitFor(Duration time) {
+  const MonotonicTime end = ReadMonotonicClock() + time;
+  while (ReadMonotonicClock() < end) {
+    std::this_thread::sleep_for(std::min(kPollInterval, time));
+    EndDue();
+  }
+}
+
+bool SoakNemesis::AwaitWhole() {
+  const MonotonicTime limit = ReadMonotonicClock() + kRepairLimit;
+  while (!fleet_.IsWhole()) {
+    if (ReadMonotonicClock() >= limit) {
+      return false;
+    }
+    WaitFor(kPollInterval);
+  }
+  return true;
 }
 
 void SoakNemesis::Note(const std::string& what) {
@@ -51,75 +93,91 @@
   return Duration(between(random_));
 }
 
-void SoakNemesis::Wait(Duration least, Duration most) {
-  std::this_thread::sleep_for(Draw(least, most));
-}
-
 // --- Processes ---------------------------------------------------------------
 
-void SoakNemesis::RestartRouter(std::size_t router,
-                                const std::function<void()>& end) {
-  ++shared_.router_lives.at(router);
-  end();
-  Wait(kShortest, kLongestFault);
-  fleet_.StartRouter(router);
-  ++shared_.router_lives.at(router);
-}
-
 void SoakNemesis::KillRouter() {
   const std::size_t router = random_() % fleet_.routers();
-  Note(fmt::format("kill router {}", router));
-  RestartRouter(router, [&] { fleet_.router(router).Kill(); });
+  const std::string target = fmt::format("router-{}", router);
+  if (IsStruck(target)) {
+    return;
+  }
+  Note("kill " + target);
+  ++shared_.router_lives.at(router);
+  fleet_.router(router).Kill();
+  Last(target, kLongestFault, [this, router] {
+    fleet_.StartRouter(router);
+    ++shared_.router_lives.at(router);
+  });
 }
 
 void SoakNemesis::StopRouter() {
   const std::size_t router = random_() % fleet_.routers();
-  Note(fmt::format("stop router {}", router));
-  RestartRouter(router, [&] {
-    fleet_.router(router).Signal(SIGTERM);
+  const std::string target = fmt::format("router-{}", router);
+  if (IsStruck(target)) {
+    return;
+  }
+  Note("stop " + target);
+  ++shared_.router_lives.at(router);
+  fleet_.router(router).Signal(SIGTERM);
+  Last(target, kLongestFault, [this, router, target] {
     const auto status = fleet_.router(router).Wait(kStopLimit);
-    Note(fmt::format("router {} ended with {}", router, status.value_or(-1)));
+    Note(fmt::format("{} ended with {}", target, status.value_or(-1)));
+    fleet_.StartRouter(router);
+    ++shared_.router_lives.at(router);
   });
 }
 
 void SoakNemesis::PauseRouter() {
   const std::size_t router = random_() % fleet_.routers();
-  Note(fmt::format("pause router {}", router));
+  const std::string target = fmt::format("router-{}", router);
+  if (IsStruck(target)) {
+    return;
+  }
+  Note("pause " + target);
   fleet_.router(router).Signal(SIGSTOP);
-  Wait(kShortest, kLongestPause);
-  fleet_.router(router).Signal(SIGCONT);
+  Last(target, kLongestPause,
+       [this, router] { fleet_.router(router).Signal(SIGCONT); });
 }
 
 void SoakNemesis::KillControl() {
   const std::size_t control = random_() % fleet_.controls();
-  Note(fmt::format("kill control {}", control));
+  const std::string target = fmt::format("control-{}", control);
+  if (IsStruck(target)) {
+    return;
+  }
+  Note("kill " + target);
   fleet_.control(control).Kill();
-  Wait(kShortest, kLongestFault);
-  fleet_.StartControl(control);
+  Last(target, kLongestFault,
+       [this, control] { fleet_.StartControl(control); });
 }
 
 void SoakNemesis::PauseControl() {
   const std::size_t control = random_() % fleet_.controls();
-  Note(fmt::format("pause control {}", control));
+  const std::string target = fmt::format("control-{}", control);
+  if (IsStruck(target)) {
+    return;
+  }
+  Note("pause " + target);
   fleet_.control(control).Signal(SIGSTOP);
-  Wait(kShortest, kLongestPause);
-  fleet_.control(control).Signal(SIGCONT);
+  Last(target, kLongestPause,
+       [this, control] { fleet_.control(control).Signal(SIGCONT); });
 }
 
 // Only one disk may be lost at once: the one before must be made good.
 void SoakNemesis::WipeControl() {
   const std::size_t control = random_() % fleet_.controls();
-  if (!WaitFor(kRepairLimit, [&] { return fleet_.IsWhole(); })) {
+  const std::string target = fmt::format("control-{}", control);
+  if (!AwaitWhole() || IsStruck(target)) {
     Note("the group is not whole: no disk is emptied");
     return;
   }
-  Note(fmt::format("empty the disk of control {}", control));
+  Note("empty the disk of " + target);
   fleet_.control(control).Kill();
   fleet_.Wipe(control);
   fleet_.StartControl(control);
   // A loss shows only after the group has missed the machine for a while.
-  std::this_thread::sleep_for(kLongestFault);
-  if (!WaitFor(kRepairLimit, [&] { return fleet_.IsWhole(); })) {
+  WaitFor(kLongestFault);
+  if (!AwaitWhole()) {
     Note("the group did not become whole again");
   }
 }
@@ -127,6 +185,8 @@
 void SoakNemesis::KillAllControls() {
   Note("kill all controls");
   for (std::size_t control = 0; control < fleet_.controls(); ++control) {
+    // Those that are paused or killed come back by this.
+    lasting_.erase(fmt::format("control-{}", control));
     fleet_.control(control).Kill();
   }
   for (std::size_t control = 0; control < fleet_.controls(); ++control) {
@@ -151,26 +211,43 @@
       drawn < fleet_.controls()
           ? fmt::format("control-{}", drawn)
           : fmt::format("router-{}", drawn - fleet_.controls());
+  const std::string target = "paths of " + machine;
+  if (IsStruck(target)) {
+    return;
+  }
   const std::string direction = fmt::format(
       fmt::runtime(kDirections.at(random_() % kDirections.size())), machine);
   const std::string fault = kFaults.at(random_() % kFaults.size());
   Note("disturb the paths to control: " + direction + ", " + fault);
-  fleet_.paths().SetFaults(R"({"faults": [{)" + direction + ", " + fault +
-                           "}]}");
-  Wait(kShortest, kLongestPause);
-  fleet_.paths().SetFaults(R"({"faults": []})");
+  control_path_faults_[machine] = "{" + direction + ", " + fault + "}";
+  SetControlPathFaults();
+  Last(target, kLongestPause, [this, machine] {
+    control_path_faults_.erase(machine);
+    SetControlPathFaults();
+  });
+}
+
+void SoakNemesis::SetControlPathFaults() {
+  std::string faults;
+  for (const auto& [machine, fault] : control_path_faults_) {
+    faults += (faults.empty() ? "" : ", ") + fault;
+  }
+  fleet_.paths().SetFaults(R"({"faults": [)" + faults + "]}");
 }
 
 void SoakNemesis::ResetControlPaths() {
   const std::size_t control = random_() % fleet_.controls();
   Note(fmt::format("reset the connections of control {}", control));
   fleet_.paths().Reset(control);
-  Wait(kShortest, kShortest);
 }
 
 // --- Back ends ---------------------------------------------------------------
 
 void SoakNemesis::DisturbPath() {
+  const std::string target = "paths of back ends";
+  if (IsStruck(target)) {
+    return;
+  }
   static constexpr std::array<const char*, 5> kFaults = {
       R"("blocked": true, "both": true)", R"("blocked": true)",
       R"("refused": true)", R"("half_open": true, "both": true)",
@@ -189,8 +266,8 @@
   }
   Note("disturb the paths " + faults);
   stand_ins_.SetFaults(R"({"faults": [)" + faults + "]}");
-  Wait(kShortest, kLongestFault);
-  stand_ins_.SetFaults(R"({"faults": []})");
+  Last(target, kLongestFault,
+       [this] { stand_ins_.SetFaults(R"({"faults": []})"); });
 }
 
 void SoakNemesis::ResetPath() {
@@ -199,7 +276,6 @@
   stand_ins_.Change(backend, [](SoakBackend& changed) {
     changed.link().Reset(MachineSelector{});
   });
-  Wait(kShortest, kShortest);
 }
 
 void SoakNemesis::SpoilAnswers() {
@@ -208,43 +284,50 @@
       SoakAnswering::kForeignId, SoakAnswering::kSilent};
   const SoakAnswering way = kWays.at(random_() % kWays.size());
   const std::size_t backend = random_() % stand_ins_.backends();
+  const std::string target = fmt::format("answers of back end {}", backend);
+  if (IsStruck(target)) {
+    return;
+  }
   Note(fmt::format("spoil the answers of back end {}, way {}", backend,
                    static_cast<int>(way)));
   stand_ins_.Change(backend,
                     [way](SoakBackend& changed) { changed.answering = way; });
-  Wait(kShortest, kLongestFault);
-  stand_ins_.Change(backend, [](SoakBackend& changed) {
-    changed.answering = SoakAnswering::kWell;
+  Last(target, kLongestFault, [this, backend] {
+    stand_ins_.Change(backend, [](SoakBackend& changed) {
+      changed.answering = SoakAnswering::kWell;
+    });
   });
 }
 
 void SoakNemesis::DrainBackend() {
   const std::size_t backend = random_() % stand_ins_.backends();
-  Note(fmt::format("drain back end {}", backend));
+  const std::string target = fmt::format("back end {}", backend);
+  if (IsStruck(target)) {
+    return;
+  }
+  Note("drain " + target);
   stand_ins_.Change(backend,
                     [](SoakBackend& changed) { changed.draining = true; });
-  Wait(kShortest, kLongestFault);
-  stand_ins_.Change(backend,
-                    [](SoakBackend& changed) { changed.draining = false; });
+  Last(target, kLongestFault, [this, backend] {
+    stand_ins_.Change(backend,
+                      [](SoakBackend& changed) { changed.draining = false; });
+  });
 }
 
 void SoakNemesis::FailList() {
+  const std::string target = "discovery list";
+  if (IsStruck(target)) {
+    return;
+  }
   Note("the discovery list fails");
   stand_ins_.SetListFailing(true);
-  Wait(kShortest, kLongestPause);
-  stand_ins_.SetListFailing(false);
+  Last(target, kLongestPause, [this] { stand_ins_.SetListFailing(false); });
 }
 
 void SoakNemesis::Heal() {
   Note("heal");
-  stand_ins_.SetFaults(R"({"faults": []})");
-  stand_ins_.SetListFailing(false);
-  fleet_.paths().SetFaults(R"({"faults": []})");
-  for (std::size_t backend = 0; backend < stand_ins_.backends(); ++backend) {
-    stand_ins_.Change(backend, [](SoakBackend& changed) {
-      changed.answering = SoakAnswering::kWell;
-      changed.draining = false;
-    });
+  for (auto& [target, fault] : std::exchange(lasting_, {})) {
+    fault.end();
   }
 }
 
--- a/source/lab/soak/nemesis.h
+++ b/source/lab/soak/nemesis.h
@@ -1,11 +1,12 @@
 // Draws faults of a soak from a seed and brings them about, from outside the
 // processes: signals, emptied disks, the network between processes and to back
-// ends, and back ends' answers.
+// ends, and back ends' answers. Faults overlap: the next one begins while
+// earlier ones last, but for those that strike the same thing.
 #pragma once
 
 #include <cstdint>
 #include <functional>
-#include <optional>
+#include <map>
 #include <random>
 #include <string>
 #include <vector>
@@ -21,15 +22,21 @@
   SoakNemesis(SoakFleet& fleet, SoakStandIns& stand_ins, SoakShared& shared,
               std::uint64_t seed);
 
-  // One fault, from its beginning to its end.
+  // Begins one fault, and ends earlier ones until the next may begin.
   void Strike();
-  // Ends all faults of back ends and their paths.
+  // Ends all faults.
   void Heal();
 
   // What was done, in order: "12.3 s: …".
   const std::vector<std::string>& log() const { return log_; }
 
  private:
+  // A fault under way.
+  struct Lasting {
+    MonotonicTime until;
+    std::function<void()> end;
+  };
+
   void KillRouter();
   void StopRouter();
   void PauseRouter();
@@ -48,15 +55,29 @@
   void Note(const std::string& what);
   // A random time within these bounds.
   Duration Draw(Duration least, Duration most);
-  void Wait(Duration least, Duration most);
-  // Ends a router by `end` and starts it again, as another life.
-  void RestartRouter(std::size_t router, const std::function<void()>& end);
+  // Whether a fault of this target is under way.
+  bool IsStruck(const std::string& target) const {
+    return lasting_.contains(target);
+  }
+  // Calls `end` after a random time up to `longest`.
+  void Last(const std::string& target, Duration longest,
+            std::function<void()> end);
+  void EndDue();
+  void WaitFor(Duration time);
+  // Waits until the control group is whole, while faults go on ending.
+  bool AwaitWhole();
+  // Sets the faults of all disturbed control paths.
+  void SetControlPathFaults();
 
   SoakFleet& fleet_;
   SoakStandIns& stand_ins_;
   SoakShared& shared_;
   std::mt19937_64 random_;
   MonotonicTime began_;
+  // By target: "router-0", "control-1".
+  std::map<std::string, Lasting> lasting_;
+  // By machine, as JSON.
+  std::map<std::string, std::string> control_path_faults_;
   std::vector<std::string> log_;
 };
 
--- a/source/lab/soak/recorder.h
+++ b/source/lab/soak/recorder.h
@@ -22,6 +22,20 @@
     const std::lock_guard lock(mutex_);
     history_.reads.push_back(std::move(read));
   }
+  void Add(SoakZonesRead read) {
+    const std::lock_guard lock(mutex_);
+    history_.zones_reads.push_back(std::move(read));
+  }
+  // Before it is sent. @return its place, for AcknowledgeZoneOrder.
+  std::size_t Add(SoakZoneOrder order) {
+    const std::lock_guard lock(mutex_);
+    history_.zone_orders.push_back(std::move(order));
+    return history_.zone_orders.size() - 1;
+  }
+  void AcknowledgeZoneOrder(std::size_t order, MonotonicTime now) {
+    const std::lock_guard lock(mutex_);
+    history_.zone_orders.at(order).acknowledged = now;
+  }
   // Before it is sent: it may be in force from then on.
   // @return its place, for Acknowledge.
   std::size_t Add(SoakWrite write) {
--- a/source/lab/soak/run.cc
+++ b/source/lab/soak/run.cc
@@ -5,6 +5,7 @@
 #include <utility>
 
 #include "lab/soak/callers.h"
+#include "lab/soak/evacuator.h"
 #include "lab/soak/fleet.h"
 #include "lab/soak/nemesis.h"
 #include "lab/soak/stand_ins.h"
@@ -30,6 +31,8 @@
     }
     threads_.emplace_back(
         [&shared, seed = options.seed] { SoakOperator(shared, seed).Run(); });
+    threads_.emplace_back(
+        [&shared, seed = options.seed] { SoakEvacuator(shared, seed).Run(); });
   }
   ~Load() { Stop(); }
   Load(const Load&) = delete;
@@ -51,8 +54,8 @@
 constexpr int kFirstCaller = 1001;
 constexpr int kLastCaller = 1002;
 
-// Without a fault everything comes back: the newest table at each router and
-// each control machine.
+// Without a fault everything comes back: every zone, the newest table at each
+// router and each control machine.
 // @param number of the caller that asks.
 void CheckRecovery(SoakShared& shared, int number,
                    std::vector<std::string>& broken) {
@@ -62,6 +65,12 @@
   if (!last.Write(version, /*variant=*/0, kHealLimit)) {
     broken.push_back("no change is acknowledged without a fault");
   }
+  SoakEvacuator evacuator(shared, /*seed=*/0);
+  for (const std::string& zone : shared.zones) {
+    if (!evacuator.Order(zone, /*evacuated=*/false, kHealLimit)) {
+      broken.push_back("zone " + zone + " is not returned without a fault");
+    }
+  }
   for (std::size_t router = 0; router < shared.routers.size(); ++router) {
     const bool serves = WaitFor(kHealLimit, [&] {
       return caller.Ask(router, SoakRequestKind::kVersion, version) == kOk &&
@@ -75,7 +84,9 @@
     }
   }
   for (std::size_t control = 0; control < shared.controls.size(); ++control) {
-    if (!WaitFor(kHealLimit, [&] { return last.Read(control); })) {
+    if (!WaitFor(kHealLimit, [&] {
+          return last.Read(control) && evacuator.Read(control);
+        })) {
       broken.push_back("without a fault nothing is read at control " +
                        shared.controls.at(control));
     }
@@ -91,12 +102,15 @@
 
 SoakReport RunSoak(const SoakOptions& options) {
   SoakShared shared;
+  shared.zones = Zones();
   SoakStandIns stand_ins(shared.recorder, SoakServices(), Zones(),
                          options.seed);
   SoakFleet fleet({.binary_folder = options.binary_folder,
                    .folder = options.folder,
                    .list_url = stand_ins.list_url(),
                    .zones = Zones(),
+                   .controls = options.controls,
+                   .routers = options.routers,
                    .seed = options.seed});
   shared.router_lives =
       std::vector<std::atomic<std::uint64_t>>(fleet.routers());
@@ -129,6 +143,8 @@
       std::ranges::count_if(history.exchanges, IsServed));
   report.changes = history.writes.size();
   report.reads = history.reads.size();
+  report.zone_orders = history.zone_orders.size();
+  report.zones_reads = history.zones_reads.size();
   return report;
 }
 
--- a/source/lab/soak/run.h
+++ b/source/lab/soak/run.h
@@ -16,6 +16,8 @@
   // How long faults come.
   Duration duration = seconds(30);
   int callers = 3;
+  std::size_t controls = 3;
+  std::size_t routers = 2;
   std::filesystem::path binary_folder;
   // Where settings, data and logs go; kept by the caller.
   std::filesystem::path folder;
@@ -30,6 +32,8 @@
   std::size_t served = 0;
   std::size_t changes = 0;
   std::size_t reads = 0;
+  std::size_t zone_orders = 0;
+  std::size_t zones_reads = 0;
 };
 
 // Throws std::runtime_error when a process does not start. Call from a thread
--- a/test/integration/lab/soak_test.cc
+++ b/test/integration/lab/soak_test.cc
@@ -23,6 +23,8 @@
   CHECK(report.faults.size() > 1);
   CHECK(report.changes > 1);
   CHECK(report.reads > 1);
+  CHECK(report.zone_orders > 1);
+  CHECK(report.zones_reads > 1);
   CHECK(report.served > 10);
 }
 
--- a/test/unit/lab/soak/history_test.cc
+++ b/test/unit/lab/soak/history_test.cc
@@ -84,9 +84,26 @@
   SUBCASE("read back older than acknowledged") {
     history.writes.push_back({6, "table 6", {}, At(5)});
   }
+  SUBCASE("a zone in use after its evacuation was acknowledged") {
+    history.zone_orders = {{"z0", true, At(1), At(2)}};
+    history.zones_reads = {{At(3), At(4), {}}};
+  }
+  SUBCASE("a zone evacuated after its return was acknowledged") {
+    history.zone_orders = {{"z0", false, At(1), At(2)}};
+    history.zones_reads = {{At(3), At(4), {"z0"}}};
+  }
   CHECK_FALSE(CheckSoak(history).empty());
 }
 
+TEST_CASE("a zone may be either while an order on it is not acknowledged") {
+  SoakHistory history;
+  history.zone_orders = {{"z0", true, At(1), At(2)},
+                         {"z0", false, At(4), std::nullopt}};
+  history.zones_reads = {
+      {At(3), At(3), {"z0"}}, {At(3), At(5), {}}, {At(5), At(6), {"z0"}}};
+  CHECK(CheckSoak(history).empty());
+}
+
 TEST_CASE("a router may not go back by more than the tables that name it") {
   SoakHistory history;
   history.exchanges = {Version(9, 10, 11), Version(7, 12, 13)};
