control: number operators' orders, so that none undoes a later one

Cause: an order without a version (evacuation, rollout, release of a request) was carried out whenever it reached the leader. A control node may hold it long after its caller has gone on to another node and ordered the opposite there: it was suspended, knew no leader (for up to 5 s), or passed the order on again after a lost frame (1 s). Each copy has a change id of its own, so the change table does not know it.

Change: accepted orders are numbered in the replicated state, by subject. The node that receives an order asks the leader for the newest number, then makes sure that the caller's connection is open and that no second has passed, and sends the order based on that number; the leader refuses it if a later order on the subject was accepted (409, naming both). While the caller waits the node asks again. The caller was still waiting after the number was read, so an order that it gave later has a higher number: a copy that is held any longer is refused, wherever it was held.

Orders that change nothing count as well: without that, the copy of an end that was given up would undo an acknowledged start that found the zone evacuated. A release of a quarantined request and the start and removal of a rollout had the same fault and go the same way; a quarantine by the leader counts as a later order.

Weighed: cutting the time for which a node holds an order, and looking at the connection alone, leave the frames between nodes; a clock in orders does not exist on the platform; the state's revision as a number would refuse orders for every change of discovery, and does not grow with an order that changes nothing.

--- a/source/common/control/api_call.h
+++ b/source/common/control/api_call.h
@@ -11,6 +11,11 @@
 
 namespace juniperway::control {
 
+// The call that reads the number of the newest order, and the parameter with
+// which an order names the number that it is based on.
+inline constexpr const char* kOrdersPath = "/v1/orders";
+inline constexpr const char* kBasedOnParameter = "based_on";
+
 // One call: a value that its receiver owns.
 struct ApiCall {
   std::string method;
--- a/source/common/control/api_server.cc
+++ b/source/common/control/api_server.cc
@@ -72,6 +72,11 @@
       ports_(std::move(ports)),
       random_(options.seed),
       watches_(ports_.state),
+      orders_(context,
+              {.start = options.order_start_timeout,
+               .response = options.call_timeout},
+              {.forward_to_leader = ports_.forward_to_leader,
+               .on_dropped = ports_.on_order_dropped}),
       server_(context,
               net::HttpServerOptions{.endpoint = ListenEndpoint(options),
                                      .connection_listener = {}},
@@ -113,6 +118,8 @@
     GetStatus(std::move(*call), answer);
   } else if (is_read && request.Parameter("local") == "true") {
     answer(ports_.read_locally(*call));
+  } else if (NeedsOrderNumber(*call)) {
+    orders_.Send(std::move(*call), ReadMonotonicClock(), responder);
   } else {
     ports_.forward_to_leader(
         std::move(*call), ReadMonotonicClock() + options_.call_timeout, answer);
--- a/source/common/control/api_server.h
+++ b/source/common/control/api_server.h
@@ -12,6 +12,7 @@
 #include <string>
 
 #include "common/control/api_call.h"
+#include "common/control/order_sender.h"
 #include "common/control/watch_list.h"
 #include "common/net/http_server.h"
 
@@ -29,6 +30,8 @@
     bool allow_without_token = false;
     // Bounds the wait for the leader's answer to a forwarded call.
     Duration call_timeout = seconds(5);
+    // See OrderTiming::start.
+    Duration order_start_timeout{};
     // Seed of the generated change ids.
     std::uint64_t seed = 0;
   };
@@ -45,6 +48,8 @@
     std::function<nlohmann::json()> describe_node;
     // Creates the content of a backup file.
     std::function<Result<std::string>()> create_backup;
+    // See OrderSender::Ports.
+    std::function<void(OrderDropReason)> on_order_dropped;
   };
 
   // Throws std::exception when the address cannot be bound.
@@ -58,6 +63,8 @@
   // Answers watches whose deadline has passed. The owner calls this a few times
   // a second.
   void Tick(MonotonicTime now) { watches_.Tick(now); }
+  // Whether no order waits to be passed to the leader.
+  bool idle() const { return orders_.idle(); }
   // Stops accepting connections. Calls in flight may still be answered.
   void StopAccepting() { server_.StopAccepting(); }
   void Close();
@@ -75,6 +82,7 @@
   Ports ports_;
   std::mt19937_64 random_;
   WatchList watches_;
+  OrderSender orders_;
   // Declared last, because its handler uses the other members.
   net::HttpServer server_;
 };
--- a/source/common/control/control_metrics.cc
+++ b/source/common/control/control_metrics.cc
@@ -40,6 +40,19 @@
   for (const EntryFault fault : kEntryFaults) {
     discovery_faults_[fault] = &faults.Add({{"reason", NameOf(fault)}});
   }
+  auto& dropped =
+      prometheus::BuildCounter()
+          .Name("juniperway_control_orders_dropped_total")
+          .Help("Orders of operators that were not carried out, by reason")
+          .Register(registry);
+  for (const OrderDropReason reason : kOrderDropReasons) {
+    dropped_orders_[reason] =
+        &dropped.Add({{"reason", std::string(NameOf(reason))}});
+  }
+}
+
+void ControlMetrics::OnOrderDropped(OrderDropReason reason) {
+  dropped_orders_.at(reason)->Increment();
 }
 
 void ControlMetrics::OnDiscoveryFaults(const EntryFaults& faults) {
--- a/source/common/control/control_metrics.h
+++ b/source/common/control/control_metrics.h
@@ -12,6 +12,7 @@
 
 #include "common/base/time.h"
 #include "common/control/discovery_page.h"
+#include "common/control/order_sender.h"
 #include "common/raft/fsm.h"
 
 namespace juniperway::control {
@@ -32,6 +33,9 @@
   // Counts the faulty entries of one reading of the discovery list.
   void OnDiscoveryFaults(const EntryFaults& faults);
 
+  // Counts an operator's order that was not carried out.
+  void OnOrderDropped(OrderDropReason reason);
+
  private:
   prometheus::Gauge& leading_;
   prometheus::Gauge& leader_known_;
@@ -43,6 +47,7 @@
   prometheus::Gauge& sessions_;
   prometheus::Gauge& list_age_;
   std::map<EntryFault, prometheus::Counter*> discovery_faults_;
+  std::map<OrderDropReason, prometheus::Counter*> dropped_orders_;
 };
 
 }  // namespace juniperway::control
--- a/source/common/control/control_node.cc
+++ b/source/common/control/control_node.cc
@@ -10,6 +10,7 @@
 #include <utility>
 
 #include "common/control/events.h"
+#include "common/control/order_subject.h"
 #include "common/net/address.h"
 #include "common/raft/configuration.h"
 
@@ -117,24 +118,26 @@
 
 void ControlNode::LogEvacuations(std::string_view source) {
   const auto& evacuations = state_.fleet().evacuations;
-  const auto log = [&](const std::string& zone, bool evacuated,
-                       const std::string& change_id) {
-    logging::LogEvent(kEvacuationApplied, {{"node", options_.node_id},
-                                           {"zone", zone},
-                                           {"evacuated", evacuated},
-                                           {"change", change_id},
-                                           {"revision", state_.revision()},
-                                           {"source", source}});
+  const auto log = [&](const std::string& zone, bool evacuated) {
+    const AcceptedOrder* order = state_.orders().Find(EvacuationSubject(zone));
+    logging::LogEvent(kEvacuationApplied,
+                      {{"node", options_.node_id},
+                       {"zone", zone},
+                       {"evacuated", evacuated},
+                       {"change", order == nullptr ? "" : order->change_id},
+                       {"order", order == nullptr ? 0 : order->number},
+                       {"revision", state_.revision()},
+                       {"source", source}});
   };
   for (const auto& [zone, evacuation] : known_evacuations_) {
     if (!evacuations.contains(zone)) {
-      log(zone, /*evacuated=*/false, "");
+      log(zone, /*evacuated=*/false);
     }
   }
   for (const auto& [zone, evacuation] : evacuations) {
     const auto known = known_evacuations_.find(zone);
     if (known == known_evacuations_.end() || known->second != evacuation) {
-      log(zone, /*evacuated=*/true, evacuation.change_id);
+      log(zone, /*evacuated=*/true);
     }
   }
   known_evacuations_ = evacuations;
@@ -360,7 +363,8 @@
     return;
   }
   stop_deadline_ = std::min(stop_deadline_, now + kStopDrainTimeout);
-  const bool idle = leader_client_->idle() || is_only_voter;
+  const bool idle =
+      (leader_client_->idle() && api_server_->idle()) || is_only_voter;
   if (!idle && now < stop_deadline_) {
     return;
   }
--- a/source/common/control/control_node_setup.cc
+++ b/source/common/control/control_node_setup.cc
@@ -306,6 +306,7 @@
                          .bearer_token = options_.bearer_token,
                          .allow_without_token = options_.open_api,
                          .call_timeout = options_.call_timeout,
+                         .order_start_timeout = options_.order_start_timeout,
                          .seed = seed_},
       ApiServer::Ports{
           .state = [this]() -> const ControlState& { return state_; },
@@ -319,7 +320,11 @@
                 return resource_api_->ReadLocally(call);
               },
           .describe_node = [this] { return DescribeNode(); },
-          .create_backup = [this] { return MakeBackup(); }});
+          .create_backup = [this] { return MakeBackup(); },
+          .on_order_dropped =
+              [this](OrderDropReason reason) {
+                metrics_.OnOrderDropped(reason);
+              }});
 }
 
 }  // namespace juniperway::control
--- a/source/common/control/control_server.h
+++ b/source/common/control/control_server.h
@@ -98,6 +98,10 @@
   // answers 503 when the call was never sent to a leader, and 504 when its
   // outcome is unknown.
   Duration call_timeout = seconds(5);
+  // An operator's order that has no version is not started later than this
+  // after it arrived. Callers without a response for one second call another
+  // control node.
+  Duration order_start_timeout = seconds(1);
   // The node takes a snapshot when the log since the previous snapshot reaches
   // either bound; see IsCompactionDue().
   std::size_t compaction_bytes = 16U << 20;
--- a/source/common/control/control_state.cc
+++ b/source/common/control/control_state.cc
@@ -77,7 +77,7 @@
   AppliedCommand applied;
   applied.results.reserve(command.operations.size());
   for (const auto& item : command.operations) {
-    applied.results.push_back(applier.Apply(item->operation));
+    applied.results.push_back(applier.Apply(*item));
   }
   applied.changed_members = applier.TakeChangedMembers();
   return applied;
@@ -86,6 +86,7 @@
 void ControlState::SkipRevisions(resources::Revision revisions,
                                  WallTime wall_time) {
   revision_ += revisions;
+  orders_.Skip(revisions);
   log_.Reset(revision_);
   wall_time_ = std::max(wall_time_, wall_time);
   claims_.Expire(wall_time_);
@@ -198,6 +199,8 @@
     snapshot.crashes.push_back(std::make_unique<protocol::CrashRecordT>(
         EncodeCrashRecord(request, record)));
   }
+  snapshot.order_table =
+      std::make_unique<protocol::OrderTableRecordT>(orders_.Encode());
   return Serialize(snapshot);
 }
 
@@ -259,6 +262,9 @@
     state.fleet_.crashes[RequestFingerprint{crash->fingerprint}] =
         DecodeCrashRecord(*crash);
   }
+  if (snapshot.order_table) {
+    state.orders_ = OrderTable::Decode(*snapshot.order_table);
+  }
   return state;
 }
 
--- a/source/common/control/control_state.h
+++ b/source/common/control/control_state.h
@@ -17,6 +17,7 @@
 #include "common/control/change_table.h"
 #include "common/control/claim_store.h"
 #include "common/control/fleet_store.h"
+#include "common/control/order_table.h"
 #include "common/control/revision_log.h"
 #include "common/protocol/command_generated.h"
 
@@ -52,9 +53,10 @@
   // @return kCorrupt when `data` is not a snapshot.
   static Result<ControlState> DecodeSnapshot(std::string_view data);
 
-  // Skips `revisions` and raises the wall time in a state that is restored from
-  // a backup, so that the state does not reuse a revision or grant a request id
-  // that may have been used after the backup.
+  // Skips `revisions`, and as many order numbers, and raises the wall time in a
+  // state that is restored from a backup, so that the state does not reuse a
+  // revision or an order number, or grant a request id, that may have been used
+  // after the backup.
   void SkipRevisions(resources::Revision revisions, WallTime wall_time);
 
   resources::Revision revision() const { return revision_; }
@@ -62,6 +64,7 @@
   WallTime wall_time() const { return wall_time_; }
   const FleetStore& fleet() const { return fleet_; }
   const ClaimStore& claims() const { return claims_; }
+  const OrderTable& orders() const { return orders_; }
   // Returns the record of the first outcome of the change with this id, or
   // null.
   const protocol::ChangeRecordT* FindChange(const std::string& id) const {
@@ -92,6 +95,7 @@
   FleetStore fleet_;
   ClaimStore claims_;
   ChangeTable changes_;
+  OrderTable orders_;
   RevisionLog log_;
 };
 
--- a/source/common/control/events.h
+++ b/source/common/control/events.h
@@ -82,6 +82,8 @@
     2152, "forwarded_reply_ignored", Severity::kInfo};
 inline constexpr EventType kOrderReceived{2153, "order_received",
                                           Severity::kInfo};
+inline constexpr EventType kOrderDropped{2155, "order_dropped",
+                                         Severity::kWarning};
 inline constexpr EventType kEvacuationApplied{2154, "evacuation_applied",
                                               Severity::kInfo};
 
--- a/source/common/control/operation_applier.cc
+++ b/source/common/control/operation_applier.cc
@@ -4,6 +4,8 @@
 #include <memory>
 #include <utility>
 
+#include "common/control/api_call.h"
+#include "common/control/order_subject.h"
 #include "common/control/resource_rules.h"
 #include "common/control/serving_rule.h"
 #include "common/session/fleet_codec.h"
@@ -49,6 +51,12 @@
 }  // namespace
 
 protocol::OperationResultT OperationApplier::Apply(
+    const protocol::OperationItemT& item) {
+  based_on_ = item.based_on;
+  return Apply(item.operation);
+}
+
+OperationApplier::Outcome OperationApplier::Apply(
     const protocol::OperationUnion& operation) {
   switch (operation.type) {
     case protocol::Operation::ApplyResources:
@@ -439,6 +447,11 @@
   if (auto first = FindFirstOutcome(operation.change_id, operation.digest)) {
     return std::move(*first);
   }
+  const std::string subject = EvacuationSubject(operation.zone);
+  if (auto refused = RefuseOvertaken(subject)) {
+    return std::move(*refused);
+  }
+  RecordOrder(subject, operation.change_id);
   SetEvacuation(operation);
   Outcome outcome = Done();
   RecordChange(operation.change_id, operation.digest, outcome, {});
@@ -504,6 +517,12 @@
   if (auto first = FindFirstOutcome(operation.change_id, operation.digest)) {
     return std::move(*first);
   }
+  for (const std::uint64_t fingerprint : operation.release) {
+    const std::string subject = CrashingRequestSubject({fingerprint});
+    if (auto refused = RefuseOvertaken(subject)) {
+      return std::move(*refused);
+    }
+  }
   Judge(operation);
   Outcome outcome = Done();
   RecordChange(operation.change_id, operation.digest, outcome, {});
@@ -516,11 +535,13 @@
     const auto record = crashes.find(RequestFingerprint{value});
     if (record != crashes.end() && !record->second.quarantined) {
       record->second.quarantined = true;
+      RecordOrder(CrashingRequestSubject(record->first), operation.change_id);
       CommitCrash(record->first);
     }
   }
   for (const std::uint64_t value : operation.release) {
     const RequestFingerprint request{value};
+    RecordOrder(CrashingRequestSubject(request), operation.change_id);
     if (crashes.erase(request) > 0) {
       CommitCrash(request);
     }
@@ -563,6 +584,28 @@
 
 // --- Results -----------------------------------------------------------------
 
+std::optional<OperationApplier::Outcome> OperationApplier::RefuseOvertaken(
+    const std::string& subject) const {
+  const auto later =
+      based_on_ ? state_.orders_.FindLater(subject, *based_on_) : std::nullopt;
+  if (!later) {
+    return std::nullopt;
+  }
+  const std::string change = later->change_id.empty()
+                                 ? "no longer kept"
+                                 : "change " + later->change_id;
+  return Refuse({ErrorCode::kConflict, kBasedOnParameter,
+                 "the order on " + subject + " is based on order " +
+                     std::to_string(*based_on_) + ", and order " +
+                     std::to_string(later->number) + " (" + change +
+                     ") came later"});
+}
+
+void OperationApplier::RecordOrder(const std::string& subject,
+                                   const std::string& change_id) {
+  state_.orders_.Record(subject, change_id, based_on_.value_or(0));
+}
+
 OperationApplier::Outcome OperationApplier::Done() const {
   Outcome outcome;
   outcome.revision = state_.revision_;
--- a/source/common/control/operation_applier.h
+++ b/source/common/control/operation_applier.h
@@ -2,6 +2,7 @@
 // ControlState uses it, and creates one applier for each command.
 #pragma once
 
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -15,7 +16,7 @@
  public:
   explicit OperationApplier(ControlState& state) : state_(state) {}
 
-  protocol::OperationResultT Apply(const protocol::OperationUnion& operation);
+  protocol::OperationResultT Apply(const protocol::OperationItemT& item);
 
   // Returns the daemons whose membership the operations so far have changed.
   std::set<std::string> TakeChangedMembers() {
@@ -28,6 +29,7 @@
  private:
   using Outcome = protocol::OperationResultT;
 
+  Outcome Apply(const protocol::OperationUnion& operation);
   Outcome Apply(const protocol::ApplyResourcesT& operation);
   Outcome Apply(const protocol::DeleteResourceT& operation);
   Outcome Apply(const protocol::JoinMemberT& operation);
@@ -68,6 +70,10 @@
                     const Outcome& outcome,
                     const std::vector<resources::ResourceId>& written);
 
+  // Refuses the current order if a later one on `subject` was accepted.
+  std::optional<Outcome> RefuseOvertaken(const std::string& subject) const;
+  void RecordOrder(const std::string& subject, const std::string& change_id);
+
   Outcome WriteSet(std::vector<resources::Resource> set);
   Outcome Erase(const resources::ResourceId& id, resources::Revision version);
   // Returns success at the current revision of the state.
@@ -79,6 +85,8 @@
                      Outcome& outcome) const;
 
   ControlState& state_;
+  // The order that the current operation is based on.
+  flatbuffers::Optional<OrderNumber> based_on_;
   std::set<std::string> changed_members_;
 };
 
--- a/source/common/control/operation_applier_rollouts.cc
+++ b/source/common/control/operation_applier_rollouts.cc
@@ -4,6 +4,7 @@
 #include <vector>
 
 #include "common/control/operation_applier.h"
+#include "common/control/order_subject.h"
 
 namespace juniperway::control {
 namespace {
@@ -44,7 +45,14 @@
   if (auto first = FindFirstOutcome(operation.change_id, operation.digest)) {
     return std::move(*first);
   }
+  const std::string subject = RolloutSubject(operation.service);
+  if (auto refused = RefuseOvertaken(subject)) {
+    return std::move(*refused);
+  }
   const auto started = StartRollout(operation);
+  if (started) {
+    RecordOrder(subject, operation.change_id);
+  }
   Outcome outcome = started ? Done() : Refuse(started.error());
   RecordChange(operation.change_id, operation.digest, outcome, {});
   return outcome;
@@ -112,6 +120,11 @@
   if (auto first = FindFirstOutcome(operation.change_id, operation.digest)) {
     return std::move(*first);
   }
+  const std::string subject = RolloutSubject(operation.service);
+  if (auto refused = RefuseOvertaken(subject)) {
+    return std::move(*refused);
+  }
+  RecordOrder(subject, operation.change_id);
   if (state_.fleet_.rollouts.erase(operation.service) > 0) {
     CommitRollout(operation.service);
   }
--- a/source/common/control/resource_api.cc
+++ b/source/common/control/resource_api.cc
@@ -177,6 +177,9 @@
   if (call.path == kEvacuationsPath) {
     return ListEvacuations();
   }
+  if (call.path == kOrdersPath) {
+    return GetOrders();
+  }
   if (call.path == kCrashingRequestsPath) {
     return ListCrashingRequests();
   }
@@ -412,6 +415,18 @@
 
 void ResourceApi::Submit(protocol::OperationItemT operation,
                          const ApiCall& call, const ApiCallback& answer) const {
+  const auto based_on = call.parameters.find(kBasedOnParameter);
+  if (based_on != call.parameters.end()) {
+    const auto number = ParseNumber(based_on->second);
+    const OrderNumber latest = ports_.state().orders().latest();
+    if (!number || *number > latest) {
+      answer(FailureResponse({ErrorCode::kInvalidArgument, kBasedOnParameter,
+                              "must be the number of an order, at most " +
+                                  std::to_string(latest)}));
+      return;
+    }
+    operation.based_on = *number;
+  }
   Operations operations;
   operations.push_back(
       std::make_unique<protocol::OperationItemT>(std::move(operation)));
--- a/source/common/control/resource_api.h
+++ b/source/common/control/resource_api.h
@@ -60,6 +60,7 @@
   void SetEvacuation(const ApiCall& call, const std::string& zone,
                      bool evacuated, const ApiCallback& answer) const;
   net::HttpResponse ListEvacuations() const;
+  net::HttpResponse GetOrders() const;
   net::HttpResponse ListCrashingRequests() const;
   void StartRollout(const ApiCall& call, const ApiCallback& answer) const;
   void RemoveRollout(const ApiCall& call, const std::string& service,
--- a/source/common/control/resource_api_orders.cc
+++ b/source/common/control/resource_api_orders.cc
@@ -81,6 +81,13 @@
       kStatusOk, {{"revision", state.revision()}, {"items", std::move(items)}});
 }
 
+// --- Numbers of orders -------------------------------------------------------
+
+net::HttpResponse ResourceApi::GetOrders() const {
+  return JsonResponse(kStatusOk,
+                      {{"latest", ports_.state().orders().latest()}});
+}
+
 // --- Requests that crashed backends ------------------------------------------
 
 net::HttpResponse ResourceApi::ListCrashingRequests() const {
--- a/source/common/protocol/command_generated.h
+++ b/source/common/protocol/command_generated.h
@@ -122,6 +122,14 @@
 struct RolloutRecordBuilder;
 struct RolloutRecordT;
 
+struct AcceptedOrderRecord;
+struct AcceptedOrderRecordBuilder;
+struct AcceptedOrderRecordT;
+
+struct OrderTableRecord;
+struct OrderTableRecordBuilder;
+struct OrderTableRecordT;
+
 struct StateSnapshot;
 struct StateSnapshotBuilder;
 struct StateSnapshotT;
@@ -2221,6 +2229,7 @@
 struct OperationItemT : public flatbuffers::NativeTable {
   typedef OperationItem TableType;
   juniperway::protocol::OperationUnion operation{};
+  flatbuffers::Optional<uint64_t> based_on = flatbuffers::nullopt;
 };
 
 struct OperationItem FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -2229,7 +2238,8 @@
   struct Traits;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
     VT_OPERATION_TYPE = 4,
-    VT_OPERATION = 6
+    VT_OPERATION = 6,
+    VT_BASED_ON = 8
   };
   juniperway::protocol::Operation operation_type() const {
     return static_cast<juniperway::protocol::Operation>(GetField<uint8_t>(VT_OPERATION_TYPE, 0));
@@ -2289,11 +2299,15 @@
   const juniperway::protocol::RemoveRollout *operation_as_RemoveRollout() const {
     return operation_type() == juniperway::protocol::Operation::RemoveRollout ? static_cast<const juniperway::protocol::RemoveRollout *>(operation()) : nullptr;
   }
+  flatbuffers::Optional<uint64_t> based_on() const {
+    return GetOptional<uint64_t, uint64_t>(VT_BASED_ON);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint8_t>(verifier, VT_OPERATION_TYPE, 1) &&
            VerifyOffsetRequired(verifier, VT_OPERATION) &&
            VerifyOperation(verifier, operation(), operation_type()) &&
+           VerifyField<uint64_t>(verifier, VT_BASED_ON, 8) &&
            verifier.EndTable();
   }
   OperationItemT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -2379,6 +2393,9 @@
   void add_operation(flatbuffers::Offset<void> operation) {
     fbb_.AddOffset(OperationItem::VT_OPERATION, operation);
   }
+  void add_based_on(uint64_t based_on) {
+    fbb_.AddElement<uint64_t>(OperationItem::VT_BASED_ON, based_on);
+  }
   explicit OperationItemBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -2394,8 +2411,10 @@
 inline flatbuffers::Offset<OperationItem> CreateOperationItem(
     flatbuffers::FlatBufferBuilder &_fbb,
     juniperway::protocol::Operation operation_type = juniperway::protocol::Operation::NONE,
-    flatbuffers::Offset<void> operation = 0) {
+    flatbuffers::Offset<void> operation = 0,
+    flatbuffers::Optional<uint64_t> based_on = flatbuffers::nullopt) {
   OperationItemBuilder builder_(_fbb);
+  if(based_on) { builder_.add_based_on(*based_on); }
   builder_.add_operation(operation);
   builder_.add_operation_type(operation_type);
   return builder_.Finish();
@@ -3468,6 +3487,201 @@
 
 flatbuffers::Offset<RolloutRecord> CreateRolloutRecord(flatbuffers::FlatBufferBuilder &_fbb, const RolloutRecordT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
 
+struct AcceptedOrderRecordT : public flatbuffers::NativeTable {
+  typedef AcceptedOrderRecord TableType;
+  std::string subject{};
+  uint64_t number = 0;
+  std::string change_id{};
+};
+
+struct AcceptedOrderRecord FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef AcceptedOrderRecordT NativeTableType;
+  typedef AcceptedOrderRecordBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_SUBJECT = 4,
+    VT_NUMBER = 6,
+    VT_CHANGE_ID = 8
+  };
+  const flatbuffers::String *subject() const {
+    return GetPointer<const flatbuffers::String *>(VT_SUBJECT);
+  }
+  uint64_t number() const {
+    return GetField<uint64_t>(VT_NUMBER, 0);
+  }
+  const flatbuffers::String *change_id() const {
+    return GetPointer<const flatbuffers::String *>(VT_CHANGE_ID);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_SUBJECT) &&
+           verifier.VerifyString(subject()) &&
+           VerifyField<uint64_t>(verifier, VT_NUMBER, 8) &&
+           VerifyOffset(verifier, VT_CHANGE_ID) &&
+           verifier.VerifyString(change_id()) &&
+           verifier.EndTable();
+  }
+  AcceptedOrderRecordT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(AcceptedOrderRecordT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<AcceptedOrderRecord> Pack(flatbuffers::FlatBufferBuilder &_fbb, const AcceptedOrderRecordT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct AcceptedOrderRecordBuilder {
+  typedef AcceptedOrderRecord Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_subject(flatbuffers::Offset<flatbuffers::String> subject) {
+    fbb_.AddOffset(AcceptedOrderRecord::VT_SUBJECT, subject);
+  }
+  void add_number(uint64_t number) {
+    fbb_.AddElement<uint64_t>(AcceptedOrderRecord::VT_NUMBER, number, 0);
+  }
+  void add_change_id(flatbuffers::Offset<flatbuffers::String> change_id) {
+    fbb_.AddOffset(AcceptedOrderRecord::VT_CHANGE_ID, change_id);
+  }
+  explicit AcceptedOrderRecordBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<AcceptedOrderRecord> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<AcceptedOrderRecord>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<AcceptedOrderRecord> CreateAcceptedOrderRecord(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::String> subject = 0,
+    uint64_t number = 0,
+    flatbuffers::Offset<flatbuffers::String> change_id = 0) {
+  AcceptedOrderRecordBuilder builder_(_fbb);
+  builder_.add_number(number);
+  builder_.add_change_id(change_id);
+  builder_.add_subject(subject);
+  return builder_.Finish();
+}
+
+struct AcceptedOrderRecord::Traits {
+  using type = AcceptedOrderRecord;
+  static auto constexpr Create = CreateAcceptedOrderRecord;
+};
+
+inline flatbuffers::Offset<AcceptedOrderRecord> CreateAcceptedOrderRecordDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const char *subject = nullptr,
+    uint64_t number = 0,
+    const char *change_id = nullptr) {
+  auto subject__ = subject ? _fbb.CreateString(subject) : 0;
+  auto change_id__ = change_id ? _fbb.CreateString(change_id) : 0;
+  return juniperway::protocol::CreateAcceptedOrderRecord(
+      _fbb,
+      subject__,
+      number,
+      change_id__);
+}
+
+flatbuffers::Offset<AcceptedOrderRecord> CreateAcceptedOrderRecord(flatbuffers::FlatBufferBuilder &_fbb, const AcceptedOrderRecordT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
+struct OrderTableRecordT : public flatbuffers::NativeTable {
+  typedef OrderTableRecord TableType;
+  uint64_t latest = 0;
+  uint64_t dropped = 0;
+  std::vector<std::unique_ptr<juniperway::protocol::AcceptedOrderRecordT>> orders{};
+  OrderTableRecordT() = default;
+  OrderTableRecordT(const OrderTableRecordT &o);
+  OrderTableRecordT(OrderTableRecordT&&) FLATBUFFERS_NOEXCEPT = default;
+  OrderTableRecordT &operator=(OrderTableRecordT o) FLATBUFFERS_NOEXCEPT;
+};
+
+struct OrderTableRecord FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef OrderTableRecordT NativeTableType;
+  typedef OrderTableRecordBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_LATEST = 4,
+    VT_DROPPED = 6,
+    VT_ORDERS = 8
+  };
+  uint64_t latest() const {
+    return GetField<uint64_t>(VT_LATEST, 0);
+  }
+  uint64_t dropped() const {
+    return GetField<uint64_t>(VT_DROPPED, 0);
+  }
+  const flatbuffers::Vector<flatbuffers::Offset<juniperway::protocol::AcceptedOrderRecord>> *orders() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<juniperway::protocol::AcceptedOrderRecord>> *>(VT_ORDERS);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<uint64_t>(verifier, VT_LATEST, 8) &&
+           VerifyField<uint64_t>(verifier, VT_DROPPED, 8) &&
+           VerifyOffset(verifier, VT_ORDERS) &&
+           verifier.VerifyVector(orders()) &&
+           verifier.VerifyVectorOfTables(orders()) &&
+           verifier.EndTable();
+  }
+  OrderTableRecordT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(OrderTableRecordT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<OrderTableRecord> Pack(flatbuffers::FlatBufferBuilder &_fbb, const OrderTableRecordT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct OrderTableRecordBuilder {
+  typedef OrderTableRecord Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_latest(uint64_t latest) {
+    fbb_.AddElement<uint64_t>(OrderTableRecord::VT_LATEST, latest, 0);
+  }
+  void add_dropped(uint64_t dropped) {
+    fbb_.AddElement<uint64_t>(OrderTableRecord::VT_DROPPED, dropped, 0);
+  }
+  void add_orders(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<juniperway::protocol::AcceptedOrderRecord>>> orders) {
+    fbb_.AddOffset(OrderTableRecord::VT_ORDERS, orders);
+  }
+  explicit OrderTableRecordBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<OrderTableRecord> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<OrderTableRecord>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<OrderTableRecord> CreateOrderTableRecord(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t latest = 0,
+    uint64_t dropped = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<juniperway::protocol::AcceptedOrderRecord>>> orders = 0) {
+  OrderTableRecordBuilder builder_(_fbb);
+  builder_.add_dropped(dropped);
+  builder_.add_latest(latest);
+  builder_.add_orders(orders);
+  return builder_.Finish();
+}
+
+struct OrderTableRecord::Traits {
+  using type = OrderTableRecord;
+  static auto constexpr Create = CreateOrderTableRecord;
+};
+
+inline flatbuffers::Offset<OrderTableRecord> CreateOrderTableRecordDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t latest = 0,
+    uint64_t dropped = 0,
+    const std::vector<flatbuffers::Offset<juniperway::protocol::AcceptedOrderRecord>> *orders = nullptr) {
+  auto orders__ = orders ? _fbb.CreateVector<flatbuffers::Offset<juniperway::protocol::AcceptedOrderRecord>>(*orders) : 0;
+  return juniperway::protocol::CreateOrderTableRecord(
+      _fbb,
+      latest,
+      dropped,
+      orders__);
+}
+
+flatbuffers::Offset<OrderTableRecord> CreateOrderTableRecord(flatbuffers::FlatBufferBuilder &_fbb, const OrderTableRecordT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
 struct StateSnapshotT : public flatbuffers::NativeTable {
   typedef StateSnapshot TableType;
   uint64_t revision = 0;
@@ -3485,6 +3699,7 @@
   std::vector<std::unique_ptr<juniperway::protocol::ZoneEvacuationRecordT>> evacuations{};
   std::vector<std::unique_ptr<juniperway::protocol::CrashRecordT>> crashes{};
   std::vector<std::unique_ptr<juniperway::protocol::RolloutRecordT>> rollouts{};
+  std::unique_ptr<juniperway::protocol::OrderTableRecordT> order_table{};
   StateSnapshotT() = default;
   StateSnapshotT(const StateSnapshotT &o);
   StateSnapshotT(StateSnapshotT&&) FLATBUFFERS_NOEXCEPT = default;
@@ -3510,7 +3725,8 @@
     VT_DISCOVERED = 26,
     VT_EVACUATIONS = 28,
     VT_CRASHES = 30,
-    VT_ROLLOUTS = 32
+    VT_ROLLOUTS = 32,
+    VT_ORDER_TABLE = 34
   };
   uint64_t revision() const {
     return GetField<uint64_t>(VT_REVISION, 0);
@@ -3557,6 +3773,9 @@
   const flatbuffers::Vector<flatbuffers::Offset<juniperway::protocol::RolloutRecord>> *rollouts() const {
     return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<juniperway::protocol::RolloutRecord>> *>(VT_ROLLOUTS);
   }
+  const juniperway::protocol::OrderTableRecord *order_table() const {
+    return GetPointer<const juniperway::protocol::OrderTableRecord *>(VT_ORDER_TABLE);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_REVISION, 8) &&
@@ -3599,6 +3818,8 @@
            VerifyOffset(verifier, VT_ROLLOUTS) &&
            verifier.VerifyVector(rollouts()) &&
            verifier.VerifyVectorOfTables(rollouts()) &&
+           VerifyOffset(verifier, VT_ORDER_TABLE) &&
+           verifier.VerifyTable(order_table()) &&
            verifier.EndTable();
   }
   StateSnapshotT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -3655,6 +3876,9 @@
   void add_rollouts(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<juniperway::protocol::RolloutRecord>>> rollouts) {
     fbb_.AddOffset(StateSnapshot::VT_ROLLOUTS, rollouts);
   }
+  void add_order_table(flatbuffers::Offset<juniperway::protocol::OrderTableRecord> order_table) {
+    fbb_.AddOffset(StateSnapshot::VT_ORDER_TABLE, order_table);
+  }
   explicit StateSnapshotBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -3682,10 +3906,12 @@
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<juniperway::protocol::DiscoveredBackendRecord>>> discovered = 0,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<juniperway::protocol::ZoneEvacuationRecord>>> evacuations = 0,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<juniperway::protocol::CrashRecord>>> crashes = 0,
-    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<juniperway::protocol::RolloutRecord>>> rollouts = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<juniperway::protocol::RolloutRecord>>> rollouts = 0,
+    flatbuffers::Offset<juniperway::protocol::OrderTableRecord> order_table = 0) {
   StateSnapshotBuilder builder_(_fbb);
   builder_.add_wall_time_us(wall_time_us);
   builder_.add_revision(revision);
+  builder_.add_order_table(order_table);
   builder_.add_rollouts(rollouts);
   builder_.add_crashes(crashes);
   builder_.add_evacuations(evacuations);
@@ -3723,7 +3949,8 @@
     const std::vector<flatbuffers::Offset<juniperway::protocol::DiscoveredBackendRecord>> *discovered = nullptr,
     const std::vector<flatbuffers::Offset<juniperway::protocol::ZoneEvacuationRecord>> *evacuations = nullptr,
     const std::vector<flatbuffers::Offset<juniperway::protocol::CrashRecord>> *crashes = nullptr,
-    const std::vector<flatbuffers::Offset<juniperway::protocol::RolloutRecord>> *rollouts = nullptr) {
+    const std::vector<flatbuffers::Offset<juniperway::protocol::RolloutRecord>> *rollouts = nullptr,
+    flatbuffers::Offset<juniperway::protocol::OrderTableRecord> order_table = 0) {
   auto resources__ = resources ? _fbb.CreateVector<flatbuffers::Offset<juniperway::protocol::ResourceRecord>>(*resources) : 0;
   auto members__ = members ? _fbb.CreateVector<flatbuffers::Offset<juniperway::protocol::FleetMember>>(*members) : 0;
   auto reports__ = reports ? _fbb.CreateVector<flatbuffers::Offset<juniperway::protocol::BackendReportRecord>>(*reports) : 0;
@@ -3752,7 +3979,8 @@
       discovered__,
       evacuations__,
       crashes__,
-      rollouts__);
+      rollouts__,
+      order_table);
 }
 
 flatbuffers::Offset<StateSnapshot> CreateStateSnapshot(flatbuffers::FlatBufferBuilder &_fbb, const StateSnapshotT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -4387,6 +4615,7 @@
   (void)_resolver;
   { auto _e = operation_type(); _o->operation.type = _e; }
   { auto _e = operation(); if (_e) _o->operation.value = juniperway::protocol::OperationUnion::UnPack(_e, operation_type(), _resolver); }
+  { auto _e = based_on(); _o->based_on = _e; }
 }
 
 inline flatbuffers::Offset<OperationItem> OperationItem::Pack(flatbuffers::FlatBufferBuilder &_fbb, const OperationItemT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -4399,10 +4628,12 @@
   struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const OperationItemT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
   auto _operation_type = _o->operation.type;
   auto _operation = _o->operation.Pack(_fbb);
+  auto _based_on = _o->based_on;
   return juniperway::protocol::CreateOperationItem(
       _fbb,
       _operation_type,
-      _operation);
+      _operation,
+      _based_on);
 }
 
 inline CommandT::CommandT(const CommandT &o)
@@ -4777,11 +5008,90 @@
       _answers_before_phase);
 }
 
+inline AcceptedOrderRecordT *AcceptedOrderRecord::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<AcceptedOrderRecordT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void AcceptedOrderRecord::UnPackTo(AcceptedOrderRecordT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = subject(); if (_e) _o->subject = _e->str(); }
+  { auto _e = number(); _o->number = _e; }
+  { auto _e = change_id(); if (_e) _o->change_id = _e->str(); }
+}
+
+inline flatbuffers::Offset<AcceptedOrderRecord> AcceptedOrderRecord::Pack(flatbuffers::FlatBufferBuilder &_fbb, const AcceptedOrderRecordT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateAcceptedOrderRecord(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<AcceptedOrderRecord> CreateAcceptedOrderRecord(flatbuffers::FlatBufferBuilder &_fbb, const AcceptedOrderRecordT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const AcceptedOrderRecordT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _subject = _o->subject.empty() ? 0 : _fbb.CreateString(_o->subject);
+  auto _number = _o->number;
+  auto _change_id = _o->change_id.empty() ? 0 : _fbb.CreateString(_o->change_id);
+  return juniperway::protocol::CreateAcceptedOrderRecord(
+      _fbb,
+      _subject,
+      _number,
+      _change_id);
+}
+
+inline OrderTableRecordT::OrderTableRecordT(const OrderTableRecordT &o)
+      : latest(o.latest),
+        dropped(o.dropped) {
+  orders.reserve(o.orders.size());
+  for (const auto &orders_ : o.orders) { orders.emplace_back((orders_) ? new juniperway::protocol::AcceptedOrderRecordT(*orders_) : nullptr); }
+}
+
+inline OrderTableRecordT &OrderTableRecordT::operator=(OrderTableRecordT o) FLATBUFFERS_NOEXCEPT {
+  std::swap(latest, o.latest);
+  std::swap(dropped, o.dropped);
+  std::swap(orders, o.orders);
+  return *this;
+}
+
+inline OrderTableRecordT *OrderTableRecord::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<OrderTableRecordT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void OrderTableRecord::UnPackTo(OrderTableRecordT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = latest(); _o->latest = _e; }
+  { auto _e = dropped(); _o->dropped = _e; }
+  { auto _e = orders(); if (_e) { _o->orders.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->orders[_i] = std::unique_ptr<juniperway::protocol::AcceptedOrderRecordT>(_e->Get(_i)->UnPack(_resolver)); } } }
+}
+
+inline flatbuffers::Offset<OrderTableRecord> OrderTableRecord::Pack(flatbuffers::FlatBufferBuilder &_fbb, const OrderTableRecordT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateOrderTableRecord(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<OrderTableRecord> CreateOrderTableRecord(flatbuffers::FlatBufferBuilder &_fbb, const OrderTableRecordT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const OrderTableRecordT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _latest = _o->latest;
+  auto _dropped = _o->dropped;
+  auto _orders = _o->orders.size() ? _fbb.CreateVector<flatbuffers::Offset<juniperway::protocol::AcceptedOrderRecord>> (_o->orders.size(), [](size_t i, _VectorArgs *__va) { return CreateAcceptedOrderRecord(*__va->__fbb, __va->__o->orders[i].get(), __va->__rehasher); }, &_va ) : 0;
+  return juniperway::protocol::CreateOrderTableRecord(
+      _fbb,
+      _latest,
+      _dropped,
+      _orders);
+}
+
 inline StateSnapshotT::StateSnapshotT(const StateSnapshotT &o)
       : revision(o.revision),
         wall_time_us(o.wall_time_us),
         platform_leaving(o.platform_leaving),
-        route_table((o.route_table) ? new juniperway::protocol::RouteTableRecordT(*o.route_table) : nullptr) {
+        route_table((o.route_table) ? new juniperway::protocol::RouteTableRecordT(*o.route_table) : nullptr),
+        order_table((o.order_table) ? new juniperway::protocol::OrderTableRecordT(*o.order_table) : nullptr) {
   resources.reserve(o.resources.size());
   for (const auto &resources_ : o.resources) { resources.emplace_back((resources_) ? new juniperway::protocol::ResourceRecordT(*resources_) : nullptr); }
   members.reserve(o.members.size());
@@ -4822,6 +5132,7 @@
   std::swap(evacuations, o.evacuations);
   std::swap(crashes, o.crashes);
   std::swap(rollouts, o.rollouts);
+  std::swap(order_table, o.order_table);
   return *this;
 }
 
@@ -4849,6 +5160,7 @@
   { auto _e = evacuations(); if (_e) { _o->evacuations.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->evacuations[_i] = std::unique_ptr<juniperway::protocol::ZoneEvacuationRecordT>(_e->Get(_i)->UnPack(_resolver)); } } }
   { auto _e = crashes(); if (_e) { _o->crashes.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->crashes[_i] = std::unique_ptr<juniperway::protocol::CrashRecordT>(_e->Get(_i)->UnPack(_resolver)); } } }
   { auto _e = rollouts(); if (_e) { _o->rollouts.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->rollouts[_i] = std::unique_ptr<juniperway::protocol::RolloutRecordT>(_e->Get(_i)->UnPack(_resolver)); } } }
+  { auto _e = order_table(); if (_e) _o->order_table = std::unique_ptr<juniperway::protocol::OrderTableRecordT>(_e->UnPack(_resolver)); }
 }
 
 inline flatbuffers::Offset<StateSnapshot> StateSnapshot::Pack(flatbuffers::FlatBufferBuilder &_fbb, const StateSnapshotT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -4874,6 +5186,7 @@
   auto _evacuations = _o->evacuations.size() ? _fbb.CreateVector<flatbuffers::Offset<juniperway::protocol::ZoneEvacuationRecord>> (_o->evacuations.size(), [](size_t i, _VectorArgs *__va) { return CreateZoneEvacuationRecord(*__va->__fbb, __va->__o->evacuations[i].get(), __va->__rehasher); }, &_va ) : 0;
   auto _crashes = _o->crashes.size() ? _fbb.CreateVector<flatbuffers::Offset<juniperway::protocol::CrashRecord>> (_o->crashes.size(), [](size_t i, _VectorArgs *__va) { return CreateCrashRecord(*__va->__fbb, __va->__o->crashes[i].get(), __va->__rehasher); }, &_va ) : 0;
   auto _rollouts = _o->rollouts.size() ? _fbb.CreateVector<flatbuffers::Offset<juniperway::protocol::RolloutRecord>> (_o->rollouts.size(), [](size_t i, _VectorArgs *__va) { return CreateRolloutRecord(*__va->__fbb, __va->__o->rollouts[i].get(), __va->__rehasher); }, &_va ) : 0;
+  auto _order_table = _o->order_table ? CreateOrderTableRecord(_fbb, _o->order_table.get(), _rehasher) : 0;
   return juniperway::protocol::CreateStateSnapshot(
       _fbb,
       _revision,
@@ -4890,7 +5203,8 @@
       _discovered,
       _evacuations,
       _crashes,
-      _rollouts);
+      _rollouts,
+      _order_table);
 }
 
 inline bool VerifyOperation(flatbuffers::Verifier &verifier, const void *obj, Operation type) {
--- a/test/unit/control/evacuation_test.cc
+++ b/test/unit/control/evacuation_test.cc
@@ -10,8 +10,9 @@
 namespace juniperway::control {
 namespace {
 
-protocol::OperationResultT Order(ControlState& state, const std::string& change,
-                                 const std::string& zone, bool evacuated) {
+protocol::OperationResultT ApplyOrder(
+    ControlState& state, const std::string& change, const std::string& zone,
+    bool evacuated, const flatbuffers::Optional<OrderNumber>& based_on = {}) {
   protocol::SetZoneEvacuationT operation;
   operation.change_id = change;
   operation.zone = zone;
@@ -20,11 +21,18 @@
   command.wall_time_us = 5'000'000;
   command.operations.push_back(std::make_unique<protocol::OperationItemT>(
       session::MakeOperation(std::move(operation))));
+  command.operations.front()->based_on = based_on;
   AppliedCommand applied = state.Apply(EncodeCommand(command));
-  CHECK_FALSE(applied.results.front().error);
   return std::move(applied.results.front());
 }
 
+protocol::OperationResultT Order(ControlState& state, const std::string& change,
+                                 const std::string& zone, bool evacuated) {
+  auto result = ApplyOrder(state, change, zone, evacuated);
+  CHECK_FALSE(result.error);
+  return result;
+}
+
 session::FleetViewPointer ViewOf(const ControlState& state,
                                  const session::FleetViewPointer& base) {
   auto view = session::ApplyUpdate(*base, state.UpdateSince(base->revision));
@@ -53,6 +61,26 @@
   CHECK(state.fleet().evacuations.empty());
 }
 
+TEST_CASE("an order that a later one on its zone overtook is refused") {
+  ControlState state;
+  Order(state, "c1", "z", true);
+  Order(state, "c2", "y", true);
+  const OrderNumber based_on = 2;
+  // Changes nothing, and is acknowledged all the same.
+  Order(state, "c3", "z", true);
+  const auto refused = ApplyOrder(state, "c4", "z", false, based_on);
+  REQUIRE(refused.error);
+  CHECK(refused.error->field == "based_on");
+  CHECK(refused.error->message ==
+        "the order on evacuation/z is based on order 2, and order 3 (change "
+        "c3) came later");
+  CHECK(state.fleet().evacuations.contains("z"));
+  CHECK_FALSE(ApplyOrder(state, "c5", "y", false, based_on).error);
+  // The refused order may be sent again, based on the later one.
+  CHECK_FALSE(ApplyOrder(state, "c4", "z", false, 3).error);
+  CHECK(state.fleet().evacuations.empty());
+}
+
 TEST_CASE("daemons get evacuations in full views and in updates") {
   ControlState state;
   Order(state, "c1", "y", true);
