lab: check at the end of a soak that an evacuated zone gets nothing

What callers saw: requests in an evacuated zone. The soak compared orders with what control machines tell of them, not with what back ends get: a router that keeps or rebuilds a view without the evacuation, or a back end under another zone, would not show.

After the faults each zone is evacuated in turn; once it is in force at every daemon, requests to every router must run nothing there. This weighs the hypotheses of views, restored state and zones of back ends (docs/incidents/traffic-to-an-evacuated-zone.md).

--- a/source/lab/soak/evacuator.cc
+++ b/source/lab/soak/evacuator.cc
@@ -1,5 +1,6 @@
 #include "lab/soak/evacuator.h"
 
+#include <algorithm>
 #include <nlohmann/json.hpp>
 #include <thread>
 #include <utility>
@@ -62,23 +63,40 @@
   });
 }
 
-bool SoakEvacuator::Read(std::size_t control) {
-  SoakZonesRead read;
-  read.sent = ReadMonotonicClock();
+json SoakEvacuator::List(std::size_t control) {
   const auto response =
       http_.Get("http://" + shared_.controls.at(control) + "/v1/evacuations",
                 kReadTimeout);
-  read.ended = ReadMonotonicClock();
   if (response.progress != net::HttpProgress::kAnswered ||
       response.status != kOk) {
-    return false;
+    return {};
   }
-  const json list = json::parse(response.body, nullptr,
-                                /*allow_exceptions=*/false);
+  return json::parse(response.body, nullptr, /*allow_exceptions=*/false);
+}
+
+bool SoakEvacuator::AwaitInForce(const std::string& zone, Duration limit) {
+  return WaitFor(limit, [&] {
+    const json list = List(random_() % shared_.controls.size());
+    if (!list.is_object()) {
+      return false;
+    }
+    const json& items = list.at("items");
+    return std::ranges::any_of(items, [&](const json& item) {
+      return item.value("zone", "") == zone && item.value("daemons", 0U) > 0 &&
+             item.value("confirmed", 0U) == item.value("daemons", 0U);
+    });
+  });
+}
+
+bool SoakEvacuator::Read(std::size_t control) {
+  SoakZonesRead read;
+  read.sent = ReadMonotonicClock();
+  const json list = List(control);
+  read.ended = ReadMonotonicClock();
   if (!list.is_object()) {
     return false;
   }
-  for (const json& item : list.value("items", json::array())) {
+  for (const json& item : list.at("items")) {
     read.evacuated.insert(item.value("zone", ""));
   }
   shared_.recorder.Add(std::move(read));
--- a/source/lab/soak/evacuator.h
+++ b/source/lab/soak/evacuator.h
@@ -4,6 +4,7 @@
 #pragma once
 
 #include <cstdint>
+#include <nlohmann/json.hpp>
 #include <random>
 #include <string>
 
@@ -20,10 +21,15 @@
   void Run();
   // Gives an order until it is acknowledged, or `limit` is over.
   bool Order(const std::string& zone, bool evacuated, Duration limit);
+  // Waits until every daemon has the evacuation of the zone in force.
+  bool AwaitInForce(const std::string& zone, Duration limit);
   // One reading at one control machine, kept in the history where it answers.
   bool Read(std::size_t control);
 
  private:
+  // The evacuations, as one control machine tells them; no JSON object where it
+  // does not answer.
+  nlohmann::json List(std::size_t control);
   // Reads and waits, for a random time.
   void Watch();
 
--- a/source/lab/soak/history.cc
+++ b/source/lab/soak/history.cc
@@ -56,6 +56,7 @@
     CheckRegress();
     CheckReads();
     CheckZonesReads();
+    CheckQuietTimes();
     return std::move(broken_);
   }
 
@@ -235,6 +236,18 @@
     }
   }
 
+  void CheckQuietTimes() {
+    for (const SoakQuietTime& quiet : history_.quiet_times) {
+      for (const SoakRun& run : history_.runs) {
+        if (run.zone == quiet.zone && run.began > quiet.began &&
+            run.began < quiet.ended) {
+          Break("back end {} ran {} while zone {} was evacuated", run.backend,
+                run.request_id, run.zone);
+        }
+      }
+    }
+  }
+
   const SoakHistory& history_;
   std::map<std::string, int> runs_;
   std::vector<std::string> broken_;
--- a/source/lab/soak/history.h
+++ b/source/lab/soak/history.h
@@ -50,6 +50,8 @@
   std::string request_id;
   std::string backend;
   std::string service;
+  std::string zone{};
+  MonotonicTime began{};
 };
 
 // A route table that an operator sent, and when it was acknowledged.
@@ -84,6 +86,13 @@
   std::set<std::string> evacuated;
 };
 
+// A time in which every router had the evacuation of a zone in force.
+struct SoakQuietTime {
+  std::string zone;
+  MonotonicTime began;
+  MonotonicTime ended;
+};
+
 struct SoakHistory {
   std::vector<SoakExchange> exchanges;
   std::vector<SoakRun> runs;
@@ -92,6 +101,7 @@
   // In the order in which they were sent.
   std::vector<SoakZoneOrder> zone_orders;
   std::vector<SoakZonesRead> zones_reads;
+  std::vector<SoakQuietTime> quiet_times;
 };
 
 // @return a line for each promise that was broken, with the request or version
--- a/source/lab/soak/recorder.h
+++ b/source/lab/soak/recorder.h
@@ -26,6 +26,10 @@
     const std::lock_guard lock(mutex_);
     history_.zones_reads.push_back(std::move(read));
   }
+  void Add(SoakQuietTime quiet) {
+    const std::lock_guard lock(mutex_);
+    history_.quiet_times.push_back(std::move(quiet));
+  }
   // Before it is sent. @return its place, for AcknowledgeZoneOrder.
   std::size_t Add(SoakZoneOrder order) {
     const std::lock_guard lock(mutex_);
--- a/source/lab/soak/run.cc
+++ b/source/lab/soak/run.cc
@@ -53,6 +53,7 @@
 // Callers of before and after the faults; request ids hold the number.
 constexpr int kFirstCaller = 1001;
 constexpr int kLastCaller = 1002;
+constexpr int kEvacuationCaller = 1003;
 
 // Without a fault everything comes back: every zone, the newest table at each
 // router and each control machine.
@@ -93,6 +94,35 @@
   }
 }
 
+// An evacuated zone gets no requests from any router.
+// @param number of the caller that asks.
+void CheckEvacuation(SoakShared& shared, int number,
+                     std::vector<std::string>& broken) {
+  constexpr int kRequests = 5;
+  SoakCaller caller(shared, number, /*seed=*/0);
+  SoakEvacuator evacuator(shared, /*seed=*/0);
+  for (const std::string& zone : shared.zones) {
+    if (!evacuator.Order(zone, /*evacuated=*/true, kHealLimit) ||
+        !evacuator.AwaitInForce(zone, kHealLimit)) {
+      broken.push_back("zone " + zone + " is not evacuated without a fault");
+      continue;
+    }
+    SoakQuietTime quiet{
+        .zone = zone, .began = ReadMonotonicClock(), .ended = {}};
+    for (std::size_t router = 0; router < shared.routers.size(); ++router) {
+      for (int i = 0; i < kRequests; ++i) {
+        caller.Ask(router, SoakRequestKind::kRepeatable, 0);
+        caller.Ask(router, SoakRequestKind::kScatter, 0);
+      }
+    }
+    quiet.ended = ReadMonotonicClock();
+    shared.recorder.Add(std::move(quiet));
+    if (!evacuator.Order(zone, /*evacuated=*/false, kHealLimit)) {
+      broken.push_back("zone " + zone + " is not returned without a fault");
+    }
+  }
+}
+
 bool IsServed(const SoakExchange& exchange) {
   return exchange.status == kOk || (exchange.status == kNotFound &&
                                     exchange.kind == SoakRequestKind::kVersion);
@@ -134,6 +164,7 @@
     load.Stop();
   }
   CheckRecovery(shared, kLastCaller, report.broken);
+  CheckEvacuation(shared, kEvacuationCaller, report.broken);
 
   const SoakHistory history = shared.recorder.Take();
   std::ranges::move(CheckSoak(history), std::back_inserter(report.broken));
--- a/source/lab/soak/stand_ins.cc
+++ b/source/lab/soak/stand_ins.cc
@@ -70,7 +70,11 @@
     return;
   }
   const std::string request_id = request.Header("x-request-id").value_or("");
-  recorder_.Add(SoakRun{request_id, id_, service_});
+  recorder_.Add(SoakRun{.request_id = request_id,
+                        .backend = id_,
+                        .service = service_,
+                        .zone = zone_,
+                        .began = ReadMonotonicClock()});
   if (answering != SoakAnswering::kSilent) {
     const bool slow = answering == SoakAnswering::kSlowly;
     AnswerAfter(slow ? kSlowAnswer : kUsualAnswer, request_id, responder);
--- a/test/unit/lab/soak/history_test.cc
+++ b/test/unit/lab/soak/history_test.cc
@@ -88,6 +88,11 @@
     history.zone_orders = {{"z0", true, At(1), At(2)}};
     history.zones_reads = {{At(3), At(4), {}}};
   }
+  SUBCASE("run in a zone that every router has evacuated") {
+    history.runs.front().zone = "z0";
+    history.runs.front().began = At(11);
+    history.quiet_times = {{"z0", At(10), At(12)}};
+  }
   SUBCASE("a zone evacuated after its return was acknowledged") {
     history.zone_orders = {{"z0", false, At(1), At(2)}};
     history.zones_reads = {{At(3), At(4), {"z0"}}};
