net: bound the header fields and the bodies of answers without end

What callers saw: nothing yet. A server in trouble may send bytes without end that are no answer, in a head or a body. libcurl bounds the head, but not trailers: an exchange with endless trailers ran until its deadline and kept every field.

A new test of HttpClient sends ten kinds of endless bytes: before status line, in it, in a header line, header lines, interim answers, body, chunks, a chunk's length, trailers, the body of a failure. Now header fields and trailers are bounded to 256 KiB an exchange, and the bodies of all answers that a router holds to 32 MiB together; what passes a bound ends as broken and its connection is closed. The second test fails without the bound of the client, by construction: its parameter is new.

--- a/source/common/forwarding/router_server.cc
+++ b/source/common/forwarding/router_server.cc
@@ -59,6 +59,9 @@
 // The HTTP server does not read larger bodies; the route table's limit is
 // lower.
 constexpr std::size_t kMaximumBodyBytes = 8U << 20;
+// Bodies of backends' answers that are under way. Backends that send without
+// end must not take the router's memory.
+constexpr std::size_t kMaximumBufferedAnswerBytes = 32U << 20;
 
 net::HttpResponse Status(int status) {
   net::HttpResponse response;
@@ -84,7 +87,8 @@
                         }),
         observation_reporter_(context, pool_.observation_log()),
         client_(context, /*maximum_connections_per_host=*/0,
-                BackendPool::kIdleConnectionTimeout),
+                BackendPool::kIdleConnectionTimeout,
+                kMaximumBufferedAnswerBytes),
         admission_(context,
                    [this] {
                      if (request_heartbeat_) {
--- a/source/common/net/http_client.cc
+++ b/source/common/net/http_client.cc
@@ -63,10 +63,11 @@
   };
 
   Implementation(asio::io_context& io_context, std::size_t per_host,
-                 seconds longest_idle)
+                 seconds longest_idle, std::size_t maximum_body_bytes)
       : context(io_context),
         maximum_connections_per_host(per_host),
         kept_idle(longest_idle),
+        budget{.used = 0, .maximum = maximum_body_bytes},
         timer(io_context) {
     InitializeCurl();
     multi = curl_multi_init();
@@ -298,6 +299,7 @@
   // Takes a transfer off libcurl; its place goes to a waiting one.
   void End(Transfer* transfer) {
     CURL* easy = std::exchange(transfer->easy, nullptr);
+    budget.used -= transfer->response.body.size();
     curl_multi_remove_handle(multi, easy);
     KeepEasyHandle(easy, transfer->IsPlainGet());
     if (maximum_connections_per_host > 0) {
@@ -399,6 +401,7 @@
     transfer->deadline = std::chrono::steady_clock::now() + request.timeout;
     transfer->request = std::move(request);
     transfer->callback = std::move(callback);
+    transfer->budget = &budget;
     transfers.emplace(transfer->handle, std::move(owned));
     if (EnterHost(transfer)) {
       Begin(transfer);
@@ -430,6 +433,7 @@
   asio::io_context& context;
   const std::size_t maximum_connections_per_host;
   const seconds kept_idle;
+  BodyBudget budget;
   asio::steady_timer timer;
   CURLM* multi = nullptr;
   bool stopped = false;
@@ -444,9 +448,10 @@
 
 HttpClient::HttpClient(asio::io_context& context,
                        std::size_t maximum_connections_per_host,
-                       seconds kept_idle)
+                       seconds kept_idle, std::size_t maximum_body_bytes)
     : implementation_(std::make_shared<Implementation>(
-          context, maximum_connections_per_host, kept_idle)) {}
+          context, maximum_connections_per_host, kept_idle,
+          maximum_body_bytes)) {}
 
 HttpClient::~HttpClient() { implementation_->Shutdown(); }
 
--- a/source/common/net/http_client.h
+++ b/source/common/net/http_client.h
@@ -8,6 +8,7 @@
 #include <asio/io_context.hpp>
 #include <cstdint>
 #include <functional>
+#include <limits>
 #include <map>
 #include <memory>
 #include <optional>
@@ -74,14 +75,20 @@
 
   // Leaves the idle time of connections to libcurl: 118 s.
   static constexpr seconds kDefaultIdleTime{0};
+  static constexpr std::size_t kUnboundedBodies =
+      std::numeric_limits<std::size_t>::max() / 2;
 
   // @param maximum_connections_per_host bounds open connections to one ip:port
   //   (0: no bound). Idle ones are kept for reuse and count.
   // @param kept_idle a connection that was idle for longer is not used again
   //   and is closed when later exchanges start.
+  // @param maximum_body_bytes bounds the bodies that all exchanges under way
+  //   hold together; an exchange that passes it ends as broken
+  //   (HttpProgress::kSent).
   HttpClient(asio::io_context& context,
              std::size_t maximum_connections_per_host,
-             seconds kept_idle = kDefaultIdleTime);
+             seconds kept_idle = kDefaultIdleTime,
+             std::size_t maximum_body_bytes = kUnboundedBodies);
   ~HttpClient();
   HttpClient(const HttpClient&) = delete;
   HttpClient& operator=(const HttpClient&) = delete;
--- a/source/common/net/http_transfer.cc
+++ b/source/common/net/http_transfer.cc
@@ -12,6 +12,8 @@
 
 // Small: a process may have thousands of exchanges under way.
 constexpr long kReceiveBufferBytes = 4096;
+// libcurl bounds header fields by itself, but not trailers.
+constexpr std::size_t kMaximumHeaderBytes = 256U << 10;
 
 void Append(HeaderList* list, const std::string& line) {
   list->reset(curl_slist_append(list->release(), line.c_str()));
@@ -29,11 +31,15 @@
                    void* user_data) {
   auto* transfer = static_cast<Transfer*>(user_data);
   std::string& body = transfer->response.body;
-  if (body.size() + size * count > transfer->request.maximum_response_bytes) {
+  BodyBudget& budget = *transfer->budget;
+  const std::size_t bytes = size * count;
+  if (body.size() + bytes > transfer->request.maximum_response_bytes ||
+      budget.used + bytes > budget.maximum) {
     return 0;
   }
-  body.append(data, size * count);
-  return size * count;
+  budget.used += bytes;
+  body.append(data, bytes);
+  return bytes;
 }
 
 bool BelongsToAnother(const HttpClientRequest& request, std::string_view name,
@@ -60,6 +66,10 @@
                      void* user_data) {
   auto* transfer = static_cast<Transfer*>(user_data);
   const std::string_view line(data, size * count);
+  transfer->header_bytes += line.size();
+  if (transfer->header_bytes > kMaximumHeaderBytes) {
+    return 0;
+  }
   const std::size_t colon = line.find(':');
   if (line.starts_with("HTTP/")) {
     // Headers of an interim answer (1xx) do not belong to the final one.
--- a/source/common/net/http_transfer.h
+++ b/source/common/net/http_transfer.h
@@ -6,6 +6,7 @@
 
 #include <asio/steady_timer.hpp>
 #include <chrono>
+#include <cstddef>
 #include <memory>
 #include <optional>
 #include <string>
@@ -19,6 +20,12 @@
 };
 using HeaderList = std::unique_ptr<curl_slist, SlistDeleter>;
 
+// The bytes of bodies that the exchanges of one client hold.
+struct BodyBudget {
+  std::size_t used = 0;
+  std::size_t maximum = 0;
+};
+
 // One exchange, from Start to its callback.
 struct Transfer {
   // Null while it waits for a connection.
@@ -28,6 +35,10 @@
   HttpClient::Callback callback;
   HeaderList headers;
   HttpClientResponse response;
+  // Of the client, which outlives the exchange.
+  BodyBudget* budget = nullptr;
+  // Bytes of status lines, header fields and trailers.
+  std::size_t header_bytes = 0;
   std::chrono::steady_clock::time_point deadline;
   std::string host;
   // Runs while it waits for a connection.
--- a/test/unit/net/http_test.cc
+++ b/test/unit/net/http_test.cc
@@ -538,6 +538,143 @@
   CHECK(Exchange(context, client, request).status == 200);
 }
 
+// Sends `first`, then `repeated` without end, until the connection is closed.
+class EndlessAnswer : public std::enable_shared_from_this<EndlessAnswer> {
+ public:
+  EndlessAnswer(std::shared_ptr<tcp::socket> socket, std::string first,
+                std::string repeated)
+      : socket_(std::move(socket)),
+        first_(std::move(first)),
+        repeated_(std::move(repeated)) {}
+
+  void Start() { Send(first_); }
+  std::size_t sent_bytes() const { return sent_bytes_; }
+  bool closed() const { return closed_; }
+
+ private:
+  void Send(const std::string& bytes) {
+    asio::async_write(
+        *socket_, asio::buffer(bytes),
+        [self = shared_from_this()](std::error_code error, std::size_t count) {
+          self->sent_bytes_ += count;
+          if (error) {
+            self->closed_ = true;
+          } else {
+            self->Send(self->repeated_);
+          }
+        });
+  }
+
+  std::shared_ptr<tcp::socket> socket_;
+  std::string first_;
+  std::string repeated_;
+  std::size_t sent_bytes_ = 0;
+  bool closed_ = false;
+};
+
+TEST_CASE("bytes without end that are no answer end the exchange as sent") {
+  constexpr std::size_t kLimit = 1U << 20;
+  // What socket buffers hold beside the bytes that the client has read.
+  constexpr std::size_t kBuffered = 16U << 20;
+  std::string first;
+  std::string repeated;
+  SUBCASE("before the status line") { first = repeated = "garbage "; }
+  SUBCASE("in the status line") {
+    first = "HTTP/1.1 200 ";
+    repeated = "OK";
+  }
+  SUBCASE("in a header line") {
+    first = "HTTP/1.1 200 OK\r\nX-A: ";
+    repeated = "a";
+  }
+  SUBCASE("header lines") {
+    first = "HTTP/1.1 200 OK\r\n";
+    repeated = "X-A: a\r\n";
+  }
+  SUBCASE("interim answers") {
+    first = repeated = "HTTP/1.1 103 Early Hints\r\n\r\n";
+  }
+  SUBCASE("a body") {
+    first = "HTTP/1.1 200 OK\r\n\r\n";
+    repeated = "body";
+  }
+  SUBCASE("chunks") {
+    first = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+    repeated = "4\r\nbody\r\n";
+  }
+  SUBCASE("the length of a chunk") {
+    first = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+    repeated = "0";
+  }
+  SUBCASE("trailers") {
+    first = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n";
+    repeated = "X-A: a\r\n";
+  }
+  SUBCASE("a body of a failure") {
+    first = "HTTP/1.1 500 Internal Server Error\r\n\r\n";
+    repeated = "body";
+  }
+  for (int i = 0; i < 10; ++i) {
+    repeated += repeated;  // Fewer writes.
+  }
+  asio::io_context context{1};
+  RawServer server(context);
+  std::shared_ptr<EndlessAnswer> answer;
+  server.on_request = [&](const std::shared_ptr<tcp::socket>& socket) {
+    answer = std::make_shared<EndlessAnswer>(socket, first, repeated);
+    answer->Start();
+  };
+  HttpClient client(context, 0);
+  HttpClientRequest request;
+  request.url = UrlOf(server.acceptor.local_endpoint(), "/");
+  request.timeout = 2 * test::kConditionLimit;
+  request.maximum_response_bytes = kLimit;
+  const HttpClientResponse response = Exchange(context, client, request);
+  CHECK(response.progress == HttpProgress::kSent);
+  CHECK_FALSE(response.timed_out);
+  CHECK(test::RunUntil(context, [&] { return answer->closed(); }));
+  CHECK(answer->sent_bytes() < kLimit + kBuffered);
+}
+
+TEST_CASE("bodies without end stay within the bound of their client") {
+  constexpr std::size_t kExchanges = 4;
+  constexpr std::size_t kLimit = 1U << 20;
+  asio::io_context context{1};
+  RawServer server(context);
+  const std::string repeated(kLimit / 16, 'x');
+  std::vector<std::shared_ptr<EndlessAnswer>> answers;
+  server.on_request = [&](const std::shared_ptr<tcp::socket>& socket) {
+    answers.push_back(std::make_shared<EndlessAnswer>(
+        socket, "HTTP/1.1 200 OK\r\n\r\n", repeated));
+    answers.back()->Start();
+  };
+  HttpClient client(context, 0, HttpClient::kDefaultIdleTime, kLimit);
+  HttpClientRequest request;
+  request.url = UrlOf(server.acceptor.local_endpoint(), "/");
+  request.timeout = 2 * test::kConditionLimit;
+  std::size_t broken = 0;
+  for (std::size_t i = 0; i < kExchanges; ++i) {
+    client.Start(request, [&](const HttpClientResponse& response) {
+      CHECK(response.progress == HttpProgress::kSent);
+      CHECK_FALSE(response.timed_out);
+      CHECK(response.body.size() <= kLimit);
+      ++broken;
+    });
+  }
+  CHECK(test::RunUntil(context, [&] { return broken == kExchanges; }));
+
+  // What the broken exchanges held is free again.
+  constexpr std::size_t kWhole = kLimit - 1;
+  const std::string whole =
+      "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(kWhole) +
+      "\r\n\r\n" + std::string(kWhole, 'x');
+  server.on_request = [&](const std::shared_ptr<tcp::socket>& socket) {
+    asio::async_write(*socket, asio::buffer(whole),
+                      [socket](std::error_code, std::size_t) {});
+  };
+  CHECK(Exchange(context, client, request).body.size() == kWhole);
+}
+
 TEST_CASE("a server that is to go ends connections with their answers") {
   asio::io_context context;
   std::size_t unwritten = 0;
