--- a/source/lab/soak/fleet.cc
+++ b/source/lab/soak/fleet.cc
@@ -114,10 +114,11 @@
           "data_folder = \"{}\"\n[control]\nhttp_listen = \"{}\"\n"
           "peer_listen = \"{}:{}\"\npeer_advertise = \"{}:{}\"\n"
           "bootstrap = {}\nopen_api = true\nelection_timeout_ms = 500\n"
+          "tolerated_losses = {}\n"
           "discovery_url = \"{}\"\ndiscovery_interval_ms = 200\n",
           DataFolder(number).string(), ControlAddress(number),
           HiddenControlIp(number), peer_port_, address, peer_port_, bootstrap,
-          options_.list_url);
+          (options_.controls - 1) / 2, options_.list_url);
   controls_.at(number) =
       StartProcess(fmt::format("control-{}", number), settings);
 }
