--- a/source/common/control/api_server.cc
+++ b/source/common/control/api_server.cc
@@ -85,7 +85,10 @@
                 Handle(request, responder);
               }) {}
 
-void ApiServer::Close() { server_.Close(); }
+void ApiServer::Close() {
+  orders_.Stop();
+  server_.Close();
+}
 
 void ApiServer::Handle(const net::HttpRequest& request,
                        const std::shared_ptr<net::HttpResponder>& responder) {
--- a/source/common/control/order_sender.cc
+++ b/source/common/control/order_sender.cc
@@ -1,6 +1,5 @@
 #include "common/control/order_sender.h"
 
-#include <algorithm>
 #include <nlohmann/json.hpp>
 #include <optional>
 #include <string>
@@ -77,7 +76,7 @@
                          Ports ports)
     : context_(context), timing_(timing), ports_(std::move(ports)) {}
 
-OrderSender::~OrderSender() { *alive_ = false; }
+OrderSender::~OrderSender() { Stop(); }
 
 void OrderSender::Send(ApiCall call, MonotonicTime received,
                        std::shared_ptr<net::HttpResponder> responder) {
--- a/source/common/control/order_sender.h
+++ b/source/common/control/order_sender.h
@@ -70,6 +70,9 @@
   void Send(ApiCall call, MonotonicTime received,
             std::shared_ptr<net::HttpResponder> responder);
 
+  // Forgets every order; their callers get no response from here.
+  void Stop() { *alive_ = false; }
+
   // Whether every order that has its number was passed on or dropped.
   bool idle() const { return starting_ == 0; }
 
