--- a/source/lab/soak/evacuator.h
+++ b/source/lab/soak/evacuator.h
@@ -17,7 +17,8 @@
  public:
   SoakEvacuator(SoakShared& shared, std::uint64_t seed);
 
-  // Until `stop`; then every zone is in use again, or `limit` is over.
+  // Until `stop`: evacuates zones and returns them. The last order may not have
+  // been acknowledged.
   void Run();
   // Gives an order until it is acknowledged, or `limit` is over.
   bool Order(const std::string& zone, bool evacuated, Duration limit);
