control: number creations of resources and changes of the group's members

What callers would see: a resource that was removed is there again, or a control node that was added again is removed. Cause, as for evacuations: the order has no version of its own (a resource that must not exist yet has version 0, before its creation and after its removal), so that a copy that a control node holds is carried out after its caller has gone on and ordered the opposite. Until now suspected by reading; on the code before

- unit.control/overtaken_order: the late creation is accepted,
- integration.control/members: the late removal gets 202 (409 now),
- integration.control/overtaken_orders: all three orders whose caller has left are passed to the next leader.

Removals of resources are one subject of the order table, so that the state does not grow with them: a creation is refused if any resource was removed since its number was read, and is then numbered anew while its caller waits. Changes of members are no operations of the replicated state; they are based on the commit index at which the leader read the members, and refused if the configuration in force is from a higher position. Committed entries are never taken back, so that this holds across leaders.

Changes of resources take one more round trip to the leader, and 503 after one second without a leader in place of 5 s, as evacuations do.

The tests of forwarded calls now send a route table in place of a resource, since they answer call by call, and a resource takes two calls. What they check is unchanged.

--- a/source/common/control/api_call.h
+++ b/source/common/control/api_call.h
@@ -11,9 +11,13 @@
 
 namespace juniperway::control {
 
-// The call that reads the number of the newest order, and the parameter with
+// The call that reads the numbers of the newest orders, and the parameter with
 // which an order names the number that it is based on.
 inline constexpr const char* kOrdersPath = "/v1/orders";
+// Fields of the answer: the number of the newest order, and the log position
+// that stands for the newest order on members of the control group.
+inline constexpr const char* kLatestOrderField = "latest";
+inline constexpr const char* kLatestMembersField = "members";
 inline constexpr const char* kBasedOnParameter = "based_on";
 
 // One call: a value that its receiver owns.
--- a/source/common/control/operation_applier.cc
+++ b/source/common/control/operation_applier.cc
@@ -42,6 +42,9 @@
   return resource.id.name;
 }
 
+// A resource that was removed has the version of one that never existed.
+bool CreatesResource(const Resource& resource) { return resource.version == 0; }
+
 bool SameReport(const session::BackendReport& left,
                 const session::BackendReport& right) {
   return left.draining == right.draining &&
@@ -116,6 +119,11 @@
     ids.push_back(resource->id);
     set.push_back(std::move(*resource));
   }
+  if (std::ranges::any_of(set, CreatesResource)) {
+    if (auto refused = RefuseOvertaken(kResourceRemovalSubject)) {
+      return std::move(*refused);
+    }
+  }
   Outcome outcome;
   if (auto checked = CheckApply(state_.fleet_, set); checked) {
     outcome = WriteSet(std::move(set));
@@ -137,6 +145,7 @@
   if (auto checked = CheckDelete(state_.fleet_, id, operation.version);
       checked) {
     outcome = Erase(id, operation.version);
+    RecordOrder(kResourceRemovalSubject, operation.change_id);
   } else {
     outcome = Refuse(checked.error());
     AttachCurrent({id}, outcome);
--- a/source/common/control/order_sender.cc
+++ b/source/common/control/order_sender.cc
@@ -22,13 +22,20 @@
 constexpr Duration kCallerCheckDelay = milliseconds(5);
 constexpr const char* kRetryAfterSeconds = "0.2";
 
-// Returns the number in the leader's answer, or nullopt when it has none.
-std::optional<OrderNumber> ParseLatest(const std::string& body) {
+bool IsMemberCall(const ApiCall& call) {
+  return call.path == "/v1/members" || call.path.starts_with("/v1/members/");
+}
+
+// Returns the number for `call` in the leader's answer, or nullopt when it has
+// none.
+std::optional<OrderNumber> ParseLatest(const std::string& body,
+                                       const ApiCall& call) {
   const json parsed = json::parse(body, nullptr, /*allow_exceptions=*/false);
   if (!parsed.is_object()) {
     return std::nullopt;
   }
-  const auto latest = parsed.find("latest");
+  const auto latest =
+      parsed.find(IsMemberCall(call) ? kLatestMembersField : kLatestOrderField);
   return latest != parsed.end() && latest->is_number_unsigned()
              ? std::optional(latest->get<OrderNumber>())
              : std::nullopt;
@@ -67,7 +74,8 @@
   const bool is_order = call.path.starts_with("/v1/evacuations/") ||
                         call.path.starts_with("/v1/crashing-requests/") ||
                         call.path == "/v1/rollouts" ||
-                        call.path.starts_with("/v1/rollouts/");
+                        call.path.starts_with("/v1/rollouts/") ||
+                        call.path == "/v1/apply" || IsMemberCall(call);
   return is_order && call.method != "GET" &&
          !call.parameters.contains(kBasedOnParameter);
 }
@@ -107,7 +115,7 @@
 
 void OrderSender::OnNumber(const OrderPointer& order,
                            const net::HttpResponse& response) {
-  const auto latest = ParseLatest(response.body);
+  const auto latest = ParseLatest(response.body, order->call);
   if (response.status == kStatusOk && latest) {
     order->call.parameters[kBasedOnParameter] = std::to_string(*latest);
   } else if (response.status != kStatusNotFound) {
--- a/source/common/control/order_sender.h
+++ b/source/common/control/order_sender.h
@@ -1,6 +1,6 @@
 // Sends operators' orders that have no version of their own (evacuations,
-// rollouts, releases of requests) to the leader, so that an order never undoes
-// a later one.
+// rollouts, releases of requests, creations of resources, members of the
+// control group) to the leader, so that an order never undoes a later one.
 //
 // Callers that get no response go on to another control node, and may order
 // something else there. This node can still hold the order then: it was
--- a/source/common/control/order_subject.h
+++ b/source/common/control/order_subject.h
@@ -12,6 +12,10 @@
   return "evacuation/" + zone;
 }
 
+// All removals of resources: a creation is refused if it was started before the
+// latest of them.
+inline constexpr const char* kResourceRemovalSubject = "resource-removal";
+
 inline std::string RolloutSubject(const std::string& service) {
   return "rollout/" + service;
 }
--- a/source/common/control/resource_api.cc
+++ b/source/common/control/resource_api.cc
@@ -43,6 +43,22 @@
   return is_number ? std::optional(number) : std::nullopt;
 }
 
+// Returns the number that an order is based on; nullopt if it names none.
+Result<std::optional<OrderNumber>> ParseBasedOn(const ApiCall& call,
+                                                OrderNumber latest) {
+  const auto parameter = call.parameters.find(kBasedOnParameter);
+  if (parameter == call.parameters.end()) {
+    return std::nullopt;
+  }
+  const auto number = ParseNumber(parameter->second);
+  if (!number || *number > latest) {
+    return MakeError(ErrorCode::kInvalidArgument, kBasedOnParameter,
+                     "must be a number that /v1/orders gave, at most " +
+                         std::to_string(latest));
+  }
+  return number;
+}
+
 net::HttpResponse UnknownCallResponse() {
   return FailureResponse({ErrorCode::kNotFound, "path",
                           "names no call of the API with this method"});
@@ -154,7 +170,7 @@
     answer(AddMember(call));
   } else if (call.method == "DELETE" && parts.size() == 3 &&
              parts[1] == "members") {
-    answer(RemoveMember(parts[2]));
+    answer(RemoveMember(call, parts[2]));
   } else {
     answer(UnknownCallResponse());
   }
@@ -415,17 +431,13 @@
 
 void ResourceApi::Submit(protocol::OperationItemT operation,
                          const ApiCall& call, const ApiCallback& answer) const {
-  const auto based_on = call.parameters.find(kBasedOnParameter);
-  if (based_on != call.parameters.end()) {
-    const auto number = ParseNumber(based_on->second);
-    const OrderNumber latest = ports_.state().orders().latest();
-    if (!number || *number > latest) {
-      answer(FailureResponse({ErrorCode::kInvalidArgument, kBasedOnParameter,
-                              "must be the number of an order, at most " +
-                                  std::to_string(latest)}));
-      return;
-    }
-    operation.based_on = *number;
+  const auto based_on = ParseBasedOn(call, ports_.state().orders().latest());
+  if (!based_on) {
+    answer(FailureResponse(based_on.error()));
+    return;
+  }
+  if (*based_on) {
+    operation.based_on = **based_on;
   }
   Operations operations;
   operations.push_back(
@@ -520,6 +532,9 @@
   if (!parsed) {
     return FailureResponse(parsed.error());
   }
+  if (auto unchanged = CheckMembersUnchanged(call); !unchanged) {
+    return FailureResponse(unchanged.error());
+  }
   const raft::Member& member = *parsed;
   if (auto added = ports_.add_member(member); !added) {
     return FailureResponse(added.error());
@@ -529,12 +544,16 @@
                                         {"state", "catching_up"}});
 }
 
-net::HttpResponse ResourceApi::RemoveMember(const std::string& id) const {
+net::HttpResponse ResourceApi::RemoveMember(const ApiCall& call,
+                                            const std::string& id) const {
   const auto node = ParseNumber(id);
   if (!node || *node == raft::kNoNode) {
     return FailureResponse({ErrorCode::kInvalidArgument, "id",
                             "must be a node id, a whole number above 0"});
   }
+  if (auto unchanged = CheckMembersUnchanged(call); !unchanged) {
+    return FailureResponse(unchanged.error());
+  }
   if (auto removed = ports_.remove_member(*node); !removed) {
     return FailureResponse(removed.error());
   }
@@ -542,4 +561,20 @@
                       {{"node_id", *node}, {"state", "removing"}});
 }
 
+Result<void> ResourceApi::CheckMembersUnchanged(const ApiCall& call) const {
+  const raft::Status status = ports_.raft_status();
+  const auto based_on = ParseBasedOn(call, status.commit);
+  if (!based_on) {
+    return tl::unexpected(based_on.error());
+  }
+  if (*based_on && status.configuration_index > **based_on) {
+    return MakeError(ErrorCode::kConflict, kBasedOnParameter,
+                     "the change of members is based on log position " +
+                         std::to_string(**based_on) +
+                         ", and the members changed at " +
+                         std::to_string(status.configuration_index));
+  }
+  return {};
+}
+
 }  // namespace juniperway::control
--- a/source/common/control/resource_api.h
+++ b/source/common/control/resource_api.h
@@ -79,7 +79,11 @@
   // that the zone's name is wrong.
   std::size_t CountBackendsIn(const std::string& zone) const;
   net::HttpResponse AddMember(const ApiCall& call) const;
-  net::HttpResponse RemoveMember(const std::string& id) const;
+  net::HttpResponse RemoveMember(const ApiCall& call,
+                                 const std::string& id) const;
+  // @return kConflict if the members have changed since the log position that
+  //   the call is based on.
+  Result<void> CheckMembersUnchanged(const ApiCall& call) const;
   void Submit(protocol::OperationItemT operation, const ApiCall& call,
               const ApiCallback& answer) const;
   nlohmann::json Describe(const resources::Resource& resource) const;
--- a/source/common/control/resource_api_orders.cc
+++ b/source/common/control/resource_api_orders.cc
@@ -84,8 +84,11 @@
 // --- Numbers of orders -------------------------------------------------------
 
 net::HttpResponse ResourceApi::GetOrders() const {
+  // A committed change of the members is never taken back, so that a later one
+  // is at a higher position in the log, whoever leads.
   return JsonResponse(kStatusOk,
-                      {{"latest", ports_.state().orders().latest()}});
+                      {{kLatestOrderField, ports_.state().orders().latest()},
+                       {kLatestMembersField, ports_.raft_status().commit}});
 }
 
 // --- Requests that crashed backends ------------------------------------------
--- a/source/common/raft/fsm.cc
+++ b/source/common/raft/fsm.cc
@@ -265,6 +265,7 @@
   status.applied = applied_;
   status.last = log_.last_index();
   status.configuration = configuration();
+  status.configuration_index = history_.latest_index();
   if (role_ != Role::kLeader) {
     return status;
   }
--- a/source/common/raft/fsm.h
+++ b/source/common/raft/fsm.h
@@ -97,6 +97,8 @@
   Index applied = 0;
   Index last = 0;
   Configuration configuration;
+  // Position of the entry that brought `configuration`.
+  Index configuration_index = 0;
   std::vector<Progress> progress;  // leader only
   // Voters that may still be lost with a quorum left, counting only those that
   // are active and caught up. Negative: no quorum now. Leader only.
--- a/test/integration/control/forwarded_calls_test.cc
+++ b/test/integration/control/forwarded_calls_test.cc
@@ -48,12 +48,13 @@
     FollowLeader();
   }
 
-  // Sends a change to the follower. `answer` is set when the answer arrives.
+  // Sends a change to the follower, of a kind that takes one forwarded call.
+  // `answer` is set when the answer arrives.
   void SendChange(const std::string& name,
                   std::optional<net::HttpClientResponse>& answer) {
     net::HttpClientRequest request;
     request.method = "POST";
-    request.url = group.Url(0, "/v1/apply");
+    request.url = group.Url(0, "/v1/route-table");
     request.body = test::ServiceJson(name, 0);
     http.Start(std::move(request),
                [&answer](const net::HttpClientResponse& response) {
--- a/test/integration/control/members_test.cc
+++ b/test/integration/control/members_test.cc
@@ -23,6 +23,7 @@
 
 constexpr int kOk = 200;
 constexpr int kAccepted = 202;
+constexpr int kConflict = 409;
 constexpr int kMaximumCalls = 20000;
 
 // Polls the status of the control node at `position` until `condition` holds.
@@ -75,6 +76,39 @@
   Apply(group, remaining, "after");
 }
 
+TEST_CASE("A late removal does not remove a member that was added again") {
+  asio::io_context context(1);
+  ControlGroup group(context, 3);
+  const std::size_t leader = group.WaitForLeader(0);
+  REQUIRE(leader < 3);
+  const std::size_t joining = group.StartUnjoined();
+  const raft::NodeId id = joining + 1;
+  const auto add =
+      nlohmann::json{{"node_id", id}, {"address", group.Address(joining)}}
+          .dump();
+  const auto has_voters = [&group, leader](std::size_t voters) {
+    return WaitForStatus(group, leader, [voters](const nlohmann::json& status) {
+      return status["voters"] == voters && status["repaired"] == true;
+    });
+  };
+  const std::string remove = fmt::format("/v1/members/{}", id);
+  REQUIRE(group.Call(leader, "POST", "/v1/members", add).status == kAccepted);
+  REQUIRE(has_voters(4));
+  const auto held = group.GetJson(leader, "/v1/status")["commit"];
+  REQUIRE(group.Call(leader, "DELETE", remove).status == kAccepted);
+  REQUIRE(has_voters(3));
+  REQUIRE(group.Call(leader, "POST", "/v1/members", add).status == kAccepted);
+  REQUIRE(has_voters(4));
+  // Committed after the change of members, which is then not pending any more.
+  Apply(group, leader, "committed");
+
+  const auto late = group.Call(
+      leader, "DELETE", fmt::format("{}?based_on={}", remove, held.dump()));
+  CHECK(late.status == kConflict);
+  CHECK(nlohmann::json::parse(late.body)["error"]["field"] == "based_on");
+  CHECK(group.GetJson(leader, "/v1/status")["voters"] == 4);
+}
+
 TEST_CASE("A node that joins late gets a snapshot in parts") {
   asio::io_context context(1);
   ControlGroup group(context, 3, [](control::ControlServerOptions& options) {
--- a/test/integration/control/overtaken_orders_test.cc
+++ b/test/integration/control/overtaken_orders_test.cc
@@ -104,9 +104,23 @@
 };
 
 TEST_CASE("An order whose caller has left is not passed to the next leader") {
+  std::string method = "DELETE";
+  std::string path = kEvacuation;
+  SUBCASE("end of an evacuation") {}
+  SUBCASE("resources") {
+    method = "POST";
+    path = "/v1/apply";
+  }
+  SUBCASE("new member of the control group") {
+    method = "POST";
+    path = "/v1/members";
+  }
+  SUBCASE("removal of a member of the control group") {
+    path = "/v1/members/9";
+  }
   FollowerAndLeader nodes;
   std::optional<net::HttpClientResponse> unanswered;
-  nodes.Send("DELETE", kEvacuation, kPatience, unanswered);
+  nodes.Send(method, path, kPatience, unanswered);
   REQUIRE(RunUntil(nodes.context, [&] { return unanswered.has_value(); }));
   CHECK(unanswered->status == 0);
 
@@ -115,7 +129,7 @@
   nodes.Send("GET", "/v1/evacuations", kConditionLimit, later);
   REQUIRE(RunUntil(nodes.context,
                    [&] { return nodes.HasCall("GET", "/v1/evacuations"); }));
-  CHECK_FALSE(nodes.HasCall("DELETE", kEvacuation));
+  CHECK_FALSE(nodes.HasCall(method, path));
 }
 
 TEST_CASE("An order whose caller leaves before the number comes is dropped") {
--- a/test/unit/control/overtaken_order_test.cc
+++ b/test/unit/control/overtaken_order_test.cc
@@ -1,4 +1,5 @@
-// A late order on a rollout or a crashing request must not undo a later one.
+// A late order on a rollout, a crashing request or a resource must not undo a
+// later one.
 #include <doctest/doctest.h>
 
 #include <memory>
@@ -7,6 +8,7 @@
 
 #include "common/control/control_state.h"
 #include "common/session/control_frames.h"
+#include "common/session/fleet_codec.h"
 
 namespace juniperway::control {
 namespace {
@@ -48,6 +50,36 @@
   return order;
 }
 
+resources::ResourceId ServiceId(const std::string& name) {
+  return {resources::Kind::kService, name};
+}
+
+// @param version the version that the change is based on; 0 creates.
+protocol::ApplyResourcesT Write(const std::string& change,
+                                const std::string& name,
+                                resources::Revision version) {
+  resources::Resource resource;
+  resource.id = ServiceId(name);
+  resource.version = version;
+  resource.specification = resources::Service{};
+  protocol::ApplyResourcesT operation;
+  operation.change_id = change;
+  operation.resources.push_back(std::make_unique<protocol::ResourceRecordT>(
+      session::EncodeResource(resource)));
+  return operation;
+}
+
+protocol::DeleteResourceT Delete(const std::string& change,
+                                 const std::string& name,
+                                 resources::Revision version) {
+  protocol::DeleteResourceT operation;
+  operation.change_id = change;
+  operation.key = std::make_unique<protocol::ResourceKeyT>(
+      session::EncodeResourceId(ServiceId(name)));
+  operation.version = version;
+  return operation;
+}
+
 void CheckOvertaken(const protocol::OperationResultT& result) {
   REQUIRE(result.error);
   CHECK(result.error->field == "based_on");
@@ -88,6 +120,27 @@
   CHECK(state.fleet().crashes.empty());
 }
 
+TEST_CASE("a late creation does not bring back a resource that was removed") {
+  ControlState state;
+  const OrderNumber based_on = state.orders().latest();
+  const auto created = Apply(state, Write("c1", "s", 0), based_on);
+  CHECK_FALSE(created.error);
+  CHECK_FALSE(Apply(state, Delete("c2", "s", created.revision)).error);
+  CheckOvertaken(Apply(state, Write("c3", "s", 0), based_on));
+  CHECK(state.fleet().Find(ServiceId("s")) == nullptr);
+  // The same change, once its caller was told of the removal.
+  CHECK_FALSE(Apply(state, Write("c3", "s", 0), state.orders().latest()).error);
+}
+
+TEST_CASE("a removal overtakes no change of a resource that exists") {
+  ControlState state;
+  const auto kept = Apply(state, Write("c1", "kept", 0));
+  const auto removed = Apply(state, Write("c2", "removed", 0));
+  const OrderNumber based_on = state.orders().latest();
+  CHECK_FALSE(Apply(state, Delete("c3", "removed", removed.revision)).error);
+  CHECK_FALSE(Apply(state, Write("c4", "kept", kept.revision), based_on).error);
+}
+
 TEST_CASE("a refused order leaves the table of orders as it is") {
   ControlState state;
   CHECK_FALSE(Apply(state, Start("c1")).error);
