owner: report on a backend again when another report has replaced it

What callers would see: queries go to a backend that drains, or miss one that holds the version, until the backend's state changes once more. A daemon sends one report at a time, but a control node may hold a copy of an earlier one, its own or an earlier owner's, and apply it after the latest. Found by reading, in the search for orders that undo later ones.

The owner compares the report in its view with its own and sends that again when they differ.

--- a/source/common/gateway/owner_backend.cc
+++ b/source/common/gateway/owner_backend.cc
@@ -64,17 +64,25 @@
       timer_(context) {
   ReplaceClient();
   const MonotonicTime now = ReadMonotonicClock();
-  const auto report = view.reports.find(options_.name);
-  if (report != view.reports.end()) {
-    held_.Start(report->second.held_versions);
-    gate_.SetReportedDraining(report->second.draining, now);
+  const auto report = StoredReport(view);
+  if (report) {
+    held_.Start(report->held_versions);
+    gate_.SetReportedDraining(report->draining, now);
   }
+  status_.OnStoredReport(report);
   gate_.SetEjectionAllowed(may_eject_, now);
   gate_.SetDraining(DrainSource::kOperator, resource_.drain, now);
   gate_.SetDraining(DrainSource::kPlatform,
                     LeavesByPlatform(options_.name, view), now);
 }
 
+std::optional<session::BackendReport> OwnerBackend::StoredReport(
+    const session::FleetView& view) const {
+  const auto report = view.reports.find(options_.name);
+  return report == view.reports.end() ? std::nullopt
+                                      : std::optional(report->second);
+}
+
 owner::GateSettings OwnerBackend::SettingsFrom(const session::FleetView& view) {
   owner::GateSettings settings;
   settings.slots = resource_.slots;
@@ -121,6 +129,7 @@
   Perform(gate_.SetDraining(DrainSource::kPlatform,
                             LeavesByPlatform(options_.name, view), now),
           now);
+  status_.OnStoredReport(StoredReport(view));
   const owner::GateSettings settings = SettingsFrom(view);
   if (settings != gate_.settings()) {
     Perform(gate_.Configure(settings, now), now);
--- a/source/common/gateway/owner_backend.h
+++ b/source/common/gateway/owner_backend.h
@@ -85,6 +85,9 @@
     std::optional<MonotonicTime> started;
   };
 
+  // Returns the report on this backend that the control group stores.
+  std::optional<session::BackendReport> StoredReport(
+      const session::FleetView& view) const;
   owner::GateSettings SettingsFrom(const session::FleetView& view);
   void ReplaceClient();
   std::string AttemptId(owner::SubqueryId id) const;
--- a/source/common/gateway/owner_backend_status.cc
+++ b/source/common/gateway/owner_backend_status.cc
@@ -17,6 +17,17 @@
     : backend_(std::move(backend)),
       gauges_(metrics.backend_gauges(), backend_) {}
 
+void OwnerBackendStatus::OnStoredReport(
+    const std::optional<session::BackendReport>& stored) {
+  if (stored == stored_) {
+    return;
+  }
+  stored_ = stored;
+  if (stored_ != reported_) {
+    reported_.reset();
+  }
+}
+
 std::optional<session::BackendReport> OwnerBackendStatus::TakeReport(
     const owner::BackendGate& gate, const owner::HeldVersions& held) {
   const DrainSource source = gate.drain_source();
--- a/source/common/gateway/owner_backend_status.h
+++ b/source/common/gateway/owner_backend_status.h
@@ -20,7 +20,12 @@
   // Health was answered: from now on what is held is known at first hand.
   void OnProbed() { probed_ = true; }
 
-  // @return what control is to be told, if that changed.
+  // Takes the report that the control group stores, nullopt for none. A late
+  // report of an earlier owner, or a late copy of one of this owner's, may have
+  // replaced the latest, which is then to be sent again.
+  void OnStoredReport(const std::optional<session::BackendReport>& stored);
+
+  // @return what control is to be told, if that changed or was replaced.
   std::optional<session::BackendReport> TakeReport(
       const owner::BackendGate& gate, const owner::HeldVersions& held);
 
@@ -36,6 +41,7 @@
   BackendGauges gauges_;
   bool probed_ = false;
   std::optional<session::BackendReport> reported_;
+  std::optional<session::BackendReport> stored_;
   owner::DrainSource logged_drain_ = owner::DrainSource::kNone;
   bool logged_breaker_open_ = false;
 };
