rollout: count the answers of one report as evenly mixed

What callers saw: a good version is undone, or its rollout never ends. A router's first report to a new leader holds all its answers since the order. The cumulative sum took the good ones of a report first, which leave it at zero, and then the bad ones: six slow answers of 11,890 gave a score of 14.387 = 6 x ln(0.22/0.02), above the limit of 11.5.

--- a/source/common/rollout/version_comparison.cc
+++ b/source/common/rollout/version_comparison.cc
@@ -161,12 +161,10 @@
   const double good_increment =
       std::log((1 - worse_share) / (1 - baseline_share));
   const double bad_increment = std::log(worse_share / baseline_share);
-  score = std::max(0.0, score + good * good_increment);
+  score = std::max(0.0, score + good * good_increment + bad * bad_increment);
   if (score == 0) {
     witnesses.clear();
-  }
-  score += bad * bad_increment;
-  if (bad > 0) {
+  } else if (bad > 0) {
     witnesses.insert(router);
   }
 }
--- a/test/unit/rollout/version_comparison_test.cc
+++ b/test/unit/rollout/version_comparison_test.cc
@@ -7,6 +7,8 @@
 #include <random>
 #include <string>
 
+#include "common/rollout/rollout_plan.h"
+
 namespace juniperway::rollout {
 namespace {
 
@@ -235,6 +237,29 @@
   CHECK(comparison.RelativeScore() == 0);
 }
 
+TEST_CASE("few slow answers among many in one report are no evidence") {
+  // A router's first report to a new leader holds all of its answers.
+  constexpr std::size_t kReporters = 3;
+  VersionComparison comparison;
+  const MonotonicTime now{seconds(10)};
+  const auto report = [&](std::size_t router, bool canary, std::uint32_t fast,
+                          std::uint32_t slow) {
+    AnswerReport answers{
+        .group = {.service = "s", .route = "r", .canary = canary},
+        .rollout = 1,
+        .counts = {}};
+    answers.counts.timed[LatencyStepOf(milliseconds(1))] = fast;
+    answers.counts.timed[LatencyStepOf(milliseconds(10))] = slow;
+    comparison.OnReport("router-" + std::to_string(router), 1, answers, now);
+  };
+  for (std::size_t router = 0; router < kReporters; ++router) {
+    report(router, /*canary=*/false, 9000, 50);
+    report(router, /*canary=*/true, 1000, 6);
+  }
+  comparison.Evaluate(now, EvaluateAfter(Duration(0)));
+  CHECK(comparison.RelativeScore() < kMaximumScoreBeforeFull);
+}
+
 TEST_CASE("counts of a restarted router add to its previous ones") {
   VersionComparison comparison;
   AnswerReport report;
