rollout: end one whose evidence stays undecided in its last phase

What callers saw: a rollout in the phase "replacing" that never ends. Slow answers are not evaluated in this phase; a score that a new leader took from the routers' histories stays, too high for the last step, without enough witnesses for a verdict. Now it is rolled back there if its score is too high for a step. One that only waits for routers still waits.

unit.rollout/rollout_plan fails before.

--- a/source/common/rollout/rollout_plan.cc
+++ b/source/common/rollout/rollout_plan.cc
@@ -229,6 +229,19 @@
          !IsPast(rollout, facts, kRollBackLateAfterShare);
 }
 
+// Whether the rollout has taken so long that it is rolled back.
+bool IsOverdue(const Rollout& rollout, const RolloutFacts& facts,
+               const ExposureLimit& limit) {
+  if (rollout.phase == RolloutPhase::kReplacing) {
+    // Slow answers are not evaluated in this phase, so their score may stay too
+    // high for the last step and too low for a verdict.
+    return IsPast(rollout, facts, kRollBackLateAfterShare) &&
+           facts.relative_score >= kMaximumScoreForStep;
+  }
+  return IsPast(rollout, facts, kRollBackAfterShare) &&
+         !MayFinishLate(rollout, facts, limit);
+}
+
 }  // namespace
 
 std::uint32_t ObservingShare(const ExposureLimit& limit) {
@@ -255,9 +268,7 @@
       return step;
     }
   }
-  if (rollout.phase != RolloutPhase::kReplacing &&
-      IsPast(rollout, facts, kRollBackAfterShare) &&
-      !MayFinishLate(rollout, facts, limit)) {
+  if (IsOverdue(rollout, facts, limit)) {
     return RollBack(rollout, "it could not be judged in time");
   }
   return std::nullopt;
--- a/test/unit/rollout/rollout_plan_test.cc
+++ b/test/unit/rollout/rollout_plan_test.cc
@@ -184,6 +184,18 @@
   }
 }
 
+TEST_CASE("evidence that stays undecided does not keep a rollout running") {
+  const auto rollout = MakeRollout(RolloutPhase::kReplacing);
+  RolloutFacts facts = FactsAt(milliseconds(17'900));
+  facts.relative_score = 0.9;
+  CHECK_FALSE(NextStep(rollout, facts, kLimit));
+  facts.elapsed = seconds(18);
+  const auto step = NextStep(rollout, facts, kLimit);
+  REQUIRE(step);
+  CHECK(step->state == RolloutState::kRolledBack);
+  CHECK(step->reason == "it could not be judged in time");
+}
+
 TEST_CASE("a version that could not be evaluated is rolled back") {
   RolloutFacts facts = FactsAt(seconds(6));
   facts.canary_backends = 0;
