--- a/source/common/rollout/version_comparison.h
+++ b/source/common/rollout/version_comparison.h
@@ -176,7 +176,7 @@
 
     // Adds the answers of one report. Their order is unknown, and they count as
     // evenly mixed: with the bad ones last, a few among the thousands that a
-    // router first reports to a new leader would be a verdict.
+    // router first reports to a new leader would reach kScoreLimit.
     void Add(const std::string& router, std::uint32_t good, std::uint32_t bad,
              double baseline_share);
   };
