net: give each exchange a libcurl handle of its own

A back end could end the router: where a handle is used again and the head of the next answer begins with a folded field, libcurl 7.88 reads the field list of the answer before, which it has freed. Seen while answers were malformed at will: segmentation fault in each run, heap-use-after-free with the address sanitizer (strlen in unfold_value, freed at the start of the transfer).

A handle now serves one transfer.

--- a/source/common/net/http_client.cc
+++ b/source/common/net/http_client.cc
@@ -18,9 +18,6 @@
 namespace juniperway::net {
 namespace {
 
-// About as many as a scatter and its hedges have under way. Handles beyond
-// these are made and freed with each transfer.
-constexpr std::size_t kKeptEasyHandles = 64;
 // Idle connections kept over all hosts.
 constexpr long kKeptConnections = 4096;
 
@@ -94,9 +91,6 @@
       }
     }
     transfers.clear();
-    for (CURL* easy : kept_easy_handles) {
-      curl_easy_cleanup(easy);
-    }
     curl_multi_cleanup(multi);
     watches.clear();
   }
@@ -301,7 +295,7 @@
     CURL* easy = std::exchange(transfer->easy, nullptr);
     budget.used -= transfer->response.body.size();
     curl_multi_remove_handle(multi, easy);
-    KeepEasyHandle(easy, transfer->IsPlainGet());
+    curl_easy_cleanup(easy);
     if (maximum_connections_per_host > 0) {
       LeaveHost(transfer->host);
     }
@@ -361,37 +355,16 @@
     transfer->callback(std::move(transfer->response));
   }
 
-  // A configured handle that has no transfer.
-  CURL* TakeEasyHandle() {
-    if (kept_easy_handles.empty()) {
-      CURL* easy = curl_easy_init();
-      Configure(easy);
-      return easy;
-    }
-    CURL* easy = kept_easy_handles.back();
-    kept_easy_handles.pop_back();
-    return easy;
-  }
-
-  // @param reusable the next transfer replaces all that was set for the last.
-  void KeepEasyHandle(CURL* easy, bool reusable) {
-    if (kept_easy_handles.size() >= kKeptEasyHandles) {
-      curl_easy_cleanup(easy);
-      return;
-    }
-    if (!reusable) {
-      curl_easy_reset(easy);
-      Configure(easy);
-    }
-    kept_easy_handles.push_back(easy);
-  }
-
-  void Configure(CURL* easy) {
+  // A handle serves one transfer: libcurl 7.88 reads freed memory where a
+  // handle is used again and the next head begins with a folded field.
+  CURL* MakeEasyHandle() {
+    CURL* easy = curl_easy_init();
     ConfigureEasyHandle(easy, kept_idle);
     curl_easy_setopt(easy, CURLOPT_OPENSOCKETFUNCTION, &OpenSocket);
     curl_easy_setopt(easy, CURLOPT_OPENSOCKETDATA, this);
     curl_easy_setopt(easy, CURLOPT_CLOSESOCKETFUNCTION, &CloseSocket);
     curl_easy_setopt(easy, CURLOPT_CLOSESOCKETDATA, this);
+    return easy;
   }
 
   RequestHandle Start(HttpClientRequest request, Callback callback) {
@@ -411,7 +384,7 @@
 
   // Hands a transfer to libcurl.
   void Begin(Transfer* transfer) {
-    transfer->easy = TakeEasyHandle();
+    transfer->easy = MakeEasyHandle();
     PrepareTransfer(transfer);
     curl_multi_add_handle(multi, transfer->easy);
   }
@@ -443,7 +416,6 @@
   std::unordered_map<curl_socket_t, WatchPointer> watches;
   std::unordered_map<RequestHandle, std::unique_ptr<Transfer>> transfers;
   std::unordered_map<std::string, Host> hosts;
-  std::vector<CURL*> kept_easy_handles;
 };
 
 HttpClient::HttpClient(asio::io_context& context,
--- a/source/common/net/http_transfer.cc
+++ b/source/common/net/http_transfer.cc
@@ -222,10 +222,6 @@
                                           : HttpProgress::kNotSent;
 }
 
-bool Transfer::IsPlainGet() const {
-  return request.method == "GET" && request.body.empty();
-}
-
 void ConfigureEasyHandle(CURL* easy, seconds kept_idle) {
   SetConnectionOptions(easy, kept_idle);
   curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, &OnBody);
--- a/source/common/net/http_transfer.h
+++ b/source/common/net/http_transfer.h
@@ -51,12 +51,9 @@
   bool repeat_refused = false;
 
   HttpProgress Progress() const;
-  // Leaves nothing on its handle that PrepareTransfer does not replace.
-  bool IsPlainGet() const;
 };
 
-// Sets what all transfers of a handle have in common. libcurl parses and copies
-// most options each time they are set, so this is done once for each handle.
+// Sets what all transfers of a client have in common.
 // @param kept_idle bound on the idle time of connections, or
 //   HttpClient::kDefaultIdleTime.
 void ConfigureEasyHandle(CURL* easy, seconds kept_idle);
--- a/test/unit/net/http_test.cc
+++ b/test/unit/net/http_test.cc
@@ -255,6 +255,24 @@
   CHECK_FALSE(closed);
 }
 
+TEST_CASE("a head that begins with a folded field does not end the process") {
+  asio::io_context context;
+  RawServer server(context);
+  std::string answer = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
+  server.on_request = [&](const auto& socket) {
+    asio::write(*socket, asio::buffer(answer));
+  };
+  HttpClient client(context, 0);
+  HttpClientRequest request;
+  request.url = UrlOf(server.acceptor.local_endpoint(), "/x");
+  CHECK(Exchange(context, client, request).status == 200);
+  answer = "HTTP/1.1 200 OK\r\n folded: 1\r\nContent-Length: 0\r\n\r\n";
+  for (int i = 0; i < 100; ++i) {
+    Exchange(context, client, request);
+  }
+  CHECK(server.requests == 101);
+}
+
 TEST_CASE("a request that the handler dropped is still answered") {
   asio::io_context context;
   HttpServer server(context, LoopbackOptions(), [](auto&&...) {});
