net: count an answer only if it is exactly one whole message

Cause: the client took libcurl's word for the end of an answer. libcurl 7.88 ends an exchange well when the connection closes within the head, goes on after a status line among the header fields, reads "Content-Length: 2HTTP/1.1 200 OK" as 2, and takes the head of a second answer for the body of the first. An answer cut after its signature became a part without records.

net/response_message now checks each answer of the one HTTP client: strict status and field lines, framing fields that agree, a head that ended, a body of its length, and no second head in the body. Where a body of known length ends as a status line begins, what follows on the connection decides. A message that fails ends the attempt as broken, which is sent again where the request may be.

--- a/source/common/net/http_transfer.cc
+++ b/source/common/net/http_transfer.cc
@@ -1,7 +1,8 @@
 #include "common/net/http_transfer.h"
 
+#include <sys/socket.h>
+
 #include <algorithm>
-#include <cctype>
 #include <string_view>
 
 #include "common/base/text.h"
@@ -19,14 +20,6 @@
   list->reset(curl_slist_append(list->release(), line.c_str()));
 }
 
-std::string_view Trim(std::string_view text) {
-  const std::size_t first = text.find_first_not_of(" \t\r\n");
-  if (first == std::string_view::npos) {
-    return {};
-  }
-  return text.substr(first, text.find_last_not_of(" \t\r\n") - first + 1);
-}
-
 std::size_t OnBody(char* data, std::size_t size, std::size_t count,
                    void* user_data) {
   auto* transfer = static_cast<Transfer*>(user_data);
@@ -48,18 +41,25 @@
          EqualsIgnoringCase(name, request.echoed_header);
 }
 
-// Whether the headers that have just ended are those of a successful answer
-// which names no request though it has to.
+// Whether the head that has just ended is that of a successful answer which
+// names no request though it has to.
 bool LacksEcho(const Transfer& transfer) {
-  if (!transfer.request.echo_required ||
-      transfer.request.echoed_header.empty() ||
-      transfer.response.headers.contains(
-          ToLower(transfer.request.echoed_header))) {
-    return false;
+  const int status = transfer.message.status();
+  return transfer.request.echo_required &&
+         !transfer.request.echoed_header.empty() && status >= 200 &&
+         status < 300 &&
+         !transfer.response.headers.contains(
+             ToLower(transfer.request.echoed_header));
+}
+
+void AddField(Transfer* transfer) {
+  const FieldLine& field = transfer->message.field();
+  if (BelongsToAnother(transfer->request, field.name, field.value)) {
+    transfer->message.Reject(MessageFault::kOtherRequest);
+    return;
   }
-  long status = 0;
-  curl_easy_getinfo(transfer.easy, CURLINFO_RESPONSE_CODE, &status);
-  return status >= 200 && status < 300;
+  transfer->response.headers[ToLower(field.name)] = field.value;
+  transfer->response.fields.emplace_back(field.name, field.value);
 }
 
 std::size_t OnHeader(char* data, std::size_t size, std::size_t count,
@@ -67,29 +67,29 @@
   auto* transfer = static_cast<Transfer*>(user_data);
   const std::string_view line(data, size * count);
   transfer->header_bytes += line.size();
-  transfer->message.AddLine(line);
   if (transfer->header_bytes > kMaximumHeaderBytes) {
     return 0;
   }
-  const std::size_t colon = line.find(':');
-  if (line.starts_with("HTTP/")) {
-    // Headers of an interim answer (1xx) do not belong to the final one.
-    transfer->response.headers.clear();
-    transfer->response.fields.clear();
-  } else if (Trim(line).empty()) {
-    if (LacksEcho(*transfer)) {
-      return 0;
-    }
-  } else if (colon != std::string_view::npos) {
-    const std::string name = ToLower(line.substr(0, colon));
-    const std::string_view value = Trim(line.substr(colon + 1));
-    if (BelongsToAnother(transfer->request, name, value)) {
-      return 0;
-    }
-    transfer->response.headers[name] = value;
-    transfer->response.fields.emplace_back(line.substr(0, colon), value);
+  switch (transfer->message.AddLine(line)) {
+    case LineKind::kField:
+      AddField(transfer);
+      break;
+    case LineKind::kInterimEnd:
+      // The fields of an interim answer do not belong to the final one.
+      transfer->response.headers.clear();
+      transfer->response.fields.clear();
+      break;
+    case LineKind::kHeadEnd:
+      if (LacksEcho(*transfer)) {
+        transfer->message.Reject(MessageFault::kNoRequest);
+      }
+      break;
+    case LineKind::kStatusLine:
+    case LineKind::kTrailer:
+    case LineKind::kFaulty:
+      break;
   }
-  return size * count;
+  return transfer->message.fault() == MessageFault::kNone ? line.size() : 0;
 }
 
 // Called right before the request goes out on a connection. A second call means
@@ -210,6 +210,37 @@
          transfer.response.fields.empty();
 }
 
+// Whether bytes followed the answer on a connection that the peer keeps open.
+bool IsFollowedByBytes(const Transfer& transfer) {
+  curl_socket_t socket = CURL_SOCKET_BAD;
+  curl_easy_getinfo(transfer.easy, CURLINFO_ACTIVESOCKET, &socket);
+  if (socket == CURL_SOCKET_BAD) {
+    // libcurl closes a connection on which it read more than the answer.
+    const auto connection = transfer.response.headers.find("connection");
+    return connection == transfer.response.headers.end() ||
+           !EqualsIgnoringCase(connection->second, "close");
+  }
+  char byte = 0;
+  return ::recv(socket, &byte, sizeof(byte), MSG_PEEK | MSG_DONTWAIT) > 0;
+}
+
+std::string ErrorText(const Transfer& transfer, CURLcode result) {
+  if (transfer.repeat_refused) {
+    return "the connection broke after the request was sent";
+  }
+  const MessageFault fault = transfer.message.fault();
+  return fault == MessageFault::kNone ? curl_easy_strerror(result)
+                                      : Describe(fault);
+}
+
+// Ends the message that libcurl takes for complete.
+MessageFault EndMessage(Transfer* transfer) {
+  const HttpClientResponse& response = transfer->response;
+  transfer->message.End(response.body, response.fields,
+                        [transfer] { return IsFollowedByBytes(*transfer); });
+  return transfer->message.fault();
+}
+
 }  // namespace
 
 HttpProgress Transfer::Progress() const {
@@ -244,25 +275,22 @@
 
 void FillResponse(Transfer* transfer, CURLcode result) {
   HttpClientResponse& response = transfer->response;
-  response.received = {.status = transfer->message.status(),
-                       .framing = transfer->message.framing(),
+  const bool whole =
+      result == CURLE_OK && EndMessage(transfer) == MessageFault::kNone;
+  const ResponseMessage& message = transfer->message;
+  response.received = {.status = message.status(),
+                       .framing = message.framing(),
                        .body = response.body.size()};
-  if (result == CURLE_OK) {
-    long status = 0;
-    curl_easy_getinfo(transfer->easy, CURLINFO_RESPONSE_CODE, &status);
+  if (whole) {
     response.progress = HttpProgress::kAnswered;
-    response.status = static_cast<int>(status);
+    response.status = message.status();
     return;
   }
   response.progress = transfer->Progress();
   response.timed_out = result == CURLE_OPERATION_TIMEDOUT;
   response.new_connection_refused = IsNewConnectionRefused(*transfer, result);
   response.connection_lost = IsConnectionLost(*transfer, result);
-  response.transport_error = curl_easy_strerror(result);
-  if (transfer->repeat_refused) {
-    response.transport_error =
-        "the connection broke after the request was sent";
-  }
+  response.transport_error = ErrorText(*transfer, result);
 }
 
 }  // namespace juniperway::net
--- a/test/integration/forwarding/route_fleet.cc
+++ b/test/integration/forwarding/route_fleet.cc
@@ -26,6 +26,19 @@
 constexpr Duration kCrashDelay = milliseconds(10);
 const tcp::endpoint kLoopback(asio::ip::address_v4::loopback(), 0);
 
+json ListEntry(const std::string& id, const std::string& service,
+               const std::string& address, const std::string& version,
+               bool draining) {
+  return {{"id", id},
+          {"service", service},
+          {"address", address},
+          {"zone", "z"},
+          {"version", version},
+          {"slots", 5},
+          {"warmup_left_ms", 0},
+          {"state", draining ? "leaving" : "live"}};
+}
+
 }  // namespace
 
 // --- Backends ----------------------------------------------------------------
@@ -284,6 +297,19 @@
   return *backends_.back();
 }
 
+void RouteFleet::AddScriptedBackend(const std::string& id,
+                                    const std::string& service,
+                                    ScriptedServer::Script script) {
+  // The server is constructed on the thread that runs its listener.
+  std::promise<std::unique_ptr<ScriptedServer>> made;
+  asio::post(context_, [&] {
+    made.set_value(
+        std::make_unique<ScriptedServer>(context_, std::move(script)));
+  });
+  scripted_backends_.push_back({id, service, made.get_future().get()});
+  PublishDiscoveryList();
+}
+
 void RouteFleet::RestartCrashed() {
   for (auto& backend : backends_) {
     if (backend->crashed()) {
@@ -298,15 +324,15 @@
 void RouteFleet::PublishDiscoveryList() {
   json list = {{"backends", json::array()}, {"next_page", nullptr}};
   for (const auto& backend : backends_) {
+    list["backends"].push_back(ListEntry(backend->id(), backend->service(),
+                                         backend->address(), backend->version(),
+                                         backend->draining));
+  }
+  for (const ScriptedBackend& backend : scripted_backends_) {
     list["backends"].push_back(
-        {{"id", backend->id()},
-         {"service", backend->service()},
-         {"address", backend->address()},
-         {"zone", "z"},
-         {"version", backend->version()},
-         {"slots", 5},
-         {"warmup_left_ms", 0},
-         {"state", backend->draining ? "leaving" : "live"}});
+        ListEntry(backend.id, backend.service,
+                  net::FormatEndpoint(backend.server->endpoint()), "v1",
+                  /*draining=*/false));
   }
   const std::lock_guard lock(mutex_);
   discovery_list_ = list.dump();
--- a/test/integration/forwarding/route_fleet.h
+++ b/test/integration/forwarding/route_fleet.h
@@ -19,6 +19,7 @@
 #include "common/net/http_server.h"
 #include "lab/blocking_http.h"
 #include "lab/fleet/child_process.h"
+#include "support/scripted_server.h"
 #include "support/temporary_folder.h"
 
 namespace juniperway::test {
@@ -111,6 +112,10 @@
   // Starts a backend and publishes it in the discovery list.
   StandInBackend& AddBackend(const std::string& id, const std::string& service,
                              const std::string& version = "v1");
+  // Starts a backend that writes given bytes as answers, and publishes it in
+  // the discovery list. The script runs on the fleet's thread.
+  void AddScriptedBackend(const std::string& id, const std::string& service,
+                          ScriptedServer::Script script);
   // Updates the discovery list; must be called after a change of
   // StandInBackend::draining.
   void PublishDiscoveryList();
@@ -215,6 +220,12 @@
   std::string discovery_list_;
   std::unique_ptr<net::HttpServer> discovery_server_;
   std::vector<std::unique_ptr<StandInBackend>> backends_;
+  struct ScriptedBackend {
+    std::string id;
+    std::string service;
+    std::unique_ptr<ScriptedServer> server;
+  };
+  std::vector<ScriptedBackend> scripted_backends_;
   // Crashed backends that have been replaced.
   std::vector<std::unique_ptr<StandInBackend>> replaced_backends_;
   std::thread thread_;
--- a/test/support/scripted_server.cc
+++ b/test/support/scripted_server.cc
@@ -20,6 +20,7 @@
 
   tcp::socket socket;
   std::string received;
+  std::string late;
 };
 using ConnectionPointer = std::shared_ptr<Connection>;
 
@@ -64,13 +65,23 @@
             const std::string head = connection->received.substr(0, bytes);
             connection->received.erase(0, bytes);
             ++self->requests;
+            self->WriteLate();
             self->Answer(connection, self->script(head));
           }
         });
   }
 
+  void WriteLate() {
+    for (const ConnectionPointer& connection : connections) {
+      asio::error_code ignored;
+      asio::write(connection->socket,
+                  asio::buffer(std::exchange(connection->late, {})), ignored);
+    }
+  }
+
   void Answer(const ConnectionPointer& connection,
               const ScriptedAnswer& answer) {
+    connection->late = answer.late;
     auto bytes = std::make_shared<std::string>(answer.bytes);
     asio::async_write(
         connection->socket, asio::buffer(*bytes),
--- a/test/support/scripted_server.h
+++ b/test/support/scripted_server.h
@@ -17,6 +17,9 @@
   std::string bytes;
   // What becomes of the connection after them.
   Ending ending = Ending::kKeep;
+  // Written on the same connection when the next request has arrived on any,
+  // before that is answered.
+  std::string late{};
 };
 
 // Answers each request that has a head and no body. Runs on the io_context's
--- a/test/unit/net/truncated_answer_test.cc
+++ b/test/unit/net/truncated_answer_test.cc
@@ -238,7 +238,7 @@
         "Transfer-Encoding: chunked\r\n",
         "HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip\r\n",
         "HTTP/1.1 200 OK\r\nX-Signature\r\n", "HTTP/1.1 2000\r\n",
-        "HTTP/1.1 101 Other\r\n"}) {
+        "HTTP/1.1 200 OK\r\n X-Folded: 1\r\n", "HTTP/1.1 101 Other\r\n"}) {
     CAPTURE(head);
     const auto response =
         pair.CallFor({std::string(head) + "\r\nok", Ending::kClose});
