control: read the discovery and platform lists on connections of their own

The lists name no request. A second copy of an answer that came late, on the kept connection and after the next call, was read as the next list: the poller went on with lists that were one poll old.

--- a/source/common/control/discovery_poller.cc
+++ b/source/common/control/discovery_poller.cc
@@ -49,6 +49,7 @@
     request.url += "?page=" + page;
   }
   request.timeout = kCallTimeout;
+  request.share_connection = false;
   ++pages_;
   client_.Start(std::move(request),
                 [this, alive = alive_](const net::HttpClientResponse& answer) {
--- a/source/common/control/platform_poller.cc
+++ b/source/common/control/platform_poller.cc
@@ -70,6 +70,7 @@
   net::HttpClientRequest request;
   request.url = url_;
   request.timeout = kPollTimeout;
+  request.share_connection = false;
   client_.Start(std::move(request),
                 [this, alive = alive_](const net::HttpClientResponse& answer) {
                   if (*alive) {
--- a/source/common/net/http_client.h
+++ b/source/common/net/http_client.h
@@ -38,6 +38,10 @@
   std::string echoed_value;
   // A successful answer (2xx) without that header is another request's too.
   bool echo_required = false;
+  // Whether other exchanges may use the connection before or after this one. A
+  // late second answer on it would be read as another exchange's, where answers
+  // do not name their requests.
+  bool share_connection = true;
   // Bound on opening the connection; 0: only `timeout` bounds it.
   Duration connect_timeout{};
   Duration timeout = seconds(10);
--- a/source/common/net/http_transfer.cc
+++ b/source/common/net/http_transfer.cc
@@ -267,6 +267,9 @@
   curl_easy_setopt(transfer->easy, CURLOPT_URL, transfer->request.url.c_str());
   curl_easy_setopt(transfer->easy, CURLOPT_REQUEST_TARGET,
                    target.empty() ? nullptr : target.c_str());
+  const long unshared = transfer->request.share_connection ? 0 : 1;
+  curl_easy_setopt(transfer->easy, CURLOPT_FRESH_CONNECT, unshared);
+  curl_easy_setopt(transfer->easy, CURLOPT_FORBID_REUSE, unshared);
   SetMethodAndBody(transfer);
   SetHeaders(transfer);
   SetTimeouts(transfer);
