gateway: tell a late reply to a search from the reply to the next one

A back end that answers twice, the second time after the next search on the connection, gave that search the rows of the one before: shard and index version agree, and nothing named the search.

Searches, cancels and probes have an X-Attempt-Id, which back ends may repeat; an answer with another one is dropped.

--- a/source/common/gateway/backend_client.cc
+++ b/source/common/gateway/backend_client.cc
@@ -9,6 +9,7 @@
 namespace {
 
 constexpr double kMicrosecondsPerMillisecond = 1000.0;
+constexpr const char* kAttemptHeader = "X-Attempt-Id";
 
 std::string SearchBody(const SearchRequest& request) {
   const nlohmann::json body = {
@@ -46,7 +47,7 @@
   const double remaining_ms =
       static_cast<double>(remaining.count()) / kMicrosecondsPerMillisecond;
   http.headers.emplace_back("X-Request-Id", request.query->request_id);
-  http.headers.emplace_back("X-Attempt-Id", request.attempt_id);
+  NameExchange(http, request.attempt_id);
   http.headers.emplace_back("X-Deadline-Ms",
                             fmt::format("{:.3f}", remaining_ms));
   searches_[id] = http_.Start(std::move(http),
@@ -70,15 +71,25 @@
 void BackendClient::Cancel(const std::string& attempt_id, Duration timeout,
                            Callback callback) {
   const nlohmann::json body = {{"attempt_id", attempt_id}};
-  http_.Start(Post(base_url_ + "/v1/cancel", body.dump(), timeout),
-              std::move(callback));
+  net::HttpClientRequest request =
+      Post(base_url_ + "/v1/cancel", body.dump(), timeout);
+  NameExchange(request, "cancel-" + attempt_id);
+  http_.Start(std::move(request), std::move(callback));
 }
 
 void BackendClient::Probe(Duration timeout, Callback callback) {
   net::HttpClientRequest request;
   request.url = base_url_ + "/v1/health";
   request.timeout = timeout;
+  NameExchange(request, fmt::format("probe-{}", ++probes_));
   http_.Start(std::move(request), std::move(callback));
 }
 
+void BackendClient::NameExchange(net::HttpClientRequest& request,
+                                 const std::string& name) {
+  request.headers.emplace_back(kAttemptHeader, name);
+  request.echoed_header = kAttemptHeader;
+  request.echoed_value = name;
+}
+
 }  // namespace juniperway::gateway
--- a/source/common/gateway/backend_client.h
+++ b/source/common/gateway/backend_client.h
@@ -59,6 +59,12 @@
   void Probe(Duration timeout, Callback callback);
 
  private:
+  // Names the exchange: a back end repeats the name, so that a late answer to
+  // an earlier exchange on the connection is told from this one's.
+  static void NameExchange(net::HttpClientRequest& request,
+                           const std::string& name);
+
+  std::uint64_t probes_ = 0;
   std::string base_url_;
   std::map<owner::SubqueryId, net::HttpClient::RequestHandle> searches_;
   net::HttpClient http_;
--- a/source/lab/backend/server.cc
+++ b/source/lab/backend/server.cc
@@ -16,6 +16,14 @@
 constexpr int kBadRequest = 400;
 constexpr int kNotFound = 404;
 constexpr int kCancelled = 499;
+constexpr const char* kAttemptHeader = "X-Attempt-Id";
+
+// Repeats the attempt that the answer is for.
+net::HttpResponse Named(net::HttpResponse response,
+                        const std::string& attempt_id) {
+  response.headers.emplace_back(kAttemptHeader, attempt_id);
+  return response;
+}
 
 Result<SearchRequest> ParseSearch(const net::HttpRequest& http) {
   const nlohmann::json json = nlohmann::json::parse(http.body, nullptr, false);
@@ -177,15 +185,18 @@
     const SearchRequest& request,
     const std::shared_ptr<net::HttpResponder>& responder) {
   if (running_.contains(request.attempt_id)) {
-    responder->Send(Response(kBadRequest, true,
-                             {{"error", "attempt id is already running"}}));
+    responder->Send(
+        Named(Response(kBadRequest, true,
+                       {{"error", "attempt id is already running"}}),
+              request.attempt_id));
     return;
   }
   const Admission admission = model_.Admit(request, ReadMonotonicClock());
   if (!admission.begun) {
     const bool not_run = !model_.behaviour().omit_not_run_header;
-    responder->Send(Response(admission.status, not_run,
-                             {{"error", "refused before it began"}}));
+    responder->Send(Named(Response(admission.status, not_run,
+                                   {{"error", "refused before it began"}}),
+                          request.attempt_id));
     return;
   }
   if (ledger_ != nullptr) {
@@ -224,18 +235,20 @@
   model_.Finish(ReadMonotonicClock());
   if (running->admission.status != 200) {
     model_.CountDeadlinePassed();
-    running->responder->Send(Response(running->admission.status, false,
-                                      {{"error", "deadline passed"}}));
+    running->responder->Send(Named(Response(running->admission.status, false,
+                                            {{"error", "deadline passed"}}),
+                                   attempt_id));
     return;
   }
   const SearchRequest& request = running->request;
   const std::vector<Row> rows =
       model_.Answer(request, running->admission.shard_range);
   running->responder->Send(
-      Response(200, false,
-               {{"index_version", model_.AnsweredVersion(request)},
-                {"shard", request.shard},
-                {"rows", RowsToJson(rows)}}));
+      Named(Response(200, false,
+                     {{"index_version", model_.AnsweredVersion(request)},
+                      {"shard", request.shard},
+                      {"rows", RowsToJson(rows)}}),
+            attempt_id));
 }
 
 void BackendServer::HandleCancel(const net::HttpRequest& request,
@@ -264,7 +277,7 @@
   running->timer.cancel();
   model_.Finish(ReadMonotonicClock());
   running->responder->Send(
-      Response(kCancelled, false, {{"error", "cancelled"}}));
+      Named(Response(kCancelled, false, {{"error", "cancelled"}}), attempt_id));
 }
 
 void BackendServer::HandleHealth(net::HttpResponder& responder) {
