lab: cut off, begin anew and double answers on the paths of a soak

The soak compares each success with the records of its parts, but its back ends answered whole or not at all.

--- a/source/lab/proxy/pump.cc
+++ b/source/lab/proxy/pump.cc
@@ -79,10 +79,37 @@
             {});
     return;
   }
-  Enqueue(ChunkKind::kData, {buffer_.begin(), buffer_.begin() + size});
+  const auto end = buffer_.begin() + static_cast<std::ptrdiff_t>(size);
+  if (IsSpoiled()) {
+    EnqueueSpoiled({buffer_.begin(), end});
+  } else {
+    Enqueue(ChunkKind::kData, {buffer_.begin(), end});
+  }
   Read();
 }
 
+bool Pump::IsSpoiled() {
+  const double share = quality_().spoiled_share;
+  return share > 0 && std::bernoulli_distribution(share)(random_);
+}
+
+void Pump::EnqueueSpoiled(const std::vector<char>& bytes) {
+  enum class Way { kCutOff, kBegunAnew, kDoubled };
+  const auto way = static_cast<Way>(random_() % 3);
+  const std::size_t first =
+      way == Way::kDoubled ? bytes.size() : random_() % bytes.size();
+  const auto end = bytes.begin() + static_cast<std::ptrdiff_t>(first);
+  std::vector<char> spoiled(bytes.begin(), end);
+  if (way == Way::kCutOff) {
+    Enqueue(ChunkKind::kData, std::move(spoiled));
+    ended_ = true;
+    Enqueue(ChunkKind::kEnd, {});
+    return;
+  }
+  spoiled.insert(spoiled.end(), bytes.begin(), bytes.end());
+  Enqueue(ChunkKind::kData, std::move(spoiled));
+}
+
 void Pump::Enqueue(ChunkKind kind, std::vector<char> bytes) {
   const PathQuality quality = quality_();
   const double stretch =
--- a/source/lab/proxy/pump.h
+++ b/source/lab/proxy/pump.h
@@ -52,6 +52,11 @@
   void Read();
   void HandleRead(const asio::error_code& error, std::size_t size);
   void Enqueue(ChunkKind kind, std::vector<char> bytes);
+  // Whether the path spoils the bytes that were read.
+  bool IsSpoiled();
+  // Passes on only the first of the bytes and the end of the stream, or the
+  // first of them or all of them before the whole.
+  void EnqueueSpoiled(const std::vector<char>& bytes);
   void Schedule();
   void Pass();
   void Write();
--- a/source/lab/proxy/topology.cc
+++ b/source/lab/proxy/topology.cc
@@ -49,7 +49,8 @@
       .Optional("refused", fault.refused)
       .Optional("half_open", fault.half_open)
       .Milliseconds("extra_delay_ms", fault.extra_delay)
-      .Optional("bytes_per_second", fault.bytes_per_second);
+      .Optional("bytes_per_second", fault.bytes_per_second)
+      .Optional("spoiled_share", fault.spoiled_share);
   if (Result<void> finished = reader.Finish(); !finished) {
     return tl::unexpected<Error>(finished.error());
   }
@@ -69,6 +70,7 @@
   quality.blocked = quality.blocked || fault.blocked;
   quality.refused = quality.refused || fault.refused;
   quality.half_open = quality.half_open || fault.half_open;
+  quality.spoiled_share = std::max(quality.spoiled_share, fault.spoiled_share);
   if (fault.bytes_per_second != 0) {
     quality.bytes_per_second =
         quality.bytes_per_second == 0
--- a/source/lab/proxy/topology.h
+++ b/source/lab/proxy/topology.h
@@ -53,6 +53,8 @@
   Duration extra_delay = milliseconds(0);
   // Slow drip; 0: no bound.
   std::uint64_t bytes_per_second = 0;
+  // Share of the messages that are cut off, begun anew or doubled.
+  double spoiled_share = 0;
 };
 
 // What holds for bytes from one machine to another.
@@ -63,6 +65,7 @@
   bool refused = false;
   bool half_open = false;
   std::uint64_t bytes_per_second = 0;
+  double spoiled_share = 0;
 };
 
 // The machine name that stands for callers.
--- a/source/lab/soak/nemesis.cc
+++ b/source/lab/soak/nemesis.cc
@@ -28,6 +28,7 @@
       stand_ins_(stand_ins),
       shared_(shared),
       random_(seed),
+      spoiling_random_(seed + 1),
       began_(ReadMonotonicClock()) {}
 
 void SoakNemesis::Strike() {
@@ -257,11 +258,16 @@
   std::string faults;
   for (const std::string& service : SoakServices()) {
     const bool struck = random_() % 2 == 0;
+    const std::string machine = fmt::format("machine:{}-{}", service, zone);
+    const char* separator = faults.empty() ? "" : ", ";
     // One replica of a service at most: the others go on.
     if (struck) {
-      faults +=
-          fmt::format(R"({}{{"from": "client", "to": "machine:{}-{}", {}}})",
-                      faults.empty() ? "" : ", ", service, zone, fault);
+      faults += fmt::format(R"({}{{"from": "client", "to": "{}", {}}})",
+                            separator, machine, fault);
+    } else if (spoiling_random_() % 2 == 0) {
+      faults += fmt::format(
+          R"({}{{"from": "{}", "to": "client", "spoiled_share": 0.3}})",
+          separator, machine);
     }
   }
   Note("disturb the paths " + faults);
--- a/source/lab/soak/nemesis.h
+++ b/source/lab/soak/nemesis.h
@@ -73,6 +73,8 @@
   SoakStandIns& stand_ins_;
   SoakShared& shared_;
   std::mt19937_64 random_;
+  // Its draws leave those of random_, and so the faults of a seed, as they are.
+  std::mt19937_64 spoiling_random_;
   MonotonicTime began_;
   // By target: "router-0", "control-1".
   std::map<std::string, Lasting> lasting_;
