forwarding: a refusal that names no request may be another request's

Answers without a request id were refused only where they were successes. A late 503 of an earlier request, read on the kept connection, was taken as the promise that the next request had not run, which was then sent again although it may have run.

A service whose errors and refusals have named their requests must name them in each one; successes are learned apart, as before.

--- a/source/common/forwarding/backend_pool.cc
+++ b/source/common/forwarding/backend_pool.cc
@@ -461,11 +461,13 @@
   }
 }
 
-void BackendPool::OnNamedRequest(const std::string& service) {
+void BackendPool::OnNamedRequest(const std::string& service, bool success) {
   const auto found = services_.find(service);
-  if (found != services_.end()) {
-    found->second.names_requests = true;
+  if (found == services_.end()) {
+    return;
   }
+  (success ? found->second.names_requests
+           : found->second.names_requests_in_failures) = true;
 }
 
 void BackendPool::OnFirstRequest(const std::string& service,
--- a/source/common/forwarding/backend_pool.h
+++ b/source/common/forwarding/backend_pool.h
@@ -125,8 +125,10 @@
     // Typical latency of all backends of the service, without their
     // locality_penalty.
     TypicalLatency typical_latency;
-    // Whether a backend of the service has echoed the request id in an answer.
+    // Whether a backend of the service has echoed the request id in a
+    // successful answer, and in another one.
     bool names_requests = false;
+    bool names_requests_in_failures = false;
     // Bounds the hedges and retries that this router sends to the service.
     ExtraAttemptBudget budget;
     // Number of the current rollout. 0 when the service has none.
@@ -244,7 +246,8 @@
 
   // Records that a backend of the service has echoed the request id in an
   // answer.
-  void OnNamedRequest(const std::string& service);
+  // @param success whether the answer was a successful one.
+  void OnNamedRequest(const std::string& service, bool success);
 
   // These functions use the service's budget for hedges and retries.
   // OnFirstRequest counts a request to the service, before its first attempt.
--- a/source/common/forwarding/exchange.cc
+++ b/source/common/forwarding/exchange.cc
@@ -210,7 +210,7 @@
                               {"status", received.status},
                               {"framing", net::NameOf(received.framing)},
                               {"body_bytes", received.body},
-                              {"error", transport_error},
+                              {"error", transport_error + end.discard_reason},
                               {"connection_lost", end.connection_lost},
                               {"after_ms", ToMilliseconds(attempt_elapsed)},
                               {"fingerprint", Fingerprint()}});
--- a/source/common/forwarding/message_codec.cc
+++ b/source/common/forwarding/message_codec.cc
@@ -209,6 +209,7 @@
     // A backend may send a late answer in place of the answer to the next
     // request on the connection.
     forwarded.echo_required = action.names_request;
+    forwarded.echo_required_of_failures = action.names_request_in_failures;
   }
   forwarded.connect_timeout = kConnectTimeout;
   forwarded.timeout = remaining + kTransferTimeoutMargin;
@@ -230,6 +231,7 @@
                      : AttemptResult::kIncompleteAnswer;
     return end;
   }
+  end.names_request = Find(response.headers, names.request_id) != nullptr;
   if (response.status == kStatusMisdirected) {
     end.result = AttemptResult::kWrongBackend;
     return end;
@@ -244,11 +246,12 @@
   const bool encoded = Find(response.headers, "content-encoding") != nullptr;
   if (signature == nullptr || signature->empty() || encoded) {
     end.result = AttemptResult::kIncompleteAnswer;
+    end.discard_reason =
+        encoded ? "the answer is encoded" : "the answer has no signature";
     return end;
   }
   end.result = IsSuccess(response.status) ? AttemptResult::kAnswered
                                           : AttemptResult::kFailed;
-  end.names_request = Find(response.headers, names.request_id) != nullptr;
   end.answer.status = response.status;
   end.answer.framing = response.received.framing;
   end.answer.signature = *signature;
--- a/source/common/forwarding/request_run.cc
+++ b/source/common/forwarding/request_run.cc
@@ -181,14 +181,15 @@
   ++attempts_sent_;
   const Duration delay = HedgeDelay();
   shard.next_hedge = now + delay;
-  actions_.emplace_back(
-      SendAction{.attempt = attempt,
-                 .backend = id,
-                 .address = backend->info.address,
-                 .deadline = deadline_,
-                 .names_request = backend->service->names_requests,
-                 .version = backend->info.version,
-                 .canary = backend->info.canary});
+  actions_.emplace_back(SendAction{
+      .attempt = attempt,
+      .backend = id,
+      .address = backend->info.address,
+      .deadline = deadline_,
+      .names_request = backend->service->names_requests,
+      .names_request_in_failures = backend->service->names_requests_in_failures,
+      .version = backend->info.version,
+      .canary = backend->info.canary});
   pool_.OnSent(id, attempt, now);
   return true;
 }
@@ -374,11 +375,12 @@
     shard.may_have_arrived |= end.result != AttemptResult::kUnsent &&
                               end.result != AttemptResult::kRefused;
     sheds_ += end.result == AttemptResult::kShed ? 1 : 0;
+    if (end.names_request) {
+      pool_.OnNamedRequest(shard.service,
+                           end.result == AttemptResult::kAnswered);
+    }
     switch (end.result) {
       case AttemptResult::kAnswered:
-        if (end.names_request) {
-          pool_.OnNamedRequest(shard.service);
-        }
         latency_.attempts.Record(now - ended.sent);
         if (ended.hedge) {
           latency_.hedges.Record(now - ended.sent);
--- a/source/common/forwarding/request_run.h
+++ b/source/common/forwarding/request_run.h
@@ -39,6 +39,8 @@
   // Whether backends of this service echo the request id. An answer without one
   // then belongs to another request.
   bool names_request = false;
+  // The same for answers that are no successes.
+  bool names_request_in_failures = false;
   // The version that the backend runs, when its service has a rollout.
   std::string version{};
   bool canary = false;
@@ -81,10 +83,12 @@
   // For kReset and kIncompleteAnswer: whether the connection was lost while the
   // backend had the request, before the first byte of an answer.
   bool connection_lost = false;
-  // For kAnswered: whether the answer echoes the request id.
+  // Whether the answer echoes the request id, with any result.
   bool names_request = false;
   // Set for kAnswered and kFailed.
   BackendAnswer answer;
+  // Why a whole answer is not taken, for the log; empty otherwise.
+  const char* discard_reason = "";
 };
 
 // How a run ended.
--- a/test/unit/forwarding/message_codec_test.cc
+++ b/test/unit/forwarding/message_codec_test.cc
@@ -87,6 +87,21 @@
   CHECK(sent.only_given_headers);
 }
 
+TEST_CASE("the reason why a whole answer is not taken is given") {
+  const auto reason_of = [](net::HttpClientResponse response) {
+    const AttemptEnd end =
+        ReadBackendResponse(std::move(response), kNames, AnswerUse::kPassedOn);
+    return std::string(end.discard_reason);
+  };
+  CHECK(reason_of(Answer(200)).empty());
+  net::HttpClientResponse unsigned_answer = Answer(200);
+  unsigned_answer.headers.erase("x-signature");
+  CHECK(reason_of(unsigned_answer) == "the answer has no signature");
+  net::HttpClientResponse encoded = Answer(200);
+  encoded.headers["content-encoding"] = "gzip";
+  CHECK(reason_of(encoded) == "the answer is encoded");
+}
+
 TEST_CASE("an answer maps to the result of the attempt") {
   const auto result = [](net::HttpClientResponse response) {
     return ReadBackendResponse(std::move(response), kNames,
--- a/test/unit/forwarding/request_run_test.cc
+++ b/test/unit/forwarding/request_run_test.cc
@@ -95,6 +95,32 @@
   CHECK(FirstHedgeAfter(seconds(1)) >= kEarliest);
 }
 
+TEST_CASE("a service that names requests must name them in each such answer") {
+  const auto end_named = [](World& world, AttemptResult result) {
+    AttemptEnd end;
+    end.result = result;
+    end.names_request = true;
+    const AttemptId attempt = world.AttemptAt("s0");
+    world.in_flight.erase(attempt);
+    world.run->OnEnded(attempt, std::move(end), world.now);
+    world.Take();
+  };
+  World world;
+  world.MakeSingle(/*repeatable=*/false);
+  world.Start();
+  CHECK_FALSE(world.sent.back().names_request);
+  CHECK_FALSE(world.sent.back().names_request_in_failures);
+  // A refusal without a request id may then be the late answer to another
+  // request, which has run.
+  end_named(world, AttemptResult::kShed);
+  CHECK_FALSE(world.sent.back().names_request);
+  CHECK(world.sent.back().names_request_in_failures);
+  end_named(world, AttemptResult::kAnswered);
+  world.Start();
+  CHECK(world.sent.back().names_request);
+  CHECK(world.sent.back().names_request_in_failures);
+}
+
 TEST_CASE("a slow shard is hedged at another backend") {
   World world;
   RequestRun& run = world.Start();
