--- a/test/unit/net/truncated_answer_test.cc
+++ b/test/unit/net/truncated_answer_test.cc
@@ -285,18 +285,16 @@
 
 TEST_CASE("contradictory or malformed heads are no answers") {
   Pair pair;
-  for (const char* head :
-       {"HTTP/1.1 200 OK\r\nContent-Length: 2\r\nContent-Length: 3\r\n",
-        "HTTP/1.1 200 OK\r\nContent-Length: 2x\r\n",
-        "HTTP/1.1 200 OK\r\nContent-Length: +2\r\n",
-        "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n"
-        "Transfer-Encoding: chunked\r\n",
-        "HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip\r\n",
-        "HTTP/1.1 200 OK\r\nX-Signature\r\n", "HTTP/1.1 2000\r\n",
-        "HTTP/1.1 200 OK\r\n X-Folded: 1\r\n", "HTTP/1.1 101 Other\r\n"}) {
+  const std::string ok = "HTTP/1.1 200 OK\r\n";
+  for (const std::string& head :
+       {ok + "Content-Length: 2\r\nContent-Length: 3\r\n",
+        ok + "Content-Length: 2x\r\n", ok + "Content-Length: +2\r\n",
+        ok + "Content-Length: 2\r\nTransfer-Encoding: chunked\r\n",
+        ok + "Transfer-Encoding: gzip\r\n", ok + "X-Signature\r\n",
+        ok + " X-Folded: 1\r\n", std::string("HTTP/1.1 2000\r\n"),
+        std::string("HTTP/1.1 101 Other\r\n")}) {
     CAPTURE(head);
-    const auto response =
-        pair.CallFor({std::string(head) + "\r\nok", Ending::kClose});
+    const auto response = pair.CallFor({head + "\r\nok", Ending::kClose});
     CHECK_FALSE(IsAnswered(response));
     CHECK_FALSE(response.transport_error.empty());
   }
