--- a/review/standins2.py
+++ b/review/standins2.py
@@ -119,8 +119,10 @@
 class Rig:
     """The processes, the platform, and what was sent, answered and run."""
 
-    def __init__(self, routers=3, controls=3):
+    def __init__(self, router_zones=("z-a", "z-b", "z-c")):
         self.zones = ["z-a", "z-b", "z-c"]
+        self.router_zones = list(router_zones)
+        controls, routers = len(self.zones), len(self.router_zones)
         net = random.randrange(10, 240)
         self.control_ips = ["127.%d.1.%d" % (net, i + 1) for i in range(controls)]
         self.router_ips = ["127.%d.2.%d" % (net, i + 1) for i in range(routers)]
@@ -182,8 +184,9 @@
     def _settings(self, name, bootstrap):
         role, number = name.split("-")
         index = int(number) - 1
-        ips = self.control_ips if role == "core" else self.router_ips
-        ip, zone = ips[index], self.zones[index % len(self.zones)]
+        core = role == "core"
+        ip = (self.control_ips if core else self.router_ips)[index]
+        zone = (self.zones if core else self.router_zones)[index]
         seeds = json.dumps(["%s:%d" % (seed, self.control_port)
                             for seed in self.control_ips[:3]])
         common = f'''name = "{name}"
@@ -196,7 +199,7 @@
 metrics_listen = "{ip}:{self.metrics_port}"
 source_address = "{ip}"
 '''
-        if role == "core":
+        if core:
             return common + f'''roles = ["control"]
 data_folder = "{self.folder}/{name}"
 
@@ -355,13 +358,14 @@
             "maximum_attempts": attempts}
 
 
-def main(folder, play):
-    """Plays a case: `play(rig)` returns whether the rule held, and a text."""
+def main(folder, play, **options):
+    """Plays a case: `play(rig)` returns whether the rule held, and a text.
+    The options are those of the rig."""
     if not os.path.exists(DAEMON):
         print("target/bin/juniperwayd is not built")
         sys.exit(NOT_RUN)
     signal.signal(signal.SIGTERM, lambda *_: sys.exit(NOT_RUN))
-    rig = Rig()
+    rig = Rig(**options)
     code = NOT_RUN
     try:
         held, text = asyncio.run(play(rig))
