raft: a node without a vote forgets a silent leader

Cause: only a node that votes had a timeout for a silent leader. A learner that missed its promotion and its removal believed in its last leader for good. So it never asked for membership again, and passed heartbeats of daemons on.

Now a node that may not campaign forgets the leader at the same deadline, and wakes up for it. It may vote for another candidate of the same term, as a voter that has begun to pre-vote may: its vote of that term is still its only one.

The stand-in leader of the tests sent one heartbeat and relied on being believed in for ever; it now repeats it.

--- a/source/common/raft/fsm.cc
+++ b/source/common/raft/fsm.cc
@@ -63,8 +63,8 @@
 void Fsm::Implementation::Tick(MonotonicTime now) {
   now_ = now;
   if (role_ != Role::kLeader) {
-    if (now >= election_deadline_ && IsActiveVoter() && !lost_data_) {
-      StartPreVote(now);
+    if (now >= election_deadline_) {
+      OnLeaderSilent(now);
     }
     return;
   }
@@ -81,6 +81,15 @@
   StartHeartbeatRound(now);
 }
 
+void Fsm::Implementation::OnLeaderSilent(MonotonicTime now) {
+  if (MayCampaign()) {
+    StartPreVote(now);
+    return;
+  }
+  // A node without a vote may have been removed by a change that it missed.
+  leader_ = kNoNode;
+}
+
 void Fsm::Implementation::Step(const Message& message, MonotonicTime now) {
   now_ = now;
   if (message.to != options_.id || message.from == options_.id ||
@@ -142,6 +151,10 @@
   }
 }
 
+bool Fsm::Implementation::MayCampaign() const {
+  return IsActiveVoter() && !lost_data_;
+}
+
 bool Fsm::Implementation::IsActiveVoter() const {
   return IsVoter(configuration(), options_.id);
 }
@@ -251,8 +264,8 @@
   if (role_ == Role::kLeader) {
     return next_heartbeat_;
   }
-  return IsActiveVoter() && !lost_data_ ? election_deadline_
-                                        : MonotonicTime::max();
+  const bool awaits_leader = MayCampaign() || leader_ != kNoNode;
+  return awaits_leader ? election_deadline_ : MonotonicTime::max();
 }
 
 Status Fsm::Implementation::GetStatus() const {
--- a/source/common/raft/fsm.h
+++ b/source/common/raft/fsm.h
@@ -91,6 +91,8 @@
 struct Status {
   NodeId id = kNoNode;
   Role role = Role::kFollower;
+  // kNoNode once the leader has been silent for an election timeout, also on a
+  // node without a vote.
   NodeId leader = kNoNode;
   Term term = 0;
   Index commit = 0;
--- a/source/common/raft/fsm_implementation.h
+++ b/source/common/raft/fsm_implementation.h
@@ -53,6 +53,9 @@
   const Configuration& configuration() const { return history_.latest(); }
   Term term() const { return hard_state_.term; }
   bool IsActiveVoter() const;
+  bool MayCampaign() const;
+  // No leader was heard up to the election deadline.
+  void OnLeaderSilent(MonotonicTime now);
   void Send(Message message);
   // Appends to the own log as leader; @return the entry's index.
   Index AppendOwn(EntryKind kind, std::string data);
--- a/test/support/stand_in_leader.h
+++ b/test/support/stand_in_leader.h
@@ -4,6 +4,7 @@
 #pragma once
 
 #include <asio/io_context.hpp>
+#include <asio/steady_timer.hpp>
 #include <memory>
 #include <optional>
 #include <string>
@@ -31,9 +32,12 @@
   // Connects to the node `follower` at `address` ("ip:port") in place of any
   // earlier connection. @return false when the node does not accept in time.
   bool Connect(raft::NodeId follower, const std::string& address);
-  // Sends a heartbeat without entries and waits for the follower's answer.
+  // Sends a heartbeat without entries and waits for the follower's answer. Then
+  // repeats the heartbeat until StopLeading() or the next Connect().
   // @return false when the follower does not answer in time.
   bool Lead(raft::Term term);
+  // Falls silent; the connection stays open.
+  void StopLeading() { heartbeat_timer_.cancel(); }
 
   // Forwarded calls that have arrived, oldest first.
   const std::vector<protocol::ForwardCallT>& calls() const { return calls_; }
@@ -45,6 +49,11 @@
     return heartbeats_;
   }
 
+  // Replies to heartbeats that the test sent, oldest first.
+  const std::vector<protocol::HeartbeatReplyT>& heartbeat_replies() const {
+    return heartbeat_replies_;
+  }
+
   template <typename Message>
   void Send(Message message) {
     session::SendMessage(*connection_, std::move(message));
@@ -54,16 +63,20 @@
 
  private:
   void OnFrame(net::FrameBytes bytes);
+  void SendConsensusHeartbeat(raft::Term term);
+  void RepeatHeartbeat(raft::Term term);
 
   asio::io_context& context_;
   raft::NodeId self_;
   std::string cluster_;
   raft::NodeId follower_ = raft::kNoNode;
   std::shared_ptr<net::FrameConnection> connection_;
+  asio::steady_timer heartbeat_timer_;
   bool heartbeat_answered_ = false;
   std::vector<protocol::ForwardCallT> calls_;
   std::vector<protocol::ForwardOperationsT> operations_;
   std::vector<protocol::MemberHeartbeatT> heartbeats_;
+  std::vector<protocol::HeartbeatReplyT> heartbeat_replies_;
 };
 
 }  // namespace juniperway::test
