control: member repair starts anew with each term

Cause: the repair kept since when a member is silent, also over the time in which another node led. A node that leads again has heard nobody yet, so that every member counts as silent until its first answer, and one that had been silent in the earlier term counted as lost at once: a sound voter could be replaced, a sound learner removed, and the daemons of a removed node have to move.

--- a/source/common/control/member_repair.cc
+++ b/source/common/control/member_repair.cc
@@ -1,6 +1,7 @@
 #include "common/control/member_repair.h"
 
 #include <algorithm>
+#include <utility>
 #include <vector>
 
 namespace juniperway::control {
@@ -25,6 +26,11 @@
 
 void MemberRepair::UpdateInactivity(const raft::Status& status,
                                     MonotonicTime now) {
+  // A new leader has heard nobody yet, so every member is inactive until its
+  // first answer. What this node saw when it led before proves nothing now.
+  if (std::exchange(term_, status.term) != status.term) {
+    inactive_since_.clear();
+  }
   std::map<raft::NodeId, MonotonicTime> inactive;
   for (const raft::Progress& progress : status.progress) {
     if (!progress.active) {
--- a/source/common/control/member_repair.h
+++ b/source/common/control/member_repair.h
@@ -50,6 +50,8 @@
               MonotonicTime now) const;
 
   Options options_;
+  // Term in which inactive_since_ was seen.
+  raft::Term term_ = 0;
   // Members that do not answer, with the start of their inactivity.
   std::map<raft::NodeId, MonotonicTime> inactive_since_;
 };
--- a/test/unit/control/member_repair_test.cc
+++ b/test/unit/control/member_repair_test.cc
@@ -57,6 +57,26 @@
   CHECK(group.Next(seconds(60)) == "");
 }
 
+// A node that leads again has heard nobody yet. What it saw in an earlier term
+// must not make it replace or remove members that are about to answer.
+TEST_CASE("inactivity in an earlier term does not count") {
+  Group group;
+  group.status.term = 1;
+  raft::Progress& learner = group.Add(4, false, "10.0.0.4:1");
+  group.Add(5, false, "10.0.0.5:1");
+  group.two->active = false;
+  learner.active = false;
+  REQUIRE(group.Next() == "");
+  group.status.term = 3;
+  CHECK(group.Next(seconds(60)) == "");
+  group.two->active = true;
+  learner.active = true;
+  CHECK(group.Next(seconds(60)) == "");
+  group.two->active = false;
+  CHECK(group.Next() == "");
+  CHECK(group.Next(seconds(2)) == "promote 5");
+}
+
 TEST_CASE("a learner stays one until a voter is lost, then replaces it") {
   Group group;
   group.Add(4, false, "10.0.0.4:1");
