control: a node that cannot write its store passes no heartbeats on

Cause: a suspended node drops all messages of consensus, so its state stands still, but it still names its last leader and passed its daemons' heartbeats on. Leases came back, and the daemons stayed.

It asks for no membership meanwhile: as a new learner it would only be removed again. Calls of operators are still passed on; the leader answers them from its own state.

--- a/source/common/control/control_node.cc
+++ b/source/common/control/control_node.cc
@@ -314,7 +314,8 @@
 }
 
 void ControlNode::RequestMembership(MonotonicTime now) {
-  if (!join_client_ || on_stopped_) {
+  // A suspended node could not take part; it asks once it can write again.
+  if (!join_client_ || on_stopped_ || driver_->suspended()) {
     return;
   }
   const bool is_member =
--- a/source/common/control/control_node.h
+++ b/source/common/control/control_node.h
@@ -107,7 +107,8 @@
   void OnProgressUpdate(const protocol::ProgressUpdateT& progress);
   // Sends `observations` to every other member.
   void SendObservations(const observation::BackendObservations& observations);
-  // @return false when no leader is known or no connection to it is open.
+  // @return false when no leader is known, no connection to it is open, or this
+  // node is suspended.
   bool ForwardHeartbeats(Heartbeats heartbeats);
   void ForwardGoodbye(const DaemonKey& daemon);
   void AnnounceProgress(
--- a/source/common/control/control_node_peers.cc
+++ b/source/common/control/control_node_peers.cc
@@ -177,7 +177,8 @@
 
 bool ControlNode::ForwardHeartbeats(Heartbeats heartbeats) {
   const raft::NodeId leader = KnownLeader();
-  if (leader == raft::kNoNode) {
+  // A suspended node receives no changes, so its daemons must not stay with it.
+  if (leader == raft::kNoNode || driver_->suspended()) {
     return false;
   }
   if (leader == options_.node_id) {
--- a/test/support/control_group.cc
+++ b/test/support/control_group.cc
@@ -9,6 +9,7 @@
 
 #include "common/net/address.h"
 #include "support/event_loop.h"
+#include "support/full_disk_store.h"
 
 namespace juniperway::test {
 namespace {
@@ -44,6 +45,7 @@
     : context_(context),
       adjust_(std::move(adjust)),
       folder_(MakeFolder()),
+      disks_full_(size),
       servers_(size),
       http_(std::make_unique<net::HttpClient>(context, 0)) {
   for (std::size_t position = 0; position < size; ++position) {
@@ -83,7 +85,9 @@
     throw std::runtime_error(FormatError(store.error()));
   }
   servers_.at(position) = std::make_unique<control::ControlServer>(
-      context_, options, std::move(*store));
+      context_, options,
+      std::make_unique<FullDiskStore>(std::move(*store),
+                                      disks_full_.at(position)));
 }
 
 void ControlGroup::Restart(std::size_t position) {
@@ -96,6 +100,7 @@
   const std::size_t position = servers_.size();
   members_.push_back(
       {position + 1, net::FormatEndpoint(FindFreeEndpoint(context_))});
+  disks_full_.emplace_back();
   servers_.emplace_back();
   Start(position, {});
   return position;
--- a/test/support/control_group.h
+++ b/test/support/control_group.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <asio/io_context.hpp>
+#include <deque>
 #include <filesystem>
 #include <functional>
 #include <memory>
@@ -40,6 +41,11 @@
   void Crash(std::size_t position) { servers_.at(position).reset(); }
   // Starts the server at `position` again with its store.
   void Restart(std::size_t position);
+  // Makes every write of the server's store fail as on a full disk, or ends
+  // that.
+  void SetDiskFull(std::size_t position, bool full) {
+    disks_full_.at(position) = full;
+  }
   // Starts an additional server, which waits until the cluster adds it.
   // @return the server's position; its node id is the position plus one.
   std::size_t StartUnjoined();
@@ -74,6 +80,8 @@
   Adjust adjust_;
   std::filesystem::path folder_;
   std::vector<raft::Member> members_;
+  // The stores keep references to the elements.
+  std::deque<bool> disks_full_;
   std::vector<std::unique_ptr<control::ControlServer>> servers_;
   std::unique_ptr<net::HttpClient> http_;
 };
