control: the leader grants no lease through a node outside the group

Cause: the leader looked at the daemon of a forwarded heartbeat and not at the node that forwarded it.

Now heartbeats of a node outside the leader's latest configuration are answered "no leader" and logged once (2156). Goodbyes, operations and calls are still taken: each names what it is about, and the leader answers from its own state.

Evidence: integration.control/lost_membership, "A leader grants no lease through a node outside the group", fails on the code with none of the changes.

--- a/source/common/control/control_node_peers.cc
+++ b/source/common/control/control_node_peers.cc
@@ -150,7 +150,7 @@
   }
   protocol::ForwardHeartbeatsReplyT reply;
   reply.replies =
-      role_->OnHeartbeats(forwarded.heartbeats, ReadMonotonicClock());
+      role_->OnHeartbeats(from, forwarded.heartbeats, ReadMonotonicClock());
   peers_->Send(from, std::move(reply));
 }
 
@@ -182,7 +182,8 @@
     return false;
   }
   if (leader == options_.node_id) {
-    sessions_->OnReplies(role_->OnHeartbeats(heartbeats, ReadMonotonicClock()));
+    sessions_->OnReplies(
+        role_->OnHeartbeats(leader, heartbeats, ReadMonotonicClock()));
     return true;
   }
   protocol::ForwardHeartbeatsT message;
--- a/source/common/control/events.h
+++ b/source/common/control/events.h
@@ -84,6 +84,8 @@
                                           Severity::kInfo};
 inline constexpr EventType kOrderDropped{2155, "order_dropped",
                                          Severity::kWarning};
+inline constexpr EventType kHeartbeatsRefused{2156, "heartbeats_refused",
+                                              Severity::kWarning};
 inline constexpr EventType kEvacuationApplied{2154, "evacuation_applied",
                                               Severity::kInfo};
 
--- a/source/common/control/leader_role.cc
+++ b/source/common/control/leader_role.cc
@@ -49,6 +49,17 @@
 
 LeaderRole::~LeaderRole() { *alive_ = false; }
 
+bool LeaderRole::IsInGroup(raft::NodeId node) {
+  if (raft::IsMember(group_, node)) {
+    refused_nodes_.erase(node);
+    return true;
+  }
+  if (refused_nodes_.insert(node).second) {
+    logging::LogEvent(kHeartbeatsRefused, {{"node", node_id_}, {"from", node}});
+  }
+  return false;
+}
+
 void LeaderRole::RecordPools(const raft::Status& status, MonotonicTime now) {
   for (const raft::Member& member : raft::AllMembers(status.configuration)) {
     pools_[PoolName(member.id)] = now;
@@ -66,6 +77,10 @@
 }
 
 void LeaderRole::Update(const raft::Status& status, MonotonicTime now) {
+  node_id_ = status.id;
+  if (group_ != status.configuration) {
+    group_ = status.configuration;
+  }
   RecordPools(status, now);
   const bool leads = status.role == raft::Role::kLeader;
   if (pipeline_term_ != 0 && (!leads || status.term != pipeline_term_)) {
@@ -115,11 +130,12 @@
   return leases_.active() && ports_.has_leader_lease(now);
 }
 
-HeartbeatReplies LeaderRole::OnHeartbeats(const Heartbeats& heartbeats,
+HeartbeatReplies LeaderRole::OnHeartbeats(raft::NodeId from,
+                                          const Heartbeats& heartbeats,
                                           MonotonicTime now) {
   HeartbeatReplies replies;
   replies.reserve(heartbeats.size());
-  const bool leading = IsLeading(now);
+  const bool leading = IsLeading(now) && IsInGroup(from);
   for (const auto& item : heartbeats) {
     if (!item->heartbeat) {
       continue;
--- a/source/common/control/leader_role.h
+++ b/source/common/control/leader_role.h
@@ -79,8 +79,10 @@
   void OnApplied(const raft::Entry& entry, AppliedCommand applied,
                  MonotonicTime now);
 
-  // Answers heartbeats, with kNoLeader unless IsLeading(now).
-  HeartbeatReplies OnHeartbeats(const Heartbeats& heartbeats,
+  // Answers the heartbeats that the control node `from` received or forwarded,
+  // with kNoLeader unless IsLeading(now) and `from` is in the group: a node
+  // that was removed gets no changes, so its daemons must go to another one.
+  HeartbeatReplies OnHeartbeats(raft::NodeId from, const Heartbeats& heartbeats,
                                 MonotonicTime now);
   void OnGoodbye(const DaemonKey& daemon);
   // Stores the watermarks that another leader announced. When this node becomes
@@ -107,6 +109,8 @@
   const rollout::RolloutJudge& rollouts() const { return rollout_judge_; }
 
  private:
+  // Whether the node is in the group. Logs the first time that a node is not.
+  bool IsInGroup(raft::NodeId node);
   protocol::HeartbeatReplyT AnswerHeartbeat(
       const protocol::MemberHeartbeatT& item, MonotonicTime now);
   // Records that the pools of the group's control nodes exist at `now`.
@@ -132,6 +136,11 @@
   Ports ports_;
   LeaseTable leases_;
   TenantQuotas tenant_quotas_;
+  raft::NodeId node_id_ = raft::kNoNode;
+  // The latest configuration in this node's log.
+  raft::Configuration group_;
+  // Nodes outside the group whose heartbeats were refused and logged.
+  std::set<raft::NodeId> refused_nodes_;
   // By pool name: when the control node that owns the pool was last a member of
   // the group.
   std::map<std::string, MonotonicTime> pools_;
--- a/source/sim/control/control_machine_sessions.cc
+++ b/source/sim/control/control_machine_sessions.cc
@@ -42,12 +42,12 @@
     return;  // The daemon finds this machine silent.
   }
   if (leader == this) {
-    OnReplies(role_->OnHeartbeats(*batch, Now()));
+    OnReplies(role_->OnHeartbeats(id_, *batch, Now()));
     return;
   }
   network_.Send(number(), *leader, [this, leader, batch] {
     auto replies = std::make_shared<control::HeartbeatReplies>(
-        leader->role_->OnHeartbeats(*batch, leader->Now()));
+        leader->role_->OnHeartbeats(id_, *batch, leader->Now()));
     network_.Send(leader->number(), *this,
                   [this, replies] { OnReplies(*replies); });
   });
--- a/test/integration/control/lost_membership_test.cc
+++ b/test/integration/control/lost_membership_test.cc
@@ -151,5 +151,34 @@
   CHECK(forgotten);
 }
 
+TEST_CASE("A leader grants no lease through a node outside the group") {
+  constexpr raft::NodeId kOutsider = 9;
+  asio::io_context context(1);
+  ControlGroup group(context, 1);
+  REQUIRE(group.WaitForLeader(0) == 0);
+  auto daemon = group.MakeClient("daemon", "zone");
+  daemon->Start();
+  REQUIRE(RunUntil(
+      context, [&daemon] { return daemon->HasLease(ReadMonotonicClock()); }));
+  const nlohmann::json status = group.GetJson(0, "/v1/status");
+  StandInLeader outsider(context, kOutsider, "test");
+  REQUIRE(outsider.Connect(1, group.Address(0)));
+  protocol::ForwardHeartbeatsT forwarded;
+  auto& item = forwarded.heartbeats.emplace_back(
+      std::make_unique<protocol::MemberHeartbeatT>());
+  item->daemon_id = "daemon";
+  item->incarnation = daemon->incarnation();
+  item->heartbeat = std::make_unique<protocol::HeartbeatT>();
+  item->heartbeat->sequence = 1;
+  item->heartbeat->term = status["term"];
+  item->heartbeat->holds_lease = true;
+  outsider.Send(std::move(forwarded));
+  REQUIRE(RunUntil(
+      context, [&outsider] { return !outsider.heartbeat_replies().empty(); }));
+  const protocol::HeartbeatReplyT& reply = outsider.heartbeat_replies().front();
+  CHECK(reply.outcome == protocol::HeartbeatOutcome::kNoLeader);
+  CHECK(reply.granted_us == 0);
+}
+
 }  // namespace
 }  // namespace juniperway
--- a/test/property/control/control_world.cc
+++ b/test/property/control/control_world.cc
@@ -23,6 +23,8 @@
 // Time by which a defect extends a lease.
 constexpr Duration kDefectLeaseExtension = seconds(3);
 
+raft::Member MemberOf(std::size_t number) { return {number + 1, ""}; }
+
 template <typename Operation>
 Operations OneOperation(Operation operation) {
   Operations operations;
@@ -256,8 +258,11 @@
 raft::Status ControlWorld::StatusOf(std::size_t number) const {
   const Node& node = *nodes_[number];
   raft::Status status;
-  status.id = number + 1;
+  status.id = MemberOf(number).id;
   status.term = node.term;
+  for (std::size_t member = 0; member < kNodes; ++member) {
+    status.configuration.voters.push_back(MemberOf(member));
+  }
   status.role = node.leads ? raft::Role::kLeader : raft::Role::kFollower;
   return status;
 }
@@ -377,9 +382,10 @@
   item->heartbeat->zone_released_revision = content.zone_released;
   auto shared = std::make_shared<Heartbeats>();
   shared->push_back(std::move(item));
-  ToNode(target, [this, number, session, target, shared] {
+  const raft::NodeId from = MemberOf(daemon.node).id;
+  ToNode(target, [this, number, session, target, from, shared] {
     HeartbeatReplies replies =
-        nodes_[target]->role->OnHeartbeats(*shared, now_);
+        nodes_[target]->role->OnHeartbeats(from, *shared, now_);
     const protocol::HeartbeatReplyT reply = *replies.front()->reply;
     DeliverLater([this, number, session, reply] {
       AnswerHeartbeat(number, session, reply);
