session: a daemon leaves a control node that sends it no updates

Cause: a daemon took a renewed lease as the sign that its control node is sound.

The leader's replies to heartbeats now name the revision of its state. A daemon that is behind it and gets no update for 2 s goes to another node; the timeout doubles up to 16 s until an update arrives, since updates that are slow everywhere only get slower by another connection. A daemon without any view waits 16 s at once. An update counts when it arrives, so that the daemon's own slow disk is not held against the node.

--- a/source/common/control/leader_role.cc
+++ b/source/common/control/leader_role.cc
@@ -181,6 +181,7 @@
   }
   reply.term = leases_.term();
   reply.in_force_revision = leases_.in_force();
+  reply.leader_revision = ports_.state().revision();
   const auto& members = ports_.state().fleet().members;
   auto member = members.find(item.daemon_id);
   if (member != members.end()) {
--- a/source/common/protocol/control_generated.h
+++ b/source/common/protocol/control_generated.h
@@ -3632,6 +3632,7 @@
   uint64_t zone_released_revision = 0;
   std::vector<std::unique_ptr<juniperway::protocol::RateGrantRecordT>> rate_grants{};
   std::vector<uint64_t> renewed_rollouts{};
+  uint64_t leader_revision = 0;
   HeartbeatReplyT() = default;
   HeartbeatReplyT(const HeartbeatReplyT &o);
   HeartbeatReplyT(HeartbeatReplyT&&) FLATBUFFERS_NOEXCEPT = default;
@@ -3650,7 +3651,8 @@
     VT_IN_FORCE_REVISION = 12,
     VT_ZONE_RELEASED_REVISION = 14,
     VT_RATE_GRANTS = 16,
-    VT_RENEWED_ROLLOUTS = 18
+    VT_RENEWED_ROLLOUTS = 18,
+    VT_LEADER_REVISION = 20
   };
   uint64_t sequence() const {
     return GetField<uint64_t>(VT_SEQUENCE, 0);
@@ -3676,6 +3678,9 @@
   const flatbuffers::Vector<uint64_t> *renewed_rollouts() const {
     return GetPointer<const flatbuffers::Vector<uint64_t> *>(VT_RENEWED_ROLLOUTS);
   }
+  uint64_t leader_revision() const {
+    return GetField<uint64_t>(VT_LEADER_REVISION, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_SEQUENCE, 8) &&
@@ -3689,6 +3694,7 @@
            verifier.VerifyVectorOfTables(rate_grants()) &&
            VerifyOffset(verifier, VT_RENEWED_ROLLOUTS) &&
            verifier.VerifyVector(renewed_rollouts()) &&
+           VerifyField<uint64_t>(verifier, VT_LEADER_REVISION, 8) &&
            verifier.EndTable();
   }
   HeartbeatReplyT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -3724,6 +3730,9 @@
   void add_renewed_rollouts(flatbuffers::Offset<flatbuffers::Vector<uint64_t>> renewed_rollouts) {
     fbb_.AddOffset(HeartbeatReply::VT_RENEWED_ROLLOUTS, renewed_rollouts);
   }
+  void add_leader_revision(uint64_t leader_revision) {
+    fbb_.AddElement<uint64_t>(HeartbeatReply::VT_LEADER_REVISION, leader_revision, 0);
+  }
   explicit HeartbeatReplyBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -3744,8 +3753,10 @@
     uint64_t in_force_revision = 0,
     uint64_t zone_released_revision = 0,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<juniperway::protocol::RateGrantRecord>>> rate_grants = 0,
-    flatbuffers::Offset<flatbuffers::Vector<uint64_t>> renewed_rollouts = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<uint64_t>> renewed_rollouts = 0,
+    uint64_t leader_revision = 0) {
   HeartbeatReplyBuilder builder_(_fbb);
+  builder_.add_leader_revision(leader_revision);
   builder_.add_zone_released_revision(zone_released_revision);
   builder_.add_in_force_revision(in_force_revision);
   builder_.add_term(term);
@@ -3771,7 +3782,8 @@
     uint64_t in_force_revision = 0,
     uint64_t zone_released_revision = 0,
     const std::vector<flatbuffers::Offset<juniperway::protocol::RateGrantRecord>> *rate_grants = nullptr,
-    const std::vector<uint64_t> *renewed_rollouts = nullptr) {
+    const std::vector<uint64_t> *renewed_rollouts = nullptr,
+    uint64_t leader_revision = 0) {
   auto rate_grants__ = rate_grants ? _fbb.CreateVector<flatbuffers::Offset<juniperway::protocol::RateGrantRecord>>(*rate_grants) : 0;
   auto renewed_rollouts__ = renewed_rollouts ? _fbb.CreateVector<uint64_t>(*renewed_rollouts) : 0;
   return juniperway::protocol::CreateHeartbeatReply(
@@ -3783,7 +3795,8 @@
       in_force_revision,
       zone_released_revision,
       rate_grants__,
-      renewed_rollouts__);
+      renewed_rollouts__,
+      leader_revision);
 }
 
 flatbuffers::Offset<HeartbeatReply> CreateHeartbeatReply(flatbuffers::FlatBufferBuilder &_fbb, const HeartbeatReplyT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -5936,7 +5949,8 @@
         term(o.term),
         in_force_revision(o.in_force_revision),
         zone_released_revision(o.zone_released_revision),
-        renewed_rollouts(o.renewed_rollouts) {
+        renewed_rollouts(o.renewed_rollouts),
+        leader_revision(o.leader_revision) {
   rate_grants.reserve(o.rate_grants.size());
   for (const auto &rate_grants_ : o.rate_grants) { rate_grants.emplace_back((rate_grants_) ? new juniperway::protocol::RateGrantRecordT(*rate_grants_) : nullptr); }
 }
@@ -5950,6 +5964,7 @@
   std::swap(zone_released_revision, o.zone_released_revision);
   std::swap(rate_grants, o.rate_grants);
   std::swap(renewed_rollouts, o.renewed_rollouts);
+  std::swap(leader_revision, o.leader_revision);
   return *this;
 }
 
@@ -5970,6 +5985,7 @@
   { auto _e = zone_released_revision(); _o->zone_released_revision = _e; }
   { auto _e = rate_grants(); if (_e) { _o->rate_grants.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->rate_grants[_i] = std::unique_ptr<juniperway::protocol::RateGrantRecordT>(_e->Get(_i)->UnPack(_resolver)); } } }
   { auto _e = renewed_rollouts(); if (_e) { _o->renewed_rollouts.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->renewed_rollouts[_i] = _e->Get(_i); } } }
+  { auto _e = leader_revision(); _o->leader_revision = _e; }
 }
 
 inline flatbuffers::Offset<HeartbeatReply> HeartbeatReply::Pack(flatbuffers::FlatBufferBuilder &_fbb, const HeartbeatReplyT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -5988,6 +6004,7 @@
   auto _zone_released_revision = _o->zone_released_revision;
   auto _rate_grants = _o->rate_grants.size() ? _fbb.CreateVector<flatbuffers::Offset<juniperway::protocol::RateGrantRecord>> (_o->rate_grants.size(), [](size_t i, _VectorArgs *__va) { return CreateRateGrantRecord(*__va->__fbb, __va->__o->rate_grants[i].get(), __va->__rehasher); }, &_va ) : 0;
   auto _renewed_rollouts = _o->renewed_rollouts.size() ? _fbb.CreateVector(_o->renewed_rollouts) : 0;
+  auto _leader_revision = _o->leader_revision;
   return juniperway::protocol::CreateHeartbeatReply(
       _fbb,
       _sequence,
@@ -5997,7 +6014,8 @@
       _in_force_revision,
       _zone_released_revision,
       _rate_grants,
-      _renewed_rollouts);
+      _renewed_rollouts,
+      _leader_revision);
 }
 
 inline RateTokensT::RateTokensT(const RateTokensT &o)
--- a/source/common/session/control_session_client.cc
+++ b/source/common/session/control_session_client.cc
@@ -36,6 +36,16 @@
 // A goodbye is small: once the socket took it the kernel delivers it.
 constexpr Duration kGoodbyePollInterval = milliseconds(5);
 
+const char* DescribeReason(DisconnectReason reason) {
+  switch (reason) {
+    case DisconnectReason::kUnresponsive:
+      return "silent or without a lease";
+    case DisconnectReason::kNoUpdates:
+      return "no updates, although the leader's state is newer";
+  }
+  return "unknown";
+}
+
 }  // namespace
 
 class ControlSessionClient::Implementation
@@ -269,8 +279,9 @@
     } else if (const auto* beat = std::get_if<HeartbeatAction>(&action)) {
       SendHeartbeat(beat->heartbeat);
     } else {
+      const auto reason = std::get<DisconnectAction>(action).reason;
       LogEvent(kSessionLost, {{"daemon", options_.daemon_id},
-                              {"reason", "silent or without a lease"}});
+                              {"reason", DescribeReason(reason)}});
       DropConnection();
     }
   }
@@ -452,6 +463,7 @@
     }
     ++counters_.updates;
     counters_.full_updates += update.from_revision == 0 ? 1 : 0;
+    state_->OnUpdateReceived(update.to_revision, Now());
     keeper_->Stage(std::move(*view));
   }
 
--- a/source/common/session/endpoint_preference.cc
+++ b/source/common/session/endpoint_preference.cc
@@ -76,6 +76,8 @@
   next_trial_ = now + Draw(pause_ / 2, pause_);
 }
 
+void EndpointPreference::OnUseless() { pause_ = timing_.longest_pause; }
+
 void EndpointPreference::OnGranted() {
   if (before_trial_) {
     before_trial_.reset();
--- a/source/common/session/endpoint_preference.h
+++ b/source/common/session/endpoint_preference.h
@@ -50,6 +50,10 @@
 
   // The current one could not be reached, is silent, or is of no use.
   void OnFailed(MonotonicTime now);
+  // The current one renews the lease but brings no updates: after OnFailed, a
+  // nearer one is tried after the longest pause only, since a trial can't show
+  // whether updates come.
+  void OnUseless();
   // The current one renewed the lease.
   void OnGranted();
   // Whether a nearer one is to be tried now.
--- a/source/common/session/heartbeat_codec.cc
+++ b/source/common/session/heartbeat_codec.cc
@@ -23,6 +23,7 @@
   answer.term = reply.term;
   answer.in_force = reply.in_force_revision;
   answer.zone_released = reply.zone_released_revision;
+  answer.leader_revision = reply.leader_revision;
   return answer;
 }
 
--- a/source/common/session/session_state.cc
+++ b/source/common/session/session_state.cc
@@ -42,7 +42,7 @@
       return;
     case Phase::kConnecting:
       if (now >= phase_deadline_) {
-        Abandon(now);
+        Abandon(DisconnectReason::kUnresponsive, now);
       }
       return;
     case Phase::kConnected:
@@ -52,7 +52,11 @@
   const bool ungranted = now - last_grant_ >= timing_.ungranted_timeout;
   const bool granted_now = std::exchange(granted_now_, false);
   if (silent || ungranted || HasTrialFailed(now)) {
-    Abandon(now);
+    Abandon(DisconnectReason::kUnresponsive, now);
+  } else if (now >= UpdateDeadline()) {
+    ++update_timeouts_;
+    preference_.OnUseless();
+    Abandon(DisconnectReason::kNoUpdates, now);
   } else if (granted_now && preference_.IsTrialDue(now)) {
     BeginTrial(now);
   } else if (heartbeat_wanted_ || now >= NextHeartbeat(now)) {
@@ -66,6 +70,8 @@
   unanswered_.clear();
   last_grant_ = now;
   last_answer_refused_ = false;
+  leader_revision_ = 0;
+  behind_since_.reset();
   SendHeartbeat(now);
 }
 
@@ -88,6 +94,10 @@
   unanswered_.erase(unanswered_.begin(), std::next(sent));
   OnProgress(answer.in_force, answer.zone_released);
   last_answer_refused_ = !answer.granted;
+  if (answer.leader_revision != 0) {
+    leader_revision_ = answer.leader_revision;
+    NoteBehind(now);
+  }
   if (answer.granted) {
     lease_end_ = std::max(lease_end_, sent_at + answer.lease);
     last_grant_ = now;
@@ -110,9 +120,39 @@
   zone_released_ = std::max(zone_released_, zone_released);
 }
 
+void SessionState::OnUpdateReceived(resources::Revision revision,
+                                    MonotonicTime now) {
+  received_ = std::max(received_, revision);
+  update_timeouts_ = 0;
+  behind_since_.reset();
+  NoteBehind(now);
+}
+
+void SessionState::NoteBehind(MonotonicTime now) {
+  if (received_ >= leader_revision_) {
+    behind_since_.reset();
+  } else if (!behind_since_) {
+    behind_since_ = now;
+  }
+}
+
+MonotonicTime SessionState::UpdateDeadline() const {
+  if (!behind_since_) {
+    return MonotonicTime::max();
+  }
+  if (received_ == 0) {
+    return *behind_since_ + timing_.update_timeout_maximum;
+  }
+  const Duration timeout =
+      timing_.update_timeout *
+      (std::int64_t{1} << std::min(update_timeouts_, kMaximumBackoffShift));
+  return *behind_since_ + std::min(timeout, timing_.update_timeout_maximum);
+}
+
 void SessionState::OnTaken(resources::Revision revision) {
   taken_ = std::max(taken_, revision);
   minimum_revision_ = std::max(minimum_revision_, taken_);
+  received_ = std::max(received_, revision);
   heartbeat_wanted_ = true;
 }
 
@@ -146,7 +186,8 @@
   const MonotonicTime ungranted = last_grant_ + timing_.ungranted_timeout;
   const MonotonicTime trial =
       preference_.in_trial() ? phase_deadline_ : MonotonicTime::max();
-  return std::min({NextHeartbeat(last_heartbeat_), silence, ungranted, trial});
+  return std::min({NextHeartbeat(last_heartbeat_), silence, ungranted, trial,
+                   UpdateDeadline()});
 }
 
 void SessionState::SendHeartbeat(MonotonicTime now) {
@@ -197,8 +238,8 @@
          (last_answer_refused_ || now >= phase_deadline_);
 }
 
-void SessionState::Abandon(MonotonicTime now) {
-  actions_.emplace_back(DisconnectAction{});
+void SessionState::Abandon(DisconnectReason reason, MonotonicTime now) {
+  actions_.emplace_back(DisconnectAction{reason});
   OnDisconnected(now);
 }
 
--- a/source/common/session/session_state.h
+++ b/source/common/session/session_state.h
@@ -9,6 +9,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <random>
 #include <variant>
 #include <vector>
@@ -34,6 +35,15 @@
   // Longer than an ordinary election: the machine may be well, and the next
   // one may be the one that was lost. Under the lease.
   Duration ungranted_timeout = milliseconds(3300);
+  // A control machine that renews the lease but sends no update for this long
+  // while the leader's state is newer than the daemon's is left. Longer than an
+  // update takes to a daemon under load. Each machine that is left doubles the
+  // timeout up to its maximum, until an update arrives: where updates are slow
+  // everywhere, another connection only delays them. A daemon without any view
+  // waits for the maximum: it uses nothing that could be old, and the whole
+  // state takes longer than a change.
+  Duration update_timeout = seconds(2);
+  Duration update_timeout_maximum = seconds(16);
   Duration connect_timeout = seconds(1);
   // Reconnect delays are drawn from [0, min(maximum, minimum x 2^attempts)].
   Duration reconnect_minimum = milliseconds(50);
@@ -65,6 +75,9 @@
   std::uint64_t term = 0;
   resources::Revision in_force = 0;
   resources::Revision zone_released = 0;
+  // Revision of the leader's state when it answered; 0: the answer is not the
+  // leader's.
+  resources::Revision leader_revision = 0;
 };
 
 // Open a connection to this control machine (index into the settings' list),
@@ -74,8 +87,17 @@
   // The session leaves a machine that is well for a nearer one.
   bool trial = false;
 };
+// Why the session leaves a control machine.
+enum class DisconnectReason {
+  // It is silent, cannot be reached in time or does not renew the lease.
+  kUnresponsive,
+  // It renews the lease, but sends no update to a state that the leader has.
+  kNoUpdates,
+};
 // Close the connection, or give up the attempt to connect.
-struct DisconnectAction {};
+struct DisconnectAction {
+  DisconnectReason reason = DisconnectReason::kUnresponsive;
+};
 struct HeartbeatAction {
   HeartbeatContent heartbeat;
 };
@@ -117,6 +139,9 @@
   bool MayTake(resources::Revision revision) const {
     return revision > taken_ && revision >= minimum_revision_;
   }
+  // An update that may be taken has arrived. It counts as progress although the
+  // view is not kept yet: a slow disk of the daemon is no fault of the machine.
+  void OnUpdateReceived(resources::Revision revision, MonotonicTime now);
   // The view at `revision` is in use and kept: the next Tick confirms it.
   void OnTaken(resources::Revision revision);
   // The daemon has something to say that goes with heartbeats: the next Tick
@@ -142,7 +167,12 @@
   void SendHeartbeat(MonotonicTime now);
   void ScheduleConnect(MonotonicTime now);
   // Leaves the current control machine for the next one.
-  void Abandon(MonotonicTime now);
+  void Abandon(DisconnectReason reason, MonotonicTime now);
+  // Starts or ends the wait for an update.
+  void NoteBehind(MonotonicTime now);
+  // Until when an update must arrive; max() while the daemon has received all
+  // that the leader is known to have.
+  MonotonicTime UpdateDeadline() const;
   // Leaves it for a nearer one, for the time being.
   void BeginTrial(MonotonicTime now);
   // Of a trial: the machine has not shown that it can renew the lease.
@@ -175,6 +205,14 @@
   bool last_answer_refused_ = false;
   MonotonicTime lease_end_ = MonotonicTime::min();
   std::uint64_t term_ = 0;
+  // Revision of the leader's state by its latest answer on this connection.
+  resources::Revision leader_revision_ = 0;
+  // Revision of the latest update that arrived.
+  resources::Revision received_ = 0;
+  // Since when `received_` stands still below `leader_revision_`.
+  std::optional<MonotonicTime> behind_since_;
+  // Machines left for want of updates since the last one arrived.
+  std::uint32_t update_timeouts_ = 0;
 
   resources::Revision minimum_revision_ = 0;
   resources::Revision taken_ = 0;
--- a/source/sim/control/sim_daemon.cc
+++ b/source/sim/control/sim_daemon.cc
@@ -5,6 +5,7 @@
 
 #include "common/session/control_frames.h"
 #include "common/session/fleet_codec.h"
+#include "common/session/heartbeat_codec.h"
 
 namespace juniperway::sim {
 namespace {
@@ -26,6 +27,8 @@
   timing.unleased_heartbeat_interval = milliseconds(100);
   timing.silence_timeout = milliseconds(750);
   timing.ungranted_timeout = milliseconds(1250);
+  timing.update_timeout = seconds(1);
+  timing.update_timeout_maximum = seconds(8);
   timing.connect_timeout = milliseconds(500);
   timing.reconnect_minimum = milliseconds(25);
   timing.reconnect_maximum = seconds(1);
@@ -276,15 +279,7 @@
   if (connection != connection_) {
     return;
   }
-  session::HeartbeatAnswer answer;
-  answer.sequence = reply.sequence;
-  answer.granted = reply.outcome == protocol::HeartbeatOutcome::kGranted;
-  answer.new_term = reply.outcome == protocol::HeartbeatOutcome::kNewTerm;
-  answer.lease = Duration(reply.granted_us);
-  answer.term = reply.term;
-  answer.in_force = reply.in_force_revision;
-  answer.zone_released = reply.zone_released_revision;
-  state_->OnHeartbeatReply(answer, Now());
+  state_->OnHeartbeatReply(session::DecodeHeartbeatAnswer(reply), Now());
   Pump();
 }
 
@@ -314,6 +309,7 @@
       !state_->MayTake(update.to_revision)) {
     return;
   }
+  state_->OnUpdateReceived(update.to_revision, Now());
   staged_ = session::ApplyUpdate(*newest(), update).value();
   KeepStaged();
 }
--- a/test/property/control/control_world.cc
+++ b/test/property/control/control_world.cc
@@ -411,6 +411,7 @@
   answer.term = reply.term;
   answer.in_force = reply.in_force_revision;
   answer.zone_released = reply.zone_released_revision;
+  answer.leader_revision = reply.leader_revision;
   report_.grants += answer.granted ? 1 : 0;
   daemon.state->OnHeartbeatReply(answer, DaemonTime(daemon));
   if (reply.outcome == protocol::HeartbeatOutcome::kNotMember) {
