sim: control machines that learn, are replaced and cannot write

With learners it now repairs the group, lets machines ask for membership (JoinSchedule, the decision of JoinClient) and fills disks for up to 8 s. Recovery then also asks that every machine is in the group.

--- a/source/common/control/join_client.cc
+++ b/source/common/control/join_client.cc
@@ -8,18 +8,14 @@
 namespace juniperway::control {
 namespace {
 
-constexpr Duration kRequestInterval = milliseconds(300);
 constexpr Duration kRequestTimeout = milliseconds(900);
-// A member that knows no leader for longer than an election takes may have been
-// replaced meanwhile, and requests membership again.
-constexpr Duration kLeaderlessTimeout = seconds(3);
 
 }  // namespace
 
 JoinClient::JoinClient(asio::io_context& context, raft::Member self)
     : self_(std::move(self)),
       client_(context, /*maximum_connections_per_host=*/1),
-      last_leader_seen_(ReadMonotonicClock()) {}
+      schedule_(ReadMonotonicClock()) {}
 
 JoinClient::~JoinClient() { *alive_ = false; }
 
@@ -28,22 +24,15 @@
 }
 
 void JoinClient::Tick(MonotonicTime now, bool is_member, bool knows_leader) {
-  if (is_member && knows_leader) {
-    last_leader_seen_ = now;
-    return;
+  const bool is_due = schedule_.IsRequestDue(now, is_member, knows_leader);
+  if (is_due && !request_in_flight_ && !seeds_.empty()) {
+    RequestMembership(now);
   }
-  const bool awaits_election =
-      is_member && now - last_leader_seen_ < kLeaderlessTimeout;
-  if (awaits_election || request_in_flight_ || seeds_.empty() ||
-      now < next_request_) {
-    return;
-  }
-  RequestMembership(now);
 }
 
 void JoinClient::RequestMembership(MonotonicTime now) {
   request_in_flight_ = true;
-  next_request_ = now + kRequestInterval;
+  schedule_.OnRequestSent(now);
   const std::string seed = seeds_[next_seed_++ % seeds_.size()];
   net::HttpClientRequest request;
   request.method = "POST";
--- a/source/common/control/join_client.h
+++ b/source/common/control/join_client.h
@@ -11,6 +11,7 @@
 #include <vector>
 
 #include "common/base/time.h"
+#include "common/control/join_schedule.h"
 #include "common/net/http_client.h"
 #include "common/raft/types.h"
 
@@ -41,10 +42,7 @@
   net::HttpClient client_;
   std::vector<std::string> seeds_;
   std::size_t next_seed_ = 0;
-  // Time at which this node was last a member that knows a leader; initially
-  // the time at which the client was created.
-  MonotonicTime last_leader_seen_;
-  MonotonicTime next_request_ = MonotonicTime::min();
+  JoinSchedule schedule_;
   bool request_in_flight_ = false;
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
--- a/source/sim/control/control_machine.cc
+++ b/source/sim/control/control_machine.cc
@@ -4,6 +4,7 @@
 #include <cstring>
 #include <utility>
 
+#include "common/raft/configuration.h"
 #include "sim/control/sim_daemon.h"
 
 namespace juniperway::sim {
@@ -13,6 +14,7 @@
 constexpr Duration kRoleTick = milliseconds(50);
 constexpr Duration kAdvanceDelay = milliseconds(5);
 constexpr Duration kUpdateDelay = milliseconds(10);
+constexpr Duration kFullDiskRetryInterval = milliseconds(100);
 constexpr Duration kMaximumWallSkew = seconds(2);
 constexpr Duration kWallStart = seconds(1'700'000'000);
 // Snapshots are taken at every such index, by all machines alike.
@@ -43,6 +45,8 @@
   return hash;
 }
 
+std::string Name(raft::NodeId id) { return "machine-" + std::to_string(id); }
+
 // A snapshot's data: the hash of all results before it, then the state's.
 std::string JoinSnapshot(std::uint64_t hash, const std::string& state) {
   std::string data(sizeof hash, '\0');
@@ -86,8 +90,13 @@
     After(Duration(0), [this] { AfterInput(); });
     return proposal;
   };
-  ports.promote_learner = [](raft::NodeId) -> Result<raft::Fsm::Proposal> {
-    return MakeError(ErrorCode::kUnavailable, "", "no learners here");
+  ports.promote_learner = [this](raft::NodeId learner) {
+    After(Duration(0), [this] { AfterInput(); });
+    return fsm_->PromoteLearner(learner, Now());
+  };
+  ports.remove_member = [this](raft::NodeId member) {
+    After(Duration(0), [this] { AfterInput(); });
+    return fsm_->RemoveMember(member, Now());
   };
   ports.announce = [this](const auto& in_force, const auto& zones) {
     Announce(in_force, zones);
@@ -105,6 +114,8 @@
   BeginRunning();
   wake_at_ = MonotonicTime::max();
   syncing_.reset();
+  suspended_ = false;
+  join_schedule_.emplace(Now());
   sessions_.clear();
   update_scheduled_ = false;
   raft::Options raft_options;
@@ -124,6 +135,12 @@
   role_options.leases.lease = options_.lease;
   role_options.leases.removal_delay = options_.lease / 2;
   role_ = std::make_unique<control::LeaderRole>(role_options, MakePorts());
+  if (options_.learners > 0) {
+    role_->EnableMemberRepair(
+        {.wanted_voters = static_cast<std::size_t>(options_.machines),
+         .voter_replacement_delay = options_.voter_replacement_delay,
+         .learner_removal_delay = options_.learner_removal_delay});
+  }
   AfterInput();
   TickRole();
 }
@@ -183,12 +200,32 @@
       continue;
     }
     syncing_ = std::move(ready);
-    After(surroundings_.Between(microseconds(50), kMaximumSync), [this] {
-      const raft::Ready synced = std::move(*syncing_);
-      syncing_.reset();
-      FinishReady(synced);
-      AfterInput();
-    });
+    Sync();
+  }
+}
+
+void ControlMachine::Sync() {
+  suspended_ = surroundings_.timeline.now() < disk_full_until_;
+  if (suspended_) {
+    After(kFullDiskRetryInterval, [this] { Sync(); });
+    return;
+  }
+  After(surroundings_.Between(microseconds(50), kMaximumSync), [this] {
+    const raft::Ready synced = std::move(*syncing_);
+    syncing_.reset();
+    FinishReady(synced);
+    AfterInput();
+  });
+}
+
+void ControlMachine::FillDisk(Duration duration) {
+  disk_full_until_ = surroundings_.timeline.now() + duration;
+}
+
+void ControlMachine::OnConsensus(const raft::Message& message) {
+  if (!suspended_) {
+    fsm_->Step(message, Now());
+    AfterInput();
   }
 }
 
@@ -255,10 +292,8 @@
 void ControlMachine::SendConsensus(const std::vector<raft::Message>& messages) {
   for (const raft::Message& message : messages) {
     ControlMachine& peer = *machines_.at(message.to - 1);
-    network_.Send(number(), peer, [&peer, message] {
-      peer.fsm_->Step(message, peer.Now());
-      peer.AfterInput();
-    });
+    network_.Send(number(), peer,
+                  [&peer, message] { peer.OnConsensus(message); });
   }
 }
 
@@ -266,9 +301,51 @@
   role_->Tick(Now());
   AfterInput();
   SendUpdates();
+  RequestMembership();
   After(kRoleTick, [this] { TickRole(); });
 }
 
+// --- Membership --------------------------------------------------------------
+
+void ControlMachine::RequestMembership() {
+  if (options_.learners == 0 || suspended_) {
+    return;
+  }
+  const raft::Status status = fsm_->GetStatus();
+  const bool is_member = raft::IsMember(status.configuration, id_);
+  const bool knows_leader = status.leader != raft::kNoNode;
+  if (!join_schedule_->IsRequestDue(Now(), is_member, knows_leader)) {
+    return;
+  }
+  join_schedule_->OnRequestSent(Now());
+  ControlMachine& seed = *machines_.at(surroundings_.Pick(machines_.size()));
+  network_.Send(number(), seed, [&seed, member = raft::Member{id_, Name(id_)}] {
+    seed.PassOnRequest(member);
+  });
+}
+
+void ControlMachine::PassOnRequest(const raft::Member& member) {
+  ControlMachine* leader = KnownLeader();
+  if (leader == this) {
+    AddMember(member);
+  } else if (leader != nullptr) {
+    network_.Send(number(), *leader,
+                  [leader, member] { leader->AddMember(member); });
+  }
+}
+
+void ControlMachine::AddMember(const raft::Member& member) {
+  if (!raft::IsMember(fsm_->GetStatus().configuration, member.id)) {
+    // A refusal is answered by the machine's next request.
+    static_cast<void>(fsm_->AddLearner(member, Now()));
+    AfterInput();
+  }
+}
+
+bool ControlMachine::HasMember(raft::NodeId id) const {
+  return raft::IsMember(fsm_->GetStatus().configuration, id);
+}
+
 WallTime ControlMachine::WallNow() const {
   return WallTime(kWallStart + wall_skew_ +
                   surroundings_.timeline.now().time_since_epoch());
--- a/source/sim/control/control_machine.h
+++ b/source/sim/control/control_machine.h
@@ -13,6 +13,7 @@
 #include <vector>
 
 #include "common/control/control_state.h"
+#include "common/control/join_schedule.h"
 #include "common/control/leader_role.h"
 #include "common/protocol/control_generated.h"
 #include "common/raft/fsm.h"
@@ -55,6 +56,9 @@
   void Start();
   // What was not synced is lost, or was just written.
   void Crash();
+  // Writes fail for that long. From the first one that does, the machine takes
+  // no part in consensus until a write succeeds.
+  void FillDisk(Duration duration);
 
   // --- From daemons
   void OnHello(const ConnectionPointer& connection,
@@ -71,6 +75,9 @@
 
   const control::ControlState& state() const { return state_; }
   raft::Status GetStatus() const { return fsm_->GetStatus(); }
+  // Whether the machine is in the leader's configuration, if this one leads.
+  bool HasMember(raft::NodeId id) const;
+  raft::NodeId id() const { return id_; }
   bool IsLeading() const { return running() && role_->IsLeading(Now()); }
   const control::LeaseTable& leases() const { return role_->leases(); }
 
@@ -96,7 +103,14 @@
   void CompactAt(raft::Index index);
   void SendConsensus(const std::vector<raft::Message>& messages);
   void ScheduleWake();
+  // Writes and syncs `syncing_`, or tries again later while the disk is full.
+  void Sync();
+  void OnConsensus(const raft::Message& message);
   void TickRole();
+  void RequestMembership();
+  // Brings the request of another machine to the leader.
+  void PassOnRequest(const raft::Member& member);
+  void AddMember(const raft::Member& member);
   WallTime WallNow() const;
   // Null while none is known.
   ControlMachine* KnownLeader();
@@ -119,6 +133,9 @@
 
   RaftDisk disk_;
   std::optional<raft::Ready> syncing_;
+  bool suspended_ = false;
+  MonotonicTime disk_full_until_ = MonotonicTime::min();
+  std::optional<control::JoinSchedule> join_schedule_;
   std::unique_ptr<raft::Fsm> fsm_;
   std::unique_ptr<control::LeaderRole> role_;
   control::ControlState state_;
--- a/source/sim/control/control_machine_sessions.cc
+++ b/source/sim/control/control_machine_sessions.cc
@@ -38,7 +38,9 @@
   auto batch = std::make_shared<control::Heartbeats>();
   batch->push_back(std::make_unique<protocol::MemberHeartbeatT>(heartbeat));
   ControlMachine* leader = KnownLeader();
-  if (leader == nullptr) {
+  const bool serves =
+      !suspended_ || options_.Has(ControlDefect::kServesWithFullDisk);
+  if (leader == nullptr || !serves) {
     return;  // The daemon finds this machine silent.
   }
   if (leader == this) {
@@ -46,8 +48,10 @@
     return;
   }
   network_.Send(number(), *leader, [this, leader, batch] {
+    const raft::NodeId from =
+        options_.Has(ControlDefect::kGrantsToOutsiders) ? leader->id_ : id_;
     auto replies = std::make_shared<control::HeartbeatReplies>(
-        leader->role_->OnHeartbeats(id_, *batch, leader->Now()));
+        leader->role_->OnHeartbeats(from, *batch, leader->Now()));
     network_.Send(leader->number(), *this,
                   [this, replies] { OnReplies(*replies); });
   });
--- a/source/sim/control/control_sim.cc
+++ b/source/sim/control/control_sim.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "common/raft/configuration.h"
 #include "common/session/control_frames.h"
 #include "common/session/fleet_codec.h"
 
@@ -13,6 +14,9 @@
 constexpr Duration kStart = seconds(100);
 constexpr Duration kStep = milliseconds(20);
 constexpr Duration kLongestFreeze = seconds(4);
+// Of the faults, where disks can be full at all.
+constexpr double kFullDiskShare = 0.2;
+constexpr Duration kLongestFullDisk = seconds(8);
 constexpr Duration kResend = milliseconds(500);
 constexpr Duration kRecoveryTime = seconds(30);
 // A request id is claimed by several daemons, as a caller's resends would.
@@ -35,14 +39,15 @@
       surroundings_(options.seed),
       network_(surroundings_, options.network) {
   raft::Configuration initial;
-  for (int id = 1; id <= options.machines; ++id) {
-    initial.voters.push_back(raft::Member{static_cast<raft::NodeId>(id),
-                                          "machine-" + std::to_string(id)});
+  for (int id = 1; id <= options.machines + options.learners; ++id) {
+    auto& members = id <= options.machines ? initial.voters : initial.learners;
+    members.push_back(raft::Member{static_cast<raft::NodeId>(id),
+                                   "machine-" + std::to_string(id)});
   }
   ProcessNumber number = 0;
-  for (const raft::Member& voter : initial.voters) {
+  for (const raft::Member& member : raft::AllMembers(initial)) {
     machines_.push_back(std::make_unique<ControlMachine>(
-        surroundings_, options_, network_, checker_, voter.id, initial));
+        surroundings_, options_, network_, checker_, member.id, initial));
     number = machines_.back()->number();
   }
   const auto machines = PointersTo(machines_);
@@ -195,6 +200,11 @@
 }
 
 void ControlSim::InjectFault() {
+  if (options_.learners > 0 && surroundings_.Chance(kFullDiskShare)) {
+    machines_.at(surroundings_.Pick(machines_.size()))
+        ->FillDisk(surroundings_.Between(milliseconds(500), kLongestFullDisk));
+    return;
+  }
   switch (surroundings_.Pick(8)) {
     case 0:
     case 1:
@@ -327,6 +337,11 @@
       return "an operator waits for an answer";
     }
   }
+  for (const auto& machine : machines_) {
+    if (!leader->HasMember(machine->id())) {
+      return "machine " + std::to_string(machine->id()) + " is no member";
+    }
+  }
   for (const auto& daemon : daemons_) {
     if (!daemon->running() || !daemon->HasLease()) {
       return daemon->id() + " has no lease";
--- a/source/sim/control/options.h
+++ b/source/sim/control/options.h
@@ -19,11 +19,17 @@
   kReleasesWhileInUse,        // a gateway lets go before its requests end
   kIgnoresLeaseEnd,           // a gateway goes on after its lease
   kReusesClaimant,            // a restarted daemon claims under its old name
+  kServesWithFullDisk,        // a suspended machine forwards heartbeats
+  kGrantsToOutsiders,  // a leader takes heartbeats of machines it removed
+  kAwaitsNoUpdates,    // a daemon stays with a machine that sends no updates
 };
 
 struct ControlSimOptions {
   std::uint64_t seed = 0;
-  int machines = 3;
+  int machines = 3;  // that vote at the start
+  // With learners, the group replaces machines that it loses, and disks can be
+  // full for a while.
+  int learners = 0;
   int daemons = 4;
   int zones = 2;
   int operators = 3;
@@ -41,6 +47,10 @@
   Duration lease_poll = milliseconds(10);
   Duration raft_heartbeat = milliseconds(100);
   Duration raft_election_timeout = milliseconds(500);
+  // How long a machine that a voter lost counts as lost before a learner takes
+  // its place, and how long a learner may be silent.
+  Duration voter_replacement_delay = milliseconds(500);
+  Duration learner_removal_delay = seconds(3);
   std::set<ControlDefect> defects;
 
   bool Has(ControlDefect defect) const { return defects.contains(defect); }
--- a/source/sim/control/sim_daemon.cc
+++ b/source/sim/control/sim_daemon.cc
@@ -21,7 +21,7 @@
 constexpr Duration kClaimExpiry = seconds(1'700'000'400);
 
 // As that of the product, with every duration halved.
-session::SessionTiming Timing() {
+session::SessionTiming Timing(const ControlSimOptions& options) {
   session::SessionTiming timing;
   timing.heartbeat_interval = milliseconds(500);
   timing.unleased_heartbeat_interval = milliseconds(100);
@@ -29,6 +29,10 @@
   timing.ungranted_timeout = milliseconds(1250);
   timing.update_timeout = seconds(1);
   timing.update_timeout_maximum = seconds(8);
+  if (options.Has(ControlDefect::kAwaitsNoUpdates)) {
+    timing.update_timeout = seconds(3600);
+    timing.update_timeout_maximum = seconds(3600);
+  }
   timing.connect_timeout = milliseconds(500);
   timing.reconnect_minimum = milliseconds(25);
   timing.reconnect_maximum = seconds(1);
@@ -75,7 +79,8 @@
   }
   leaving_ = false;
   state_ = std::make_unique<session::SessionState>(
-      Timing(), machines_.size(), kept_revision_, surroundings_.random());
+      Timing(options_), machines_.size(), kept_revision_,
+      surroundings_.random());
   // One of the machines stands in its zone.
   state_->SetLocality(number() % options_.zones % machines_.size(),
                       Locality::kSameZone, Now());
