--- a/source/common/session/endpoint_preference.cc
+++ b/source/common/session/endpoint_preference.cc
@@ -76,7 +76,7 @@
   next_trial_ = now + Draw(pause_ / 2, pause_);
 }
 
-void EndpointPreference::OnUseless() { pause_ = timing_.longest_pause; }
+void EndpointPreference::UseLongestPause() { pause_ = timing_.longest_pause; }
 
 void EndpointPreference::OnGranted() {
   if (before_trial_) {
--- a/source/common/session/endpoint_preference.h
+++ b/source/common/session/endpoint_preference.h
@@ -50,10 +50,10 @@
 
   // The current one could not be reached, is silent, or is of no use.
   void OnFailed(MonotonicTime now);
-  // The current one renews the lease but brings no updates: after OnFailed, a
-  // nearer one is tried after the longest pause only, since a trial can't show
-  // whether updates come.
-  void OnUseless();
+  // Makes the pause after the next OnFailed the longest one. For a machine that
+  // renews the lease but sends no updates: a trial does not show whether it
+  // does.
+  void UseLongestPause();
   // The current one renewed the lease.
   void OnGranted();
   // Whether a nearer one is to be tried now.
--- a/source/common/session/session_state.cc
+++ b/source/common/session/session_state.cc
@@ -55,7 +55,7 @@
     Abandon(DisconnectReason::kUnresponsive, now);
   } else if (now >= UpdateDeadline()) {
     ++update_timeouts_;
-    preference_.OnUseless();
+    preference_.UseLongestPause();
     Abandon(DisconnectReason::kNoUpdates, now);
   } else if (granted_now && preference_.IsTrialDue(now)) {
     BeginTrial(now);
--- a/source/sim/control/control_machine.h
+++ b/source/sim/control/control_machine.h
@@ -75,7 +75,7 @@
 
   const control::ControlState& state() const { return state_; }
   raft::Status GetStatus() const { return fsm_->GetStatus(); }
-  // Whether the machine is in the leader's configuration, if this one leads.
+  // Whether the latest configuration in this machine's log has that machine.
   bool HasMember(raft::NodeId id) const;
   raft::NodeId id() const { return id_; }
   bool IsLeading() const { return running() && role_->IsLeading(Now()); }
--- a/source/sim/control/options.h
+++ b/source/sim/control/options.h
@@ -20,8 +20,8 @@
   kIgnoresLeaseEnd,           // a gateway goes on after its lease
   kReusesClaimant,            // a restarted daemon claims under its old name
   kServesWithFullDisk,        // a suspended machine forwards heartbeats
-  kGrantsToOutsiders,  // a leader takes heartbeats of machines it removed
-  kAwaitsNoUpdates,    // a daemon stays with a machine that sends no updates
+  kGrantsToOutsiders,         // a leader grants through machines it removed
+  kAwaitsNoUpdates,           // a daemon stays where it gets no updates
 };
 
 struct ControlSimOptions {
@@ -47,8 +47,8 @@
   Duration lease_poll = milliseconds(10);
   Duration raft_heartbeat = milliseconds(100);
   Duration raft_election_timeout = milliseconds(500);
-  // How long a machine that a voter lost counts as lost before a learner takes
-  // its place, and how long a learner may be silent.
+  // How long a voter must be silent before a learner replaces it, and a learner
+  // before it is removed.
   Duration voter_replacement_delay = milliseconds(500);
   Duration learner_removal_delay = seconds(3);
   std::set<ControlDefect> defects;
