--- a/source/sim/control/control_machine.cc
+++ b/source/sim/control/control_machine.cc
@@ -10,6 +10,7 @@
 namespace juniperway::sim {
 namespace {
 
+constexpr Duration kMinimumSync = microseconds(50);
 constexpr Duration kMaximumSync = milliseconds(8);
 constexpr Duration kRoleTick = milliseconds(50);
 constexpr Duration kAdvanceDelay = milliseconds(5);
@@ -210,7 +211,7 @@
     After(kFullDiskRetryInterval, [this] { Sync(); });
     return;
   }
-  After(surroundings_.Between(microseconds(50), kMaximumSync), [this] {
+  After(surroundings_.Between(kMinimumSync, kMaximumSync), [this] {
     const raft::Ready synced = std::move(*syncing_);
     syncing_.reset();
     FinishReady(synced);
--- a/source/sim/control/control_sim.cc
+++ b/source/sim/control/control_sim.cc
@@ -16,6 +16,7 @@
 constexpr Duration kLongestFreeze = seconds(4);
 // Of the faults, where disks can be full at all.
 constexpr double kFullDiskShare = 0.2;
+constexpr Duration kShortestFullDisk = milliseconds(500);
 constexpr Duration kLongestFullDisk = seconds(8);
 constexpr Duration kResend = milliseconds(500);
 constexpr Duration kRecoveryTime = seconds(30);
@@ -202,7 +203,7 @@
 void ControlSim::InjectFault() {
   if (options_.learners > 0 && surroundings_.Chance(kFullDiskShare)) {
     machines_.at(surroundings_.Pick(machines_.size()))
-        ->FillDisk(surroundings_.Between(milliseconds(500), kLongestFullDisk));
+        ->FillDisk(surroundings_.Between(kShortestFullDisk, kLongestFullDisk));
     return;
   }
   switch (surroundings_.Pick(8)) {
--- a/source/sim/control/sim_daemon.cc
+++ b/source/sim/control/sim_daemon.cc
@@ -16,6 +16,10 @@
 constexpr Duration kReportTimeout = seconds(5);
 constexpr Duration kLeaveTimeout = seconds(2);
 constexpr Duration kDrainTime = milliseconds(300);
+constexpr Duration kUpdateTimeout = seconds(1);
+constexpr Duration kMaximumUpdateTimeout = seconds(8);
+// Past the end of every run.
+constexpr Duration kNoUpdateTimeout = seconds(3600);
 // Unix time; within the service's maximum_expiry of the machines' clocks, and
 // past the end of every run.
 constexpr Duration kClaimExpiry = seconds(1'700'000'400);
@@ -27,11 +31,11 @@
   timing.unleased_heartbeat_interval = milliseconds(100);
   timing.silence_timeout = milliseconds(750);
   timing.ungranted_timeout = milliseconds(1250);
-  timing.update_timeout = seconds(1);
-  timing.update_timeout_maximum = seconds(8);
+  timing.update_timeout = kUpdateTimeout;
+  timing.update_timeout_maximum = kMaximumUpdateTimeout;
   if (options.Has(ControlDefect::kAwaitsNoUpdates)) {
-    timing.update_timeout = seconds(3600);
-    timing.update_timeout_maximum = seconds(3600);
+    timing.update_timeout = kNoUpdateTimeout;
+    timing.update_timeout_maximum = kNoUpdateTimeout;
   }
   timing.connect_timeout = milliseconds(500);
   timing.reconnect_minimum = milliseconds(25);
