session: a lost session is logged with both revisions

The line said that updates were missing, but not how far the daemon was behind, so that a log could not tell a node that the group left behind from one whose updates are slow. It now has the daemon's revision and the leader's, as it last heard it.

--- a/source/common/session/control_session_client.cc
+++ b/source/common/session/control_session_client.cc
@@ -279,9 +279,7 @@
     } else if (const auto* beat = std::get_if<HeartbeatAction>(&action)) {
       SendHeartbeat(beat->heartbeat);
     } else {
-      const auto reason = std::get<DisconnectAction>(action).reason;
-      LogEvent(kSessionLost, {{"daemon", options_.daemon_id},
-                              {"reason", DescribeReason(reason)}});
+      LogSessionLost(DescribeReason(std::get<DisconnectAction>(action).reason));
       DropConnection();
     }
   }
@@ -328,13 +326,19 @@
   }
 
   void OnConnectionClosed() {
-    LogEvent(kSessionLost,
-             {{"daemon", options_.daemon_id}, {"reason", "closed"}});
+    LogSessionLost("closed");
     DropConnection();
     state_->OnDisconnected(Now());
     SchedulePump();
   }
 
+  void LogSessionLost(const char* reason) {
+    LogEvent(kSessionLost, {{"daemon", options_.daemon_id},
+                            {"reason", reason},
+                            {"revision", state_->taken()},
+                            {"leader_revision", state_->leader_revision()}});
+  }
+
   void DropConnection() {
     operations_->queue().OnDisconnected();
     link_->Drop();
--- a/source/common/session/session_state.h
+++ b/source/common/session/session_state.h
@@ -156,6 +156,9 @@
   bool HasLease(MonotonicTime now) const { return now < lease_end_; }
   bool connected() const { return phase_ == Phase::kConnected; }
   resources::Revision taken() const { return taken_; }
+  // Of the leader's state, by the latest reply since a connection was opened
+  // that named it; 0: none.
+  resources::Revision leader_revision() const { return leader_revision_; }
   // Nothing below this is taken.
   resources::Revision minimum_revision() const { return minimum_revision_; }
   resources::Revision in_force() const { return in_force_; }
