--- a/test/integration/forwarding/rollout_fleet.h
+++ b/test/integration/forwarding/rollout_fleet.h
@@ -44,9 +44,9 @@
         rare_at_one_router ? requests : requests / kRolloutRouters;
     const std::string target =
         (round % 3 == 0 ? "/rare/" : "/often/") + std::to_string(requests);
+    latest_router = static_cast<int>(requests % kRolloutRouters);
     const auto answer =
-        fleet.Request(target, "request-" + target,
-                      static_cast<int>(requests % kRolloutRouters));
+        fleet.Request(target, "request-" + target, latest_router);
     failed += answer.status == 200 ? 0 : 1;
   }
 
@@ -66,6 +66,8 @@
   // Whether all requests of the rare route go to the first router.
   bool rare_at_one_router = false;
   std::size_t requests = 0;
+  // The router that got the latest request.
+  int latest_router = 0;
   // Requests that were not answered with 200.
   std::size_t failed = 0;
   RouteFleet fleet;
