lab: a soak of more than 22 control machines starts

juniperway-lab soak takes 3 to 50 control machines, but set tolerated_losses to what a quorum of all of them bears, and the settings take 10 at most: with 23 or more the first daemon ended at once, "control.tolerated_losses: must be a whole number from 0 to 10". The limit is now one constant, which the soak keeps to; the machines beyond it learn.

--- a/source/daemon/settings.cc
+++ b/source/daemon/settings.cc
@@ -32,7 +32,6 @@
 constexpr double kMaximumExtraRatio = 10;
 constexpr double kMaximumExtraSlack = 1e9;
 constexpr double kMaximumExposureShare = 1;
-constexpr std::int64_t kMaximumToleratedLosses = 10;
 constexpr std::int64_t kMinimumIntervalMs = 10;
 constexpr std::int64_t kMinimumElectionMs = 50;
 constexpr std::int64_t kMaximumIntervalMs = 600'000;
--- a/source/daemon/settings.h
+++ b/source/daemon/settings.h
@@ -5,6 +5,7 @@
 #include <asio/ip/address.hpp>
 #include <asio/ip/tcp.hpp>
 #include <cstddef>
+#include <cstdint>
 #include <filesystem>
 #include <map>
 #include <optional>
@@ -24,6 +25,9 @@
 
 namespace juniperway::daemon {
 
+// Most control machines whose loss at once a group can be set to bear.
+inline constexpr std::int64_t kMaximumToleratedLosses = 10;
+
 struct GatewaySettings {
   asio::ip::tcp::endpoint http_listen;
   // Callers connect by TLS, where set.
--- a/source/lab/soak/fleet.cc
+++ b/source/lab/soak/fleet.cc
@@ -2,11 +2,14 @@
 
 #include <fmt/format.h>
 
+#include <algorithm>
+#include <cstdint>
 #include <fstream>
 #include <nlohmann/json.hpp>
 #include <stdexcept>
 #include <utility>
 
+#include "daemon/settings.h"
 #include "lab/blocking_http.h"
 #include "lab/fleet/loopback.h"
 
@@ -20,6 +23,12 @@
 constexpr std::size_t kFirstHiddenAddress = 51;
 constexpr std::size_t kFirstRouterAddress = 101;
 
+// As many as a quorum of all machines can bear, where the settings take it.
+std::int64_t ToleratedLosses(std::size_t controls) {
+  return std::min(static_cast<std::int64_t>(controls - 1) / 2,
+                  daemon::kMaximumToleratedLosses);
+}
+
 asio::ip::tcp::endpoint Endpoint(const std::string& address,
                                  std::uint16_t port) {
   return {asio::ip::make_address(address), port};
@@ -118,7 +127,7 @@
           "discovery_url = \"{}\"\ndiscovery_interval_ms = 200\n",
           DataFolder(number).string(), ControlAddress(number),
           HiddenControlIp(number), peer_port_, address, peer_port_, bootstrap,
-          (options_.controls - 1) / 2, options_.list_url);
+          ToleratedLosses(options_.controls), options_.list_url);
   controls_.at(number) =
       StartProcess(fmt::format("control-{}", number), settings);
 }
